--- /dev/null
+++ b/hornbeambench/main.go
@@ -0,0 +1,4 @@
+// Command hornbeambench is part of hornbeamstep.
+package main
+
+func main() {}
--- /dev/null
+++ b/hornbeamctl/main.go
@@ -0,0 +1,4 @@
+// Command hornbeamctl is part of hornbeamstep.
+package main
+
+func main() {}
--- /dev/null
+++ b/hornbeamd/main.go
@@ -0,0 +1,4 @@
+// Command hornbeamd is part of hornbeamstep.
+package main
+
+func main() {}
--- /dev/null
+++ b/routing/outcome/outcome.go
@@ -0,0 +1,72 @@
+// Package outcome holds the typed outcome of a request: whether it ran, and what the caller can do next.
+package outcome
+
+import (
+	"fmt"
+	"time"
+)
+
+// Outcome says whether a request ran on a backend server.
+type Outcome string
+
+// The outcomes of a refused or failed request.
+const (
+	// NotRun is only used when no byte of the request reached a backend server, or the backend server refused it before starting.
+	NotRun Outcome = "not run"
+	// Ran is used when the backend server surely ran the request, although the answer could not be delivered.
+	Ran Outcome = "ran"
+	// Unknown is used when the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Code is a machine-readable reason.
+type Code string
+
+// The codes of refusals and failures.
+const (
+	BadRequest     Code = "bad_request"
+	BadKey         Code = "bad_key"
+	Forbidden      Code = "forbidden"
+	UnknownModel   Code = "unknown_model"
+	UnknownService Code = "unknown_service"
+	TooLarge       Code = "too_large"
+	KeyMissing     Code = "key_missing"
+	KeyReused      Code = "key_reused"
+	InProgress     Code = "in_progress"
+	AlreadyRan     Code = "already_ran"
+	RateLimited    Code = "rate_limited"
+	QueueFull      Code = "queue_full"
+	Overloaded     Code = "overloaded"
+	NoBackend      Code = "no_backend"
+	Quarantined    Code = "quarantined"
+	ClaimDown      Code = "claim_unavailable"
+	Draining       Code = "draining"
+	Isolated       Code = "isolated"
+	Deadline       Code = "deadline"
+	BackendFailed  Code = "backend_failed"
+	Interrupted    Code = "interrupted"
+	ProtocolError  Code = "protocol_error"
+)
+
+// Error is the final answer to a request that was refused or failed.
+type Error struct {
+	Code    Code
+	Outcome Outcome
+	// Status is the HTTP status towards the caller.
+	Status  int
+	Message string
+	// Remedy tells the caller or operator what to do.
+	Remedy string
+	// Retry is how long the caller waits before it sends the request again; 0 means that a repetition does not help.
+	Retry time.Duration
+	// Addresses are other routers to use, as ip:port; empty if this one remains right.
+	Addresses []string
+	Cause     error
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s, %s): %s", e.Message, e.Code, e.Outcome, e.Remedy)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/timeline/timeline.go
@@ -0,0 +1,44 @@
+// Package timeline records typed events with hybrid logical timestamps and merges them over all daemons.
+package timeline
+
+import "time"
+
+// Kind is the type of an event.
+type Kind string
+
+// The kinds of events.
+const (
+	Placed      Kind = "placed"
+	Admitted    Kind = "admitted"
+	Attempt     Kind = "attempt"
+	Answered    Kind = "answered"
+	Refused     Kind = "refused"
+	Retried     Kind = "retried"
+	Claimed     Kind = "claimed"
+	InForce     Kind = "in force"
+	Member      Kind = "member"
+	Owner       Kind = "owner"
+	Order       Kind = "order"
+	Drained     Kind = "drained"
+	Quarantined Kind = "quarantined"
+)
+
+// Stamp is a hybrid logical timestamp: wall time that never runs backwards, with a counter for ties.
+type Stamp struct {
+	Wall    time.Time `json:"wall"`
+	Logical uint32    `json:"logical,omitempty"`
+}
+
+// Event is one entry of the time line.
+type Event struct {
+	Stamp Stamp `json:"stamp"`
+	// Daemon is the identifier of the router that recorded the event.
+	Daemon string `json:"daemon"`
+	Kind   Kind   `json:"kind"`
+	// Request and Chat are empty for events that belong to none.
+	Request string `json:"request,omitempty"`
+	Chat    string `json:"chat,omitempty"`
+	// Backend names the backend server concerned; Text says what happened in one line.
+	Backend string `json:"backend,omitempty"`
+	Text    string `json:"text,omitempty"`
+}
