feat: membership and ownership of the router fleet

Routers need one view of each other without a consensus group, at a bounded cost per router. coord/member keeps it by pings, indirect probes, suspicion, incarnations, boot ids and sync of differing digests; coord/owner assigns engines, claim shards, relays and load aggregators by weighted rendezvous hashing.

--- /dev/null
+++ b/coord/member/member_test.go
@@ -0,0 +1,255 @@
+package member_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"hornbeamstep.example/coord/member"
+)
+
+const (
+	// Starting routers know each other within half a minute; a lost one is gone within the suspicion time of 5 s plus the
+	// time to notice and spread it, 15 s; regions that were parted agree again within a minute.
+	// When a region parts, up to two thirds of all pings go nowhere: twice that time.
+	joinBound   = 30 * time.Second
+	removeBound = 15 * time.Second
+	partBound   = 2 * removeBound
+	rejoinBound = time.Minute
+)
+
+func started(c *quicktest.C, size int, seed uint64) (*network, []member.Instance) {
+	n := newNetwork(seed)
+	list := n.fleet(size)
+	took := n.until(joinBound, n.complete)
+	c.Assert(took > 0, quicktest.IsTrue, quicktest.Commentf("%d members do not know each other after %s", size, joinBound))
+	c.Logf("%d members: joined in %s", size, took)
+	n.run(time.Minute)
+	for _, x := range n.nodes {
+		c.Assert(x.removed, quicktest.HasLen, 0, quicktest.Commentf("%s removed a running member", x.self.ID))
+	}
+	return n, list
+}
+
+// Guards against members that stay after they were killed, and against removing others with them.
+func TestKillAndRestart(t *testing.T) {
+	for name, size := range map[string]int{"today": 6, "in two years": 340} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			n, list := started(c, size, 1)
+			n.nodes[2].dead = true
+			took := n.until(removeBound, n.complete)
+			c.Assert(took > 0, quicktest.IsTrue, quicktest.Commentf("killed member is still known after %s", removeBound))
+			c.Logf("removed everywhere in %s", took)
+			n.add(2, list)
+			took = n.until(removeBound, n.complete)
+			c.Assert(took > 0, quicktest.IsTrue, quicktest.Commentf("restarted member is not known after %s", removeBound))
+			c.Logf("restarted member known in %s", took)
+		})
+	}
+}
+
+// Guards against an old boot that lives on at the address of its replacement, and against a replacement with another ID.
+func TestReplacedAtOnceAtTheSameAddress(t *testing.T) {
+	c := quicktest.New(t)
+	n, list := started(c, 8, 2)
+	old := n.nodes[3]
+	old.dead = true
+	fresh := n.add(3, list)
+	took := n.until(removeBound, func(_ *node, v *member.View) bool {
+		m, ok := v.Find("r003")
+		return ok && m.Boot == fresh.self.Boot && m.Status == member.Alive
+	})
+	c.Assert(took > 0, quicktest.IsTrue)
+}
+
+// Guards against removing a member that one other member cannot reach: indirect probes must reach it.
+func TestOneWayAndSilentLinks(t *testing.T) {
+	for name, down := range map[string]func(n *network) func(a, b *node) bool{
+		"one way": func(n *network) func(a, b *node) bool {
+			return func(a, b *node) bool { return a == n.nodes[1] && b == n.nodes[4] }
+		},
+		"silent": func(n *network) func(a, b *node) bool {
+			return func(a, b *node) bool {
+				return (a == n.nodes[1] && b == n.nodes[4]) || (a == n.nodes[4] && b == n.nodes[1])
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			n, _ := started(c, 12, 3)
+			n.down = down(n)
+			n.run(5 * time.Minute)
+			for _, x := range n.nodes {
+				c.Assert(x.removed, quicktest.HasLen, 0, quicktest.Commentf("%s removed a member", x.self.ID))
+				c.Assert(x.View(n.now).Trusted, quicktest.IsTrue)
+			}
+		})
+	}
+}
+
+// Guards against a lost availability zone that stays in the view.
+func TestZoneLoss(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	n, _ := started(c, 340, 4)
+	for _, x := range n.nodes {
+		x.dead = x.self.Zone == "z4"
+	}
+	took := n.until(removeBound, n.complete)
+	c.Assert(took > 0, quicktest.IsTrue)
+	c.Logf("zone removed in %s", took)
+}
+
+// Guards against regions that never find each other again, and against removing own members by the other side's news.
+func TestRegionsPartedForAnHour(t *testing.T) {
+	for name, parted := range map[string]struct {
+		size int
+		time time.Duration
+	}{
+		"today for an hour": {8, time.Hour},
+		"40 for an hour":    {40, time.Hour},
+		// All reports of removals are older than the suspicion time; the rest of an hour only takes time to compute.
+		"in two years for two minutes": {340, 2 * time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			size := parted.size
+			n, _ := started(c, size, 5)
+			n.down = func(a, b *node) bool { return (a.self.Region == "g0") != (b.self.Region == "g0") }
+			took := n.until(partBound, func(x *node, v *member.View) bool {
+				return v.Trusted && !slices.ContainsFunc(v.Members, func(m member.Member) bool {
+					return (m.Region == "g0") != (x.self.Region == "g0")
+				})
+			})
+			c.Assert(took > 0, quicktest.IsTrue, quicktest.Commentf("parted regions still list each other after %s", partBound))
+			c.Logf("%d members parted in %s", size, took)
+			n.run(parted.time - took)
+			own := map[string]int{}
+			n.down = func(_, _ *node) bool { return false }
+			for _, x := range n.nodes {
+				x.removed = map[string]int{}
+			}
+			took = n.until(rejoinBound, n.complete)
+			for _, x := range n.nodes {
+				for id := range x.removed {
+					own[id]++
+				}
+			}
+			c.Assert(took > 0, quicktest.IsTrue, quicktest.Commentf("regions do not agree after %s", rejoinBound))
+			c.Assert(own, quicktest.HasLen, 0, quicktest.Commentf("running members were removed while the regions rejoined"))
+			c.Logf("%d members agree in %s", size, took)
+		})
+	}
+}
+
+// Guards against a router that resumes after a pause and relies on ownership that has moved.
+func TestPausedRouterIsNotTrusted(t *testing.T) {
+	c := quicktest.New(t)
+	n, _ := started(c, 12, 6)
+	x := n.nodes[5]
+	x.paused = true
+	n.run(removeBound)
+	// A message is handled before the first tick after the pause.
+	ack, _ := x.HandlePing(n.now, n.nodes[0].Relay(n.now, x.self))
+	c.Assert(ack.From.ID, quicktest.Equals, "r005")
+	c.Assert(x.View(n.now).Trusted, quicktest.IsFalse)
+	x.paused = false
+	took := n.until(removeBound, n.complete)
+	c.Assert(took > 0, quicktest.IsTrue)
+	c.Assert(x.removed, quicktest.HasLen, 0, quicktest.Commentf("resumed router blames others for its pause"))
+}
+
+// Guards against an isolated router that removes everyone or trusts its ownership, and against harm when it comes back.
+func TestIsolatedRouter(t *testing.T) {
+	c := quicktest.New(t)
+	n, _ := started(c, 12, 7)
+	x := n.nodes[5]
+	n.down = func(a, b *node) bool { return a == x || b == x }
+	n.run(time.Minute)
+	c.Assert(x.View(n.now).Trusted, quicktest.IsFalse)
+	c.Assert(len(x.View(n.now).Members) > 1, quicktest.IsTrue)
+	n.down = func(_, _ *node) bool { return false }
+	for _, y := range n.nodes {
+		y.removed = map[string]int{}
+	}
+	c.Assert(n.until(rejoinBound, n.complete) > 0, quicktest.IsTrue)
+	for _, y := range n.nodes {
+		c.Assert(y.removed, quicktest.HasLen, 0)
+	}
+}
+
+// Guards against ownership that moves with each restart of a flapping member, and against damping for ever.
+func TestFlappingIsDamped(t *testing.T) {
+	c := quicktest.New(t)
+	n, list := started(c, 8, 8)
+	for range 4 {
+		n.nodes[len(n.nodes)-1].dead = true
+		n.run(10 * time.Second)
+		n.add(7, list)
+		n.run(10 * time.Second)
+	}
+	for _, x := range n.nodes[:7] {
+		m, ok := x.View(n.now).Find("r007")
+		c.Assert(ok, quicktest.IsTrue)
+		c.Assert(m.Damped, quicktest.IsTrue, quicktest.Commentf("at %s", x.self.ID))
+		c.Assert(m.Eligible(), quicktest.IsFalse)
+	}
+	n.run(5 * time.Minute)
+	m, _ := n.nodes[0].View(n.now).Find("r007")
+	c.Assert(m.Eligible(), quicktest.IsTrue)
+}
+
+// Guards against a leaving router that is still taken for an owner, and against waiting for suspicion after it stopped.
+func TestLeave(t *testing.T) {
+	c := quicktest.New(t)
+	n, _ := started(c, 12, 9)
+	x := n.nodes[3]
+	x.Leave()
+	took := n.until(5*time.Second, func(_ *node, v *member.View) bool {
+		m, ok := v.Find("r003")
+		return ok && !m.Eligible()
+	})
+	c.Assert(took > 0, quicktest.IsTrue)
+	n.do(x, x.Stop(n.now))
+	n.run(10 * time.Millisecond)
+	x.dead = true
+	c.Assert(n.until(5*time.Second, n.complete) > 0, quicktest.IsTrue)
+}
+
+// Guards against the lagging instance list removing members or keeping lost ones, and against a start without it.
+func TestLaggingInstanceList(t *testing.T) {
+	c := quicktest.New(t)
+	n, list := started(c, 8, 10)
+	for _, x := range n.nodes {
+		x.Listed(n.now, list[:2])
+	}
+	n.run(time.Minute)
+	for _, x := range n.nodes {
+		c.Assert(x.View(n.now).Members, quicktest.HasLen, 8)
+		x.Listed(n.now, append(list[:8:8], member.Instance{Address: "10.9.9.9:7000"}))
+	}
+	n.run(time.Minute)
+	for _, x := range n.nodes {
+		c.Assert(x.View(n.now).Members, quicktest.HasLen, 8)
+	}
+	n.add(20, list[6:7])
+	c.Assert(n.until(joinBound, n.complete) > 0, quicktest.IsTrue)
+}
+
+// Guards against an older process that goes on beside its replacement with the same ID.
+func TestSuperseded(t *testing.T) {
+	c := quicktest.New(t)
+	n, list := started(c, 6, 11)
+	old := n.nodes[2]
+	fresh := n.add(2, list)
+	fresh.self.Address = "10.0.0.99:7000"
+	n.run(30 * time.Second)
+	_, actions := old.HandlePing(n.now, member.Ping{From: member.Member{ID: "r002", Boot: fresh.self.Boot, Address: "10.0.0.99:7000"}})
+	c.Assert(actions, quicktest.HasLen, 1)
+	c.Assert(actions[0].Kind, quicktest.Equals, member.Superseded)
+}
--- /dev/null
+++ b/coord/member/oracle_test.go
@@ -0,0 +1,81 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"hornbeamstep.example/coord/member"
+	"pgregory.net/rapid"
+)
+
+// Guards against stale news that wins over newer news, and against a removed member that cannot come back: reports about one
+// member arrive in any order and number, and a simple oracle says what must hold.
+func TestReportsAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+		s := member.New(member.Config{Self: member.Member{ID: "a", Boot: 1, Address: "a:1"}}, now, rand.New(rand.NewPCG(1, 2)))
+		var boot uint64
+		var incarnation uint32
+		left := false
+		t.Repeat(map[string]func(*rapid.T){
+			"report": func(t *rapid.T) {
+				u := member.Member{
+					ID: "b", Address: "b:1", Boot: rapid.Uint64Range(1, 3).Draw(t, "boot"),
+					Incarnation: rapid.Uint32Range(0, 5).Draw(t, "incarnation"),
+					Status:      member.Status(rapid.IntRange(0, 3).Draw(t, "status")),
+				}
+				before, was := s.View(now).Find("b")
+				s.HandlePing(now, member.Ping{From: member.Member{ID: "c", Boot: 1, Address: "c:1"}, Updates: []member.Member{u}})
+				after, is := s.View(now).Find("b")
+				newer := u.Boot > boot || (u.Boot == boot && u.Incarnation > incarnation && !left)
+				if newer && u.Status.Live() && (!is || after.Boot != u.Boot || after.Incarnation != u.Incarnation) {
+					t.Fatalf("newer report %+v not taken: %+v", u, after)
+				}
+				if u.Boot < boot && (was != is || before != after) {
+					t.Fatalf("report about an earlier boot changed %+v to %+v", before, after)
+				}
+				if u.Boot == boot && u.Incarnation < incarnation && u.Status != member.Left && (was != is || before != after) {
+					t.Fatalf("stale report changed %+v to %+v", before, after)
+				}
+				if u.Boot > boot {
+					boot, incarnation, left = u.Boot, u.Incarnation, false
+				}
+				// A report of a removal alone does not raise what is known about a member that is alive here.
+				if u.Boot == boot && (u.Status != member.Removed || !is) {
+					incarnation = max(incarnation, u.Incarnation)
+				}
+				left = left || (u.Boot == boot && u.Status == member.Left)
+			},
+			"about itself": func(t *rapid.T) {
+				u := member.Member{
+					ID: "a", Boot: 1, Incarnation: rapid.Uint32Range(0, 9).Draw(t, "incarnation"),
+					Status: member.Status(rapid.IntRange(1, 3).Draw(t, "status")),
+				}
+				s.HandlePing(now, member.Ping{From: member.Member{ID: "c", Boot: 1, Address: "c:1"}, Updates: []member.Member{u}})
+				if self := s.View(now).Self; self.Incarnation <= u.Incarnation || self.Status != member.Alive {
+					t.Fatalf("%+v was not refuted: %+v", u, self)
+				}
+			},
+		})
+	})
+}
+
+func ExampleState() {
+	now := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	a := member.New(member.Config{Self: member.Member{ID: "a", Boot: 1, Address: "10.0.0.1:7000"}}, now, rand.New(rand.NewPCG(1, 2)))
+	b := member.New(member.Config{Self: member.Member{ID: "b", Boot: 1, Address: "10.0.0.2:7000"}}, now, rand.New(rand.NewPCG(3, 4)))
+	a.Listed(now, []member.Instance{{Address: "10.0.0.2:7000"}})
+	now = now.Add(time.Second)
+	for _, action := range a.Tick(now) {
+		ack, _ := b.HandlePing(now, action.Ping)
+		a.Acked(now, action.Seq, ack)
+	}
+	for _, m := range a.View(now).Members {
+		fmt.Println(m.ID, m.Status)
+	}
+	// Output:
+	// a alive
+	// b alive
+}
--- /dev/null
+++ b/coord/owner/owner.go
@@ -0,0 +1,319 @@
+// Package owner computes by weighted rendezvous hashing which router owns an engine or claim shard or has a role.
+package owner
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// DefaultShards is the number of shards of the claim log.
+	DefaultShards = 64
+	// DefaultRelays is the number of relays per availability zone: one may fail without delay for its zone.
+	DefaultRelays = 2
+)
+
+// Router is a candidate. Routers that leave or are damped are not given.
+type Router struct {
+	ID, Zone, Region string
+	// Weight is the share of the work; 0 stands for 1.
+	Weight float64
+}
+
+// Engine is a model engine whose admission needs an owner.
+type Engine struct {
+	ID, Zone, Region string
+}
+
+// Input is everything that ownership depends on. Equal inputs give equal snapshots in whatever order they list things.
+type Input struct {
+	// Self is the ID of the router that computes.
+	Self    string
+	Routers []Router
+	Engines []Engine
+	// Pools are the names of the pools whose load is aggregated.
+	Pools []string
+	// Shards and Relays default to DefaultShards and DefaultRelays.
+	Shards, Relays int
+}
+
+// Kind is what a change concerns.
+type Kind uint8
+
+// The kinds of ownership.
+const (
+	OfEngine Kind = iota
+	OfShard
+	OfRelay
+	OfAggregator
+)
+
+// String returns the kind in lower case.
+func (k Kind) String() string {
+	switch k {
+	case OfEngine:
+		return "engine"
+	case OfShard:
+		return "shard"
+	case OfRelay:
+		return "relay"
+	case OfAggregator:
+		return "aggregator"
+	default:
+		return "kind " + strconv.Itoa(int(k))
+	}
+}
+
+// Change is a difference between two snapshots. From or To is empty for something without owner.
+type Change struct {
+	Kind Kind
+	// Name is the engine, the shard's number, the availability zone of relays, or "pool zone" of an aggregator.
+	Name     string
+	From, To string
+}
+
+// Snapshot is an immutable assignment.
+type Snapshot struct {
+	// Self is the ID of the router that computed the snapshot.
+	Self string
+	// Trusted is false while the router must not act as owner: after a pause and while it hears no peer.
+	Trusted bool
+
+	engines     map[string]string
+	shards      []string
+	relays      map[string][]string
+	aggregators map[string]string
+	zones       []string
+	zone        string
+}
+
+// Compute returns the assignment over the given routers. It is not trusted until WithTrust.
+func Compute(in Input) *Snapshot {
+	if in.Shards == 0 {
+		in.Shards = DefaultShards
+	}
+	if in.Relays == 0 {
+		in.Relays = DefaultRelays
+	}
+	c := newCandidates(in.Routers)
+	s := &Snapshot{
+		Self:        in.Self,
+		engines:     make(map[string]string, len(in.Engines)),
+		shards:      make([]string, in.Shards),
+		relays:      make(map[string][]string, len(c.zones)),
+		aggregators: make(map[string]string, len(c.zones)*len(in.Pools)),
+		zones:       c.zones,
+	}
+	for _, r := range in.Routers {
+		if r.ID == in.Self {
+			s.zone = r.Zone
+		}
+	}
+	for _, e := range in.Engines {
+		s.engines[e.ID] = best(c.near(e.Zone, e.Region), key("engine", e.ID))
+	}
+	for i := range s.shards {
+		s.shards[i] = best(c.all, key("shard", strconv.Itoa(i)))
+	}
+	for _, zone := range c.zones {
+		s.relays[zone] = top(c.byZone[zone], key("relay", zone), in.Relays)
+		for _, pool := range in.Pools {
+			s.aggregators[aggregator(pool, zone)] = best(c.byZone[zone], key("aggregator", pool))
+		}
+	}
+	return s
+}
+
+// WithTrust returns the snapshot with another value of Trusted.
+func (s *Snapshot) WithTrust(trusted bool) *Snapshot {
+	if s.Trusted == trusted {
+		return s
+	}
+	other := *s
+	other.Trusted = trusted
+	return &other
+}
+
+// Engine returns the owner of an engine, "" if there is none.
+func (s *Snapshot) Engine(id string) string { return s.engines[id] }
+
+// Owns is true if the router itself owns an engine and may rely on it.
+func (s *Snapshot) Owns(engine string) bool {
+	return s.Trusted && s.Self != "" && s.engines[engine] == s.Self
+}
+
+// Owned returns the engines that the router itself owns, sorted; none while the snapshot is not trusted.
+func (s *Snapshot) Owned() []string {
+	if !s.Trusted {
+		return nil
+	}
+	var out []string
+	for id, router := range s.engines {
+		if router == s.Self {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Shards returns the number of claim shards.
+func (s *Snapshot) Shards() int { return len(s.shards) }
+
+// Shard returns the owner of a claim shard.
+func (s *Snapshot) Shard(i int) string { return s.shards[i] }
+
+// OwnsShard is true if the router itself owns a claim shard and may rely on it.
+func (s *Snapshot) OwnsShard(i int) bool { return s.Trusted && s.Self != "" && s.shards[i] == s.Self }
+
+// Relays returns the routers of an availability zone that watch the object API, best first.
+func (s *Snapshot) Relays(zone string) []string { return slices.Clone(s.relays[zone]) }
+
+// Relay is true if the router itself is a relay. It does not depend on trust: a needless watch harms nobody.
+func (s *Snapshot) Relay() bool { return slices.Contains(s.relays[s.zone], s.Self) }
+
+// Zones returns the availability zones that have routers, sorted.
+func (s *Snapshot) Zones() []string { return slices.Clone(s.zones) }
+
+// Zone returns the availability zone of the router itself.
+func (s *Snapshot) Zone() string { return s.zone }
+
+// Aggregator returns the router that sums the load of a pool over the owners in an availability zone.
+func (s *Snapshot) Aggregator(pool, zone string) string { return s.aggregators[aggregator(pool, zone)] }
+
+// Changes returns what differs between two snapshots, in a fixed order. Either may be nil.
+func Changes(from, to *Snapshot) []Change {
+	if from == nil {
+		from = &Snapshot{}
+	}
+	if to == nil {
+		to = &Snapshot{}
+	}
+	out := compare(OfEngine, from.engines, to.engines)
+	out = append(out, compare(OfShard, numbered(from.shards), numbered(to.shards))...)
+	out = append(out, compare(OfRelay, joined(from.relays), joined(to.relays))...)
+	return append(out, compare(OfAggregator, from.aggregators, to.aggregators)...)
+}
+
+func compare(kind Kind, from, to map[string]string) []Change {
+	var out []Change
+	for name, router := range to {
+		if from[name] != router {
+			out = append(out, Change{kind, name, from[name], router})
+		}
+	}
+	for name, router := range from {
+		if _, ok := to[name]; !ok && router != "" {
+			out = append(out, Change{kind, name, router, ""})
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+func numbered(shards []string) map[string]string {
+	out := make(map[string]string, len(shards))
+	for i, router := range shards {
+		out[strconv.Itoa(i)] = router
+	}
+	return out
+}
+
+func joined(relays map[string][]string) map[string]string {
+	out := make(map[string]string, len(relays))
+	for zone, ids := range relays {
+		out[zone] = strings.Join(ids, " ")
+	}
+	return out
+}
+
+func aggregator(pool, zone string) string { return pool + " " + zone }
+
+// candidate is a router with its hash.
+type candidate struct {
+	Router
+	hash uint64
+}
+
+type candidates struct {
+	all      []candidate
+	byZone   map[string][]candidate
+	byRegion map[string][]candidate
+	zones    []string
+}
+
+func newCandidates(routers []Router) candidates {
+	c := candidates{byZone: map[string][]candidate{}, byRegion: map[string][]candidate{}}
+	for _, r := range routers {
+		if r.Weight == 0 {
+			r.Weight = 1
+		}
+		n := candidate{r, xxhash.Sum64String(r.ID)}
+		c.all = append(c.all, n)
+		if _, ok := c.byZone[r.Zone]; !ok {
+			c.zones = append(c.zones, r.Zone)
+		}
+		c.byZone[r.Zone] = append(c.byZone[r.Zone], n)
+		c.byRegion[r.Region] = append(c.byRegion[r.Region], n)
+	}
+	slices.Sort(c.zones)
+	return c
+}
+
+// near returns the routers in an availability zone, else in its region, else all: each request of a slot then usually
+// stays in the availability zone.
+func (c candidates) near(zone, region string) []candidate {
+	if in := c.byZone[zone]; len(in) > 0 {
+		return in
+	}
+	if in := c.byRegion[region]; len(in) > 0 {
+		return in
+	}
+	return c.all
+}
+
+func key(kind, name string) uint64 { return xxhash.Sum64String(kind + " " + name) }
+
+// score is weighted rendezvous hashing: -weight / ln(u) with u uniform in (0, 1).
+func (c candidate) score(key uint64) float64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], c.hash)
+	binary.LittleEndian.PutUint64(buf[8:], key)
+	u := (float64(xxhash.Sum64(buf[:])>>11) + 0.5) / (1 << 53)
+	return -c.Weight / math.Log(u)
+}
+
+// best returns the ID with the highest score; the ID decides at equal scores.
+func best(in []candidate, key uint64) string {
+	id, high := "", 0.0
+	for _, c := range in {
+		if s := c.score(key); s > high || (s == high && c.ID < id) {
+			id, high = c.ID, s
+		}
+	}
+	return id
+}
+
+// top returns the n IDs with the highest scores.
+func top(in []candidate, key uint64, n int) []string {
+	type scored struct {
+		id    string
+		score float64
+	}
+	all := make([]scored, 0, len(in))
+	for _, c := range in {
+		all = append(all, scored{c.ID, c.score(key)})
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id)) })
+	out := make([]string, 0, n)
+	for _, s := range all[:min(n, len(all))] {
+		out = append(out, s.id)
+	}
+	return out
+}
--- /dev/null
+++ b/coord/owner/owner_test.go
@@ -0,0 +1,111 @@
+package owner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"hornbeamstep.example/coord/owner"
+)
+
+func fleet(n int) ([]owner.Router, []owner.Engine) {
+	var routers []owner.Router
+	var engines []owner.Engine
+	for i := range n {
+		zone := i % 7
+		routers = append(routers, owner.Router{ID: fmt.Sprintf("r%03d", i), Zone: fmt.Sprint("z", zone), Region: fmt.Sprint("g", zone%3)})
+	}
+	for i := range 600 {
+		zone := i % 7
+		engines = append(engines, owner.Engine{ID: fmt.Sprintf("e%03d", i), Zone: fmt.Sprint("z", zone), Region: fmt.Sprint("g", zone%3)})
+	}
+	return routers, engines
+}
+
+// Guards against two owners, or none, where routers hold equal views in different orders.
+func TestEqualViewsGiveOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers, engines := fleet(rapid.IntRange(1, 40).Draw(t, "routers"))
+		other := rapid.Permutation(routers).Draw(t, "order")
+		pools := []string{"chat", "small"}
+		a := owner.Compute(owner.Input{Self: routers[0].ID, Routers: routers, Engines: engines, Pools: pools}).WithTrust(true)
+		b := owner.Compute(owner.Input{Self: other[0].ID, Routers: other, Engines: engines, Pools: pools}).WithTrust(true)
+		if changes := owner.Changes(a, b); len(changes) > 0 {
+			t.Fatalf("equal views differ: %v", changes)
+		}
+		for _, e := range engines {
+			if a.Engine(e.ID) == "" {
+				t.Fatalf("engine %s has no owner", e.ID)
+			}
+		}
+	})
+}
+
+// Guards against moving engines that the lost router did not own, and against shares far from even.
+func TestLossMovesOnlyWhatTheRouterOwned(t *testing.T) {
+	c := quicktest.New(t)
+	routers, engines := fleet(340)
+	before := owner.Compute(owner.Input{Self: "r005", Routers: routers, Engines: engines}).WithTrust(true)
+	after := owner.Compute(owner.Input{Self: "r005", Routers: slices.Delete(slices.Clone(routers), 17, 18), Engines: engines})
+	for _, change := range owner.Changes(before, after) {
+		if change.Kind == owner.OfRelay {
+			c.Assert(change.Name, quicktest.Equals, "z3")
+			continue
+		}
+		c.Assert(change.From, quicktest.Equals, "r017", quicktest.Commentf("%v", change))
+	}
+	owned := map[string]int{}
+	for _, e := range engines {
+		owned[before.Engine(e.ID)]++
+	}
+	for id, n := range owned {
+		c.Assert(n < 12, quicktest.IsTrue, quicktest.Commentf("%s owns %d of 600", id, n))
+	}
+}
+
+// Guards against owners in another availability zone while the engine's own has routers, and against none when it has not.
+func TestZonePreference(t *testing.T) {
+	c := quicktest.New(t)
+	routers, engines := fleet(21)
+	s := owner.Compute(owner.Input{Routers: routers, Engines: engines, Pools: []string{"chat"}})
+	zones := map[string]string{}
+	for _, r := range routers {
+		zones[r.ID] = r.Zone
+	}
+	for _, e := range engines {
+		c.Assert(zones[s.Engine(e.ID)], quicktest.Equals, e.Zone)
+	}
+	c.Assert(zones[s.Aggregator("chat", "z4")], quicktest.Equals, "z4")
+	c.Assert(s.Relays("z4"), quicktest.HasLen, 2)
+
+	lost := slices.DeleteFunc(slices.Clone(routers), func(r owner.Router) bool { return r.Zone == "z4" })
+	s = owner.Compute(owner.Input{Routers: lost, Engines: engines})
+	for _, e := range engines {
+		c.Assert(s.Engine(e.ID), quicktest.Not(quicktest.Equals), "")
+	}
+}
+
+// Guards against a paused or isolated router that acts as owner.
+func TestUntrustedOwnsNothing(t *testing.T) {
+	c := quicktest.New(t)
+	s := owner.Compute(owner.Input{Self: "a", Routers: []owner.Router{{ID: "a"}}, Engines: []owner.Engine{{ID: "e"}}})
+	c.Assert(s.Owns("e"), quicktest.IsFalse)
+	c.Assert(s.OwnsShard(0), quicktest.IsFalse)
+	c.Assert(s.Owned(), quicktest.HasLen, 0)
+	c.Assert(s.WithTrust(true).Owned(), quicktest.DeepEquals, []string{"e"})
+}
+
+// Guards against ignoring weights: a router of weight 3 gets about three times the share.
+func TestWeights(t *testing.T) {
+	c := quicktest.New(t)
+	var engines []owner.Engine
+	for i := range 4000 {
+		engines = append(engines, owner.Engine{ID: fmt.Sprint(i)})
+	}
+	s := owner.Compute(owner.Input{Self: "a", Routers: []owner.Router{{ID: "a", Weight: 3}, {ID: "b"}}, Engines: engines})
+	share := float64(len(s.WithTrust(true).Owned())) / 4000
+	c.Assert(share > 0.72 && share < 0.78, quicktest.IsTrue, quicktest.Commentf("share %v, 0.75 expected", share))
+}
