--- /dev/null
+++ b/hornbeamd/peer/handlers.go
@@ -0,0 +1,393 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"hornbeamstep.example/coord/loadsum"
+	"hornbeamstep.example/coord/member"
+	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/coord/revision"
+	"hornbeamstep.example/timeline"
+)
+
+// SlotAsk asks the owner of an engine for a slot.
+type SlotAsk struct {
+	Request, Engine, Account string
+	// Class is the priority class, lower first.
+	Class int
+	// Cost is in the engine's own unit of load.
+	Cost float64
+	// Wait is how long the request may be queued.
+	Wait time.Duration
+}
+
+// SlotGrant is permission to run one request.
+type SlotGrant struct {
+	// Slot names the permission for Free and Renew.
+	Slot string
+	// Lease is how long it lasts unless it is renewed, by the owner's clock.
+	Lease time.Duration
+}
+
+// Notice is something that every router should know soon.
+type Notice struct {
+	// Kind is "suspect", "quarantine" or "release".
+	Kind        string
+	Fingerprint string
+	// Engine is the one that crashed, for suspects.
+	Engine string
+	At     time.Time
+}
+
+// Query selects events of the time line.
+type Query struct {
+	// Empty fields select everything.
+	Request, Chat string
+	Since         time.Time
+	// Limit bounds the number of events, newest first to be kept.
+	Limit int
+}
+
+type wireAsk struct {
+	From    string  `json:"from"`
+	Request string  `json:"request"`
+	Engine  string  `json:"engine"`
+	Account string  `json:"account,omitempty"`
+	Class   int     `json:"class,omitempty"`
+	Cost    float64 `json:"cost,omitempty"`
+	// Wait is in milliseconds.
+	Wait int64 `json:"wait,omitempty"`
+}
+
+type wireGrant struct {
+	Slot string `json:"slot"`
+	// Lease is in milliseconds.
+	Lease int64 `json:"lease"`
+}
+
+type wireSlots struct {
+	From  string   `json:"from"`
+	Slots []string `json:"slots"`
+}
+
+type wireLost struct {
+	Lost []string `json:"lost,omitempty"`
+}
+
+type wireNotice struct {
+	Kind        string    `json:"kind"`
+	Fingerprint string    `json:"print"`
+	Engine      string    `json:"engine,omitempty"`
+	At          time.Time `json:"time"`
+}
+
+type wireQuery struct {
+	Request string    `json:"request,omitempty"`
+	Chat    string    `json:"chat,omitempty"`
+	Since   time.Time `json:"since"`
+	Limit   int       `json:"limit,omitempty"`
+}
+
+type wireEvents struct {
+	Events []timeline.Event `json:"events"`
+}
+
+type wireStatus struct {
+	Document json.RawMessage `json:"status"`
+}
+
+// noticesLimit bounds the notices that are remembered so that each is passed on once.
+const noticesLimit = 4096
+
+// notices remembers which were seen, oldest first.
+type notices struct {
+	seen  map[wireNotice]bool
+	order []wireNotice
+}
+
+// add is false for a notice that was seen.
+func (s *notices) add(w wireNotice) bool {
+	if s.seen[w] {
+		return false
+	}
+	if s.seen == nil {
+		s.seen = map[wireNotice]bool{}
+	}
+	s.seen[w] = true
+	s.order = append(s.order, w)
+	if len(s.order) > noticesLimit {
+		delete(s.seen, s.order[0])
+		s.order = slices.Delete(s.order, 0, 1)
+	}
+	return true
+}
+
+// params decodes the parameters of a request.
+func params[T any](r *jsonrpc2.Request) (T, error) {
+	var v T
+	if r.Params == nil {
+		return v, &jsonrpc2.Error{Code: codeParams, Message: r.Method + " needs parameters"}
+	}
+	if err := json.Unmarshal(*r.Params, &v); err != nil {
+		return v, &jsonrpc2.Error{Code: codeParams, Message: r.Method + ": " + err.Error()}
+	}
+	return v, nil
+}
+
+// with decodes the parameters and handles them.
+func with[T, R any](r *jsonrpc2.Request, handle func(T) (R, error)) (any, error) {
+	v, err := params[T](r)
+	if err != nil {
+		return nil, err
+	}
+	return handle(v)
+}
+
+// handle answers a request of a peer.
+func (n *Node) handle(ctx context.Context, l *link, r *jsonrpc2.Request) (any, error) {
+	switch r.Method {
+	case "hello":
+		return with(r, func(w wireHello) (any, error) {
+			n.links.named(l, w.ID)
+			return nil, nil
+		})
+	case "echo":
+		return nil, nil
+	case "ping":
+		return with(r, func(w wirePing) (wireAck, error) { return n.handlePing(ctx, w) })
+	case "probe":
+		return with(r, func(w wireProbe) (wireProbed, error) { return n.handleProbe(ctx, w) })
+	case "sync":
+		return with(r, func(w wireSync) (wireSyncReply, error) { return n.handleSync(ctx, w) })
+	case "announce":
+		return with(r, func(w wireAnnounce) (any, error) {
+			n.post(func(now time.Time) { n.loop.spread(now, n.loop.revisions.Heard(now, w.From, w.Revision)) })
+			return nil, nil
+		})
+	case "fetch":
+		return with(r, func(w wireFetch) (wireReply, error) { return n.handleFetch(ctx, w) })
+	case "load":
+		return with(r, func(w wireLoad) (wireLoad, error) { return n.handleLoad(ctx, w) })
+	case "suspect":
+		return with(r, func(w wireNotice) (any, error) {
+			n.post(func(time.Time) { n.loop.notice(w) })
+			return nil, nil
+		})
+	default:
+		return n.handleTraffic(ctx, r)
+	}
+}
+
+// handleTraffic answers requests that do not touch the control state.
+func (n *Node) handleTraffic(ctx context.Context, r *jsonrpc2.Request) (any, error) {
+	switch {
+	case r.Method == "slot" && n.Slots != nil:
+		return with(r, func(w wireAsk) (wireGrant, error) {
+			g, err := n.Slots.Take(ctx, w.From, w.ask())
+			return wireGrant{g.Slot, g.Lease.Milliseconds()}, err
+		})
+	case r.Method == "free" && n.Slots != nil:
+		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Free(ctx, w.From, w.Slots) })
+	case r.Method == "renew" && n.Slots != nil:
+		return with(r, func(w wireSlots) (wireLost, error) {
+			lost, err := n.Slots.Renew(ctx, w.From, w.Slots)
+			return wireLost{lost}, err
+		})
+	case r.Method == "events" && n.Timeline != nil:
+		return with(r, func(w wireQuery) (wireEvents, error) {
+			events, err := n.Timeline.Query(ctx, Query(w))
+			return wireEvents{events}, err
+		})
+	case r.Method == "status" && n.Operator != nil:
+		document, err := n.Operator.Status(ctx)
+		return wireStatus{document}, err
+	default:
+		return nil, &jsonrpc2.Error{Code: codeMethod, Message: "router " + n.ID + " does not serve " + method(r.Method)}
+	}
+}
+
+func (w wireAsk) ask() SlotAsk {
+	return SlotAsk{w.Request, w.Engine, w.Account, w.Class, w.Cost, time.Duration(w.Wait) * time.Millisecond}
+}
+
+func (n *Node) handlePing(ctx context.Context, w wirePing) (wireAck, error) {
+	return ask(ctx, n, func(now time.Time) wireAck {
+		ack, actions := n.loop.members.HandlePing(now, w.ping())
+		n.loop.do(now, actions)
+		n.loop.spread(now, n.loop.revisions.Heard(now, w.From.ID, w.Revision))
+		return fromAck(ack, n.loop.revisions.Revision())
+	})
+}
+
+// handleProbe pings a member for another router.
+func (n *Node) handleProbe(ctx context.Context, w wireProbe) (wireProbed, error) {
+	target := w.Target.member()
+	ping, err := ask(ctx, n, func(now time.Time) wirePing {
+		return fromPing(n.loop.members.Relay(now, target), n.loop.revisions.Revision())
+	})
+	if err != nil {
+		return wireProbed{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, directLimit)
+	defer cancel()
+	var ack wireAck
+	err = n.links.call(ctx, target.ID, target.Address, "ping", ping, &ack)
+	return wireProbed{err == nil && ack.From.ID == target.ID && ack.From.Boot == target.Boot}, nil
+}
+
+func (n *Node) handleSync(ctx context.Context, w wireSync) (wireSyncReply, error) {
+	return ask(ctx, n, func(now time.Time) wireSyncReply {
+		r, actions := n.loop.members.HandleSync(now, w.sync())
+		n.loop.do(now, actions)
+		return wireSyncReply{r.Busy, fromMembers(r.Updates), r.Want}
+	})
+}
+
+func (n *Node) handleFetch(ctx context.Context, w wireFetch) (wireReply, error) {
+	reply, err := ask(ctx, n, func(now time.Time) revision.Reply {
+		return n.loop.revisions.Handle(now, revision.Fetch{Revision: w.Revision, Base: w.Base, Known: w.Known, Digests: w.Digests})
+	})
+	if err != nil {
+		return wireReply{}, err
+	}
+	return fromReply(reply)
+}
+
+func (n *Node) handleLoad(ctx context.Context, w wireLoad) (wireLoad, error) {
+	reply, err := ask(ctx, n, func(now time.Time) loadsum.Reply {
+		return n.loop.loads.Handle(now, loadsum.Report{From: w.From, Zone: w.Zone, Items: toItems(w.Items)})
+	})
+	return wireLoad{Items: fromItems(reply.Items)}, err
+}
+
+// notice takes a notice and passes it on to the peers once.
+func (l *loop) notice(w wireNotice) {
+	if !l.notices.add(w) {
+		return
+	}
+	for _, id := range l.members.Peers() {
+		l.tell(id, "suspect", w)
+	}
+	if l.n.Notices != nil {
+		go l.n.Notices.Notice(Notice(w))
+	}
+}
+
+// UnknownRouterError says that a router is not a live member.
+type UnknownRouterError struct{ ID string }
+
+func (e *UnknownRouterError) Error() string {
+	return "router " + e.ID + " is not a live member: use the current owner"
+}
+
+// send calls a router by its ID.
+func (n *Node) send(ctx context.Context, router, name string, params, result any) error {
+	m, ok := n.Members().Find(router)
+	if !ok {
+		return &UnknownRouterError{router}
+	}
+	err := n.links.call(ctx, m.ID, m.Address, name, params, result)
+	if err != nil {
+		n.gauges.failures.WithLabelValues(name).Inc()
+		return eris.Wrapf(err, "%s at router %s", name, router)
+	}
+	return nil
+}
+
+// Take asks the owner of an engine for a slot. A refusal is an *outcome.Error.
+func (n *Node) Take(ctx context.Context, router string, a SlotAsk) (SlotGrant, error) {
+	if router == n.ID && n.Slots != nil {
+		return n.Slots.Take(ctx, n.ID, a)
+	}
+	var w wireGrant
+	params := wireAsk{n.ID, a.Request, a.Engine, a.Account, a.Class, a.Cost, a.Wait.Milliseconds()}
+	err := n.send(ctx, router, "slot", params, &w)
+	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond}, err
+}
+
+// Free returns slots to the owner that granted them.
+func (n *Node) Free(ctx context.Context, router string, slots []string) error {
+	if router == n.ID && n.Slots != nil {
+		return n.Slots.Free(ctx, n.ID, slots)
+	}
+	return n.send(ctx, router, "free", wireSlots{n.ID, slots}, nil)
+}
+
+// Renew renews the leases of slots in a group and returns those that are lost.
+func (n *Node) Renew(ctx context.Context, router string, slots []string) ([]string, error) {
+	if router == n.ID && n.Slots != nil {
+		return n.Slots.Renew(ctx, n.ID, slots)
+	}
+	var w wireLost
+	err := n.send(ctx, router, "renew", wireSlots{n.ID, slots}, &w)
+	return w.Lost, err
+}
+
+// Events queries the time line of another router.
+func (n *Node) Events(ctx context.Context, router string, q Query) ([]timeline.Event, error) {
+	if router == n.ID && n.Timeline != nil {
+		return n.Timeline.Query(ctx, q)
+	}
+	var w wireEvents
+	err := n.send(ctx, router, "events", wireQuery(q), &w)
+	return w.Events, err
+}
+
+// Status returns the status of another router as a JSON document.
+func (n *Node) Status(ctx context.Context, router string) ([]byte, error) {
+	if router == n.ID && n.Operator != nil {
+		return n.Operator.Status(ctx)
+	}
+	var w wireStatus
+	err := n.send(ctx, router, "status", struct{}{}, &w)
+	return w.Document, err
+}
+
+// Spread tells every router about a crash suspect, a quarantined fingerprint or a release. The own handler is told as well.
+func (n *Node) Spread(s Notice) {
+	n.init()
+	s.At = s.At.Round(0)
+	n.post(func(time.Time) { n.loop.notice(wireNotice(s)) })
+}
+
+// Missing returns the files of a manifest that the router has to read from the object API before Announce.
+func (n *Node) Missing(ctx context.Context, m revision.Manifest) ([]revision.File, error) {
+	return ask(ctx, n, func(time.Time) []revision.File { return n.loop.revisions.Missing(m) })
+}
+
+// Announce puts a revision that was read from the object API in force and tells the others. A revision that is not higher
+// than the one in force is ignored.
+func (n *Node) Announce(ctx context.Context, m revision.Manifest, contents [][]byte) error {
+	_, err := ask(ctx, n, func(now time.Time) bool {
+		n.loop.spread(now, n.loop.revisions.Load(now, m, contents))
+		return true
+	})
+	return err
+}
+
+// Assign sets the engines and pools whose ownership is computed, from the configuration in force.
+func (n *Node) Assign(engines []owner.Engine, pools []string) {
+	n.init()
+	n.post(func(time.Time) {
+		n.loop.engines, n.loop.pools = slices.Clone(engines), slices.Clone(pools)
+		n.loop.dirty = true
+	})
+}
+
+// Listed takes a read of the instance list.
+func (n *Node) Listed(list []member.Instance) {
+	n.init()
+	n.post(func(now time.Time) { n.loop.members.Listed(now, list) })
+}
+
+// Leave tells the others that the router owns nothing any more. It goes on to serve until Run ends.
+func (n *Node) Leave() {
+	n.init()
+	n.post(func(time.Time) { n.loop.members.Leave() })
+}
