--- a/coord/revision/revision.go
+++ b/coord/revision/revision.go
@@ -151,6 +151,8 @@
 	contents  map[string][]byte
 	manifests []Manifest
 
+	// loaded is the highest manifest from the object API, complete.
+	loaded Manifest
 	// wanted is the highest revision heard of, and sources the routers that have it.
 	wanted  int64
 	sources []string
@@ -222,17 +224,18 @@
 }
 
 // Load takes a revision that the router read from the object API, with the content that Missing named. It is ignored unless
-// it is higher than the one in force and complete.
+// it is higher than the one in force and complete. A starting router holds it back until it heard from peers: the read may
+// lag behind what the router had in force before it was restarted.
 func (s *State) Load(now time.Time, m Manifest, contents [][]byte) []Action {
-	s.settled = true
 	if m.Revision <= s.force.Revision {
 		return s.conflict(m)
 	}
 	s.store(contents)
-	if len(s.Missing(m)) > 0 {
+	if len(s.Missing(m)) > 0 || m.Revision <= s.loaded.Revision {
 		return nil
 	}
-	return s.apply(now, m)
+	s.loaded = m
+	return s.next(now)
 }
 
 func (s *State) conflict(m Manifest) []Action {
@@ -267,10 +270,14 @@
 	return append(out, s.next(now)...)
 }
 
-// discard drops content that is not in force.
+// discard drops content that is neither in force nor waits to be.
 func (s *State) discard() {
 	kept := make(map[string][]byte, len(s.force.Files))
-	for _, f := range s.force.Files {
+	files := s.force.Files
+	if s.loaded.Revision > s.force.Revision {
+		files = slices.Concat(files, s.loaded.Files)
+	}
+	for _, f := range files {
 		kept[f.Digest] = s.contents[f.Digest]
 	}
 	s.contents = kept
@@ -311,8 +318,11 @@
 	return s.next(now)
 }
 
-// next asks a source for what is missing.
+// next puts what the object API delivered in force unless peers have more, and asks a source for what is missing.
 func (s *State) next(now time.Time) []Action {
+	if s.settled && s.loaded.Revision > s.force.Revision && s.loaded.Revision >= s.wanted {
+		return s.apply(now, s.loaded)
+	}
 	if !s.settled || s.asked != "" || s.wanted <= s.force.Revision || len(s.sources) == 0 || now.Before(s.deadline) {
 		return nil
 	}
