--- /dev/null
+++ b/hornbeambench/control/keys.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"hornbeamstep.example/hornbeamd/peer"
+)
+
+// newKeys issues one router certificate of a new authority for all nodes of a measurement.
+func newKeys() (*peer.Keys, error) {
+	dir, err := os.MkdirTemp("", "control")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	authority := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(24 * time.Hour), IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign, Subject: pkix.Name{CommonName: "measurement"},
+	}
+	root, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	rootDER, err := x509.CreateCertificate(rand.Reader, authority, authority, &root.PublicKey, root)
+	if err != nil {
+		return nil, err
+	}
+	router := &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(24 * time.Hour),
+		Subject:     pkix.Name{CommonName: "router", OrganizationalUnit: []string{string(peer.RoleRouter)}},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	routerDER, err := x509.CreateCertificate(rand.Reader, router, authority, &key.PublicKey, root)
+	if err != nil {
+		return nil, err
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return nil, err
+	}
+	files := map[string]*pem.Block{
+		"cert.pem": {Type: "CERTIFICATE", Bytes: routerDER}, "key.pem": {Type: "EC PRIVATE KEY", Bytes: keyDER},
+		"authority.pem": {Type: "CERTIFICATE", Bytes: rootDER},
+	}
+	for name, block := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	return peer.LoadKeys(filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem"), filepath.Join(dir, "authority.pem"))
+}
