feat(policy): configuration folder with checks and explanations

Operators split the configuration into small YAML files. Files merge in the order of their names, value by value. Every fault is collected with its file, line, kind and remedy, and each value can be explained with the values that it overrides. Anchors, aliases and merge keys are refused, because a value would have no line of its own.

--- /dev/null
+++ b/policy/folder/build.go
@@ -0,0 +1,150 @@
+package folder
+
+import (
+	"slices"
+	"strconv"
+
+	"hornbeamstep.example/policy"
+)
+
+// build makes the configuration of the merged values and checks it as a whole.
+func (b *builder) build() policy.Policy {
+	p := policy.New()
+	p.Pools = map[string]policy.Pool{}
+	p.Models = map[string]policy.Model{}
+	p.Backends = map[string]policy.Backend{}
+	p.Services = map[string]policy.Service{}
+	accounts := map[string]policy.Account{}
+	b.each("pools", func(i item) { p.Pools[i.pool.Name] = i.pool })
+	b.each("models", func(i item) { p.Models[i.model.Name] = i.model })
+	b.each("backends", func(i item) { p.Backends[i.backend.Name] = i.backend })
+	b.each("services", func(i item) { p.Services[i.service.Name] = i.service })
+	b.each("accounts", func(i item) { accounts[i.account.Name] = i.account })
+	p = p.WithAccounts(accounts)
+	b.checkModels(p)
+	b.checkBackends(p)
+	b.checkAccounts(p)
+	return p
+}
+
+// each builds the items of a section over the defaults, in the order of their first mention.
+func (b *builder) each(section string, add func(item)) {
+	for _, name := range b.order[section] {
+		i := initial(name)
+		for _, field := range fieldNames(section) {
+			k := key{section, name, field}
+			s, ok := b.settings[k]
+			if !ok {
+				continue
+			}
+			if f := fields[section][field](&i, s.node); f.kind != "" {
+				b.fail(s.origin, f.kind, k.String(), f.message, f.remedy)
+			}
+		}
+		add(i)
+	}
+}
+
+func initial(name string) item {
+	return item{
+		pool:    policy.Pool{Name: name, Bound: policy.DefaultBound, Queue: policy.DefaultQueue, Wait: policy.DefaultWait},
+		model:   policy.Model{Name: name},
+		backend: policy.Backend{Name: name, Weight: policy.DefaultWeight, State: policy.InService},
+		service: policy.Service{Name: name, Timeout: DefaultTimeout},
+		account: policy.Account{Name: name, Class: policy.Normal, Weight: policy.DefaultWeight},
+	}
+}
+
+// origin returns the place of a field, or of its item if no file sets the field.
+func (b *builder) origin(k key) Origin {
+	if s, ok := b.settings[k]; ok {
+		return s.origin
+	}
+	return b.items[k.section][k.item]
+}
+
+func (b *builder) has(k key) bool {
+	_, ok := b.settings[k]
+	return ok
+}
+
+func (b *builder) failKey(k key, kind Kind, message, remedy string) {
+	b.fail(b.origin(k), kind, k.String(), message, remedy)
+}
+
+func (b *builder) checkModels(p policy.Policy) {
+	for _, name := range b.order["models"] {
+		b.checkReference(key{"models", name, "pool"}, p.Models[name].Pool, "pools")
+	}
+}
+
+// checkReference checks a required name of an item in another section.
+func (b *builder) checkReference(k key, name, section string) {
+	if !b.has(k) {
+		b.failKey(k, Missing, "value is missing", "name an item of "+section)
+		return
+	}
+	if _, ok := b.items[section][name]; !ok {
+		b.failKey(k, BadReference, strconv.Quote(name)+" is not among the "+section, "add it to "+section+" or name an item that exists")
+	}
+}
+
+func (b *builder) checkBackends(p policy.Policy) {
+	addresses := map[string]string{}
+	for _, name := range b.order["backends"] {
+		backend := p.Backends[name]
+		pool, service := key{"backends", name, "pool"}, key{"backends", name, "service"}
+		switch {
+		case b.has(pool) && b.has(service):
+			b.failKey(service, Contradiction, "pool and service are both set", "keep pool for a model engine or service for a plain service")
+		case b.has(service):
+			b.checkReference(service, backend.Service, "services")
+		default:
+			b.checkReference(pool, backend.Pool, "pools")
+		}
+		if b.has(service) && backend.Fence {
+			b.failKey(key{"backends", name, "fence"}, Contradiction, "a plain service takes no orders", "remove fence")
+		}
+		address := key{"backends", name, "address"}
+		if !b.has(address) {
+			b.failKey(address, Missing, "value is missing", "write ip:port, such as 10.0.0.1:8000")
+			continue
+		}
+		if other, ok := addresses[backend.Address]; ok && backend.Address != "" {
+			b.failKey(address, Contradiction, "address is that of "+other+" too", "give each backend server its own address")
+		}
+		addresses[backend.Address] = name
+	}
+}
+
+func (b *builder) checkAccounts(p policy.Policy) {
+	digests := map[string]string{}
+	for _, name := range b.order["accounts"] {
+		account := p.Accounts[name]
+		keys := key{"accounts", name, "keys"}
+		if !b.has(keys) {
+			b.failKey(keys, Missing, "client account has no key", "list the SHA-256 digest of at least one key")
+		}
+		for _, digest := range account.Keys {
+			if other, ok := digests[digest]; ok && other != name {
+				b.failKey(keys, DuplicateKey, "key "+digest[:min(8, len(digest))]+" belongs to "+other+" too", "give each client account its own keys")
+			}
+			digests[digest] = name
+		}
+		b.checkReach(key{"accounts", name, "models"}, account.Models, "models")
+		b.checkReach(key{"accounts", name, "services"}, account.Services, "services")
+	}
+}
+
+// checkReach checks what a client account may reach: names of a section, or "*" alone.
+func (b *builder) checkReach(k key, names []string, section string) {
+	if slices.Contains(names, "*") && len(names) > 1 {
+		b.failKey(k, Contradiction, "\"*\" stands beside single names", "keep \"*\" alone or list the names")
+		return
+	}
+	for _, name := range names {
+		if _, ok := b.items[section][name]; !ok && name != "*" {
+			b.failKey(k, BadReference, strconv.Quote(name)+" is not among the "+section, "add it to "+section+" or name an item that exists")
+		}
+	}
+}
--- /dev/null
+++ b/policy/folder/folder.go
@@ -0,0 +1,191 @@
+// Package folder reads a configuration from a folder of YAML files, merges and checks it, and explains each value.
+package folder
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"hornbeamstep.example/policy"
+)
+
+// File is one file of a configuration.
+type File struct {
+	// Name has no directory and ends in ".yaml" or ".yml".
+	Name string
+	Data []byte
+}
+
+// Folder is a checked configuration together with the origin of each value.
+type Folder struct {
+	policy policy.Policy
+	// settings are the merged values by key.
+	settings map[key]setting
+}
+
+// key names one value: a field of an item in a section.
+type key struct{ section, item, field string }
+
+func (k key) String() string {
+	return k.section + "." + k.item + "." + k.field
+}
+
+// Origin is one place that sets a value.
+type Origin struct {
+	File  string `json:"file"`
+	Line  int    `json:"line"`
+	Value string `json:"value"`
+}
+
+// Explanation tells where a value comes from.
+type Explanation struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+	// File is empty and Line 0 for a default.
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
+	// Overrides are the origins that lost, the latest first.
+	Overrides []Origin `json:"overrides,omitempty"`
+}
+
+// UnknownKeyError says that nothing sets a key.
+type UnknownKeyError struct {
+	Key string
+	// Known are keys of the same item or section that exist, in order.
+	Known []string
+}
+
+func (e *UnknownKeyError) Error() string {
+	return fmt.Sprintf("nothing is set under %q; use section.name.field, such as %s", e.Key, strings.Join(e.Known, ", "))
+}
+
+// Read returns the YAML files of a folder in the order of their names. Other files, and files whose names begin with a dot, are skipped.
+func Read(dir string) ([]File, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var files []File
+	for _, e := range entries {
+		if e.IsDir() || !isYAML(e.Name()) {
+			continue
+		}
+		data, err := os.ReadFile(filepath.Join(dir, e.Name()))
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, File{Name: e.Name(), Data: data})
+	}
+	if len(files) == 0 {
+		return nil, Errors{{File: dir, Kind: Empty, Message: "folder holds no YAML file", Remedy: "pass the folder that holds the .yaml files"}}
+	}
+	return files, nil
+}
+
+func isYAML(name string) bool {
+	return !strings.HasPrefix(name, ".") && (strings.HasSuffix(name, ".yaml") || strings.HasSuffix(name, ".yml"))
+}
+
+// Load merges files in the order of their names, so that later files override earlier ones value by value, and checks the
+// result. The error is Errors with everything that is wrong.
+func Load(files []File) (*Folder, error) {
+	files = slices.Clone(files)
+	slices.SortFunc(files, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	b := newBuilder()
+	for _, f := range files {
+		b.read(f)
+	}
+	p := b.build()
+	if len(b.errors) > 0 {
+		return nil, b.errors.sorted()
+	}
+	return &Folder{policy: p, settings: b.settings}, nil
+}
+
+// LoadDir reads and loads a folder.
+func LoadDir(dir string) (*Folder, error) {
+	files, err := Read(dir)
+	if err != nil {
+		return nil, err
+	}
+	return Load(files)
+}
+
+// Policy returns the configuration, without a revision number.
+func (f *Folder) Policy() policy.Policy { return f.policy }
+
+// Explain returns the value of a key such as "accounts.north.rate" and its origins, or *UnknownKeyError.
+func (f *Folder) Explain(name string) (Explanation, error) {
+	k, ok := parseKey(name)
+	if ok {
+		if s, ok := f.settings[k]; ok {
+			return s.explain(k), nil
+		}
+		if value, ok := f.defaultOf(k); ok {
+			return Explanation{Key: name, Value: value}, nil
+		}
+	}
+	return Explanation{}, &UnknownKeyError{Key: name, Known: f.near(k)}
+}
+
+// Keys returns every key that a file sets, in order.
+func (f *Folder) Keys() []string {
+	out := make([]string, 0, len(f.settings))
+	for k := range f.settings {
+		out = append(out, k.String())
+	}
+	slices.Sort(out)
+	return out
+}
+
+// defaultOf returns the default of a field that no file sets, if its item exists.
+func (f *Folder) defaultOf(k key) (string, bool) {
+	value, ok := defaults[k.section][k.field]
+	if !ok {
+		return "", false
+	}
+	for other := range f.settings {
+		if other.section == k.section && other.item == k.item {
+			return value, true
+		}
+	}
+	return "", false
+}
+
+// near returns up to three keys that share the most with an unknown one.
+func (f *Folder) near(k key) []string {
+	var item, section, all []string
+	for _, name := range f.Keys() {
+		known, _ := parseKey(name)
+		switch {
+		case known.section == k.section && known.item == k.item:
+			item = append(item, name)
+		case known.section == k.section:
+			section = append(section, name)
+		default:
+			all = append(all, name)
+		}
+	}
+	out := slices.Concat(item, section, all)
+	return out[:min(3, len(out))]
+}
+
+// parseKey splits at the first and the last dot, because the names of items may hold dots.
+func parseKey(name string) (key, bool) {
+	section, rest, ok := strings.Cut(name, ".")
+	dot := strings.LastIndex(rest, ".")
+	if !ok || dot < 1 {
+		return key{section: section, item: rest}, false
+	}
+	return key{section, rest[:dot], rest[dot+1:]}, true
+}
+
+func (s setting) explain(k key) Explanation {
+	e := Explanation{Key: k.String(), Value: s.origin.Value, File: s.origin.File, Line: s.origin.Line}
+	for _, o := range slices.Backward(s.overridden) {
+		e.Overrides = append(e.Overrides, o)
+	}
+	return e
+}
--- /dev/null
+++ b/policy/folder/folder_test.go
@@ -0,0 +1,135 @@
+package folder_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/policy"
+	"hornbeamstep.example/policy/folder"
+)
+
+var digest = policy.Digest("one")
+
+func load(parts ...string) (*folder.Folder, folder.Errors) {
+	files := make([]folder.File, 0, len(parts))
+	for i, p := range parts {
+		files = append(files, folder.File{Name: string(rune('a'+i)) + ".yaml", Data: []byte(p)})
+	}
+	f, err := folder.Load(files)
+	var errs folder.Errors
+	errors.As(err, &errs)
+	return f, errs
+}
+
+// Guards against a sample that operators copy and that the checks refuse.
+func TestSample(t *testing.T) {
+	c := qt.New(t)
+	f, err := folder.LoadDir("testdata/sample")
+	c.Assert(err, qt.IsNil)
+	p := f.Policy()
+	c.Assert([]int{len(p.Pools), len(p.Backends), len(p.Services), len(p.Accounts)}, qt.DeepEquals, []int{1, 12, 1, 10})
+	c.Assert(p.Backends["worker-9"].State, qt.Equals, policy.Leaving)
+	c.Assert(p.Backends["worker-9"].Pool, qt.Equals, "letters")
+	account, ok := p.AccountByKey("sample-key-trainees")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(account.Rate, qt.Equals, 80.0)
+
+	e, err := f.Explain("accounts.trainees.rate")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e, qt.DeepEquals, folder.Explanation{
+		Key: "accounts.trainees.rate", Value: "80", File: "90-overrides.yaml", Line: 4,
+		Overrides: []folder.Origin{{File: "30-accounts.yaml", Line: 15, Value: "40"}},
+	})
+	e, err = f.Explain("backends.worker-1.weight")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e, qt.DeepEquals, folder.Explanation{Key: "backends.worker-1.weight", Value: "1"})
+	_, err = f.Explain("accounts.trainees.speed")
+	var unknown *folder.UnknownKeyError
+	c.Assert(errors.As(err, &unknown), qt.IsTrue)
+	c.Assert(unknown.Known, qt.HasLen, 3)
+}
+
+// Guards against wrong configurations that are accepted, or reported at the wrong place or without a remedy.
+func TestErrors(t *testing.T) {
+	const pool = "pools: {p: {}}\n"
+	account := func(rest string) string { return "accounts:\n  x:\n    keys: [" + digest + "]\n" + rest }
+	tests := map[string]struct {
+		text string
+		kind folder.Kind
+		line int
+	}{
+		"syntax":               {"pools:\n  a: [", folder.Syntax, 2},
+		"duplicate entry":      {"pools:\n  a: {}\n  a: {}", folder.Syntax, 3},
+		"two documents":        {"pools: {}\n---\npools: {}", folder.Syntax, 3},
+		"section":              {"pool: {}", folder.UnknownKey, 1},
+		"field":                {"pools:\n  a:\n    bond: 2", folder.UnknownKey, 3},
+		"name":                 {"models:\n  a:b: {pool: p}", folder.BadRange, 2},
+		"item no mapping":      {"pools:\n  a: 3", folder.BadType, 2},
+		"alias":                {"pools:\n  a: &x {}", folder.BadType, 2},
+		"bound text":           {"pools: {a: {bound: high}}", folder.BadType, 1},
+		"bound below one":      {"pools: {a: {bound: 0.5}}", folder.BadRange, 1},
+		"bound not a number":   {"pools: {a: {bound: .nan}}", folder.BadType, 1},
+		"queue fraction":       {"pools: {a: {queue: 1.5}}", folder.BadType, 1},
+		"wait without unit":    {"pools: {a: {wait: 10}}", folder.BadType, 1},
+		"wait of days":         {"pools: {a: {wait: 48h}}", folder.BadRange, 1},
+		"null":                 {"pools: {a: {bound: }}", folder.BadType, 1},
+		"model without pool":   {"models: {a: {}}", folder.Missing, 1},
+		"missing pool":         {"models:\n  a:\n    pool: b", folder.BadReference, 3},
+		"address":              {pool + "backends: {b: {pool: p, address: host:80}}", folder.BadAddress, 2},
+		"no address":           {pool + "backends: {b: {pool: p}}", folder.Missing, 2},
+		"same address":         {pool + "backends:\n  b: {pool: p, address: 10.0.0.1:1}\n  c: {pool: p, address: 10.0.0.1:1}", folder.Contradiction, 4},
+		"pool and service":     {pool + "services: {s: {}}\nbackends: {b: {pool: p, service: s, address: 10.0.0.1:1}}", folder.Contradiction, 3},
+		"fence of a service":   {"services: {s: {}}\nbackends: {b: {service: s, fence: true, address: 10.0.0.1:1}}", folder.Contradiction, 2},
+		"weight zero":          {pool + "backends: {b: {pool: p, weight: 0, address: 10.0.0.1:1}}", folder.BadRange, 2},
+		"state":                {pool + "backends: {b: {pool: p, state: gone, address: 10.0.0.1:1}}", folder.BadRange, 2},
+		"repeat text":          {"services: {s: {repeat: 'yes'}}", folder.BadType, 1},
+		"key in the clear":     {"accounts: {a: {keys: [secret]}}", folder.BadDigest, 1},
+		"account without keys": {"accounts:\n  a: {rate: 1}", folder.Missing, 2},
+		"key of two accounts":  {account("  y:\n    keys: [" + digest + "]"), folder.DuplicateKey, 5},
+		"key twice":            {"accounts: {a: {keys: [" + digest + ", " + digest + "]}}", folder.Contradiction, 1},
+		"missing model":        {account("    models: [m]"), folder.BadReference, 4},
+		"star and name":        {account("    models: ['*', m]"), folder.Contradiction, 4},
+		"class":                {account("    class: first"), folder.BadRange, 4},
+		"negative rate":        {account("    rate: -1"), folder.BadRange, 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, errs := load(test.text)
+			qt.Assert(t, errs, qt.HasLen, 1, qt.Commentf("%v", errs))
+			qt.Assert(t, errs[0].Kind, qt.Equals, test.kind, qt.Commentf("%v", errs))
+			qt.Assert(t, errs[0].Line, qt.Equals, test.line, qt.Commentf("%v", errs))
+			qt.Assert(t, errs[0].File, qt.Equals, "a.yaml")
+			qt.Assert(t, errs[0].Remedy, qt.Not(qt.Equals), "")
+		})
+	}
+}
+
+// Guards against checks that stop at the first fault, and against printing a key written in the clear.
+func TestAllErrorsCollected(t *testing.T) {
+	_, errs := load("pools: {a: {bound: 0}}\nmodels: {m: {pool: z}}", "accounts: {x: {keys: [my-secret], rate: -1}}", "{")
+	qt.Assert(t, errs, qt.HasLen, 5)
+	qt.Assert(t, strings.Contains(errs.Error(), "my-secret"), qt.IsFalse)
+}
+
+// Guards against panics of the parser or the checks, and against a configuration that changes between two loads.
+func FuzzLoad(f *testing.F) {
+	f.Add("pools: {a: {bound: 2, wait: 10s}}\nmodels: {m: {pool: a}}")
+	f.Add("accounts:\n  x:\n    keys: [" + digest + "]\n    class: batch\n")
+	f.Add("backends: {b: {pool: p, address: 10.0.0.1:1}}\n---\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		first, errs := load(text)
+		second, again := load(text)
+		qt.Assert(t, again.Error(), qt.Equals, errs.Error())
+		if first == nil {
+			return
+		}
+		qt.Assert(t, second.Policy().Backends, qt.DeepEquals, first.Policy().Backends)
+		for _, key := range first.Keys() {
+			_, err := first.Explain(key)
+			qt.Assert(t, err, qt.IsNil)
+		}
+	})
+}
