--- /dev/null
+++ b/policy/history/fetch.go
@@ -0,0 +1,132 @@
+package history
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+
+	"hornbeamstep.example/policy"
+	"hornbeamstep.example/policy/folder"
+)
+
+// Source returns the content of a file: the object API, or a peer. Contents are checked by the caller.
+type Source interface {
+	Blob(ctx context.Context, ref Ref) ([]byte, error)
+}
+
+// Contents are file contents by digest. They are never modified after they are built.
+type Contents map[string][]byte
+
+// Files returns the files of a revision. All of them have to be present.
+func (c Contents) Files(r Revision) []folder.File {
+	out := make([]folder.File, 0, len(r.Files))
+	for _, ref := range r.Files {
+		out = append(out, folder.File{Name: ref.Name, Data: c[ref.Digest]})
+	}
+	return out
+}
+
+// FetchError says that no source had the right content of a file.
+type FetchError struct {
+	Ref   Ref
+	Cause error
+}
+
+func (e *FetchError) Error() string {
+	return fmt.Sprintf("no source has %s; keep the configuration in force and fetch again later: %v", e.Ref.Name, e.Cause)
+}
+
+// Unwrap returns the errors of all sources.
+func (e *FetchError) Unwrap() error { return e.Cause }
+
+// Missing returns the files of a revision whose contents are not in have.
+func Missing(r Revision, have Contents) []Ref {
+	var out []Ref
+	asked := map[string]bool{}
+	for _, ref := range r.Files {
+		if _, ok := have[ref.Digest]; !ok && !asked[ref.Digest] {
+			asked[ref.Digest] = true
+			out = append(out, ref)
+		}
+	}
+	return out
+}
+
+// Fetch returns the contents of a revision. It asks the sources in turn for those that are not in have, and checks each against
+// its digest. The error is *FetchError.
+func Fetch(ctx context.Context, r Revision, have Contents, sources ...Source) (Contents, error) {
+	out := make(Contents, len(r.Files))
+	for _, ref := range r.Files {
+		if data, ok := have[ref.Digest]; ok {
+			out[ref.Digest] = data
+		}
+	}
+	for _, ref := range Missing(r, have) {
+		data, err := fetchOne(ctx, ref, sources)
+		if err != nil {
+			return nil, &FetchError{Ref: ref, Cause: err}
+		}
+		out[ref.Digest] = data
+	}
+	return out, nil
+}
+
+func fetchOne(ctx context.Context, ref Ref, sources []Source) ([]byte, error) {
+	errs := []error{}
+	for _, s := range sources {
+		data, err := s.Blob(ctx, ref)
+		if err == nil && digest(data) != ref.Digest {
+			err = &DamagedError{Ref: ref}
+		}
+		if err == nil {
+			return data, nil
+		}
+		errs = append(errs, err)
+	}
+	if len(errs) == 0 {
+		return nil, errors.New("no source is known")
+	}
+	return nil, errors.Join(errs...)
+}
+
+// State is a configuration with its revision and contents.
+type State struct {
+	Revision Revision
+	Contents Contents
+	Policy   policy.Policy
+}
+
+// NewState checks fetched contents and makes the configuration of them. The error is folder.Errors.
+func NewState(r Revision, contents Contents) (State, error) {
+	f, err := folder.Load(contents.Files(r))
+	if err != nil {
+		return State{}, err
+	}
+	return State{Revision: r, Contents: contents, Policy: f.Policy().WithRevision(r.Number)}, nil
+}
+
+// InForce holds the configuration in force. It never goes back to a lower revision. Its zero value holds none.
+type InForce struct{ state atomic.Pointer[State] }
+
+// Accept puts a configuration in force if its revision is higher, and reports whether it did.
+func (f *InForce) Accept(s State) bool {
+	for {
+		old := f.state.Load()
+		if old != nil && old.Revision.Number >= s.Revision.Number {
+			return false
+		}
+		if f.state.CompareAndSwap(old, &s) {
+			return true
+		}
+	}
+}
+
+// Current returns the configuration in force, false if there is none yet.
+func (f *InForce) Current() (State, bool) {
+	s := f.state.Load()
+	if s == nil {
+		return State{}, false
+	}
+	return *s, true
+}
--- /dev/null
+++ b/policy/history/history_test.go
@@ -0,0 +1,237 @@
+package history_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/policy/folder"
+	"hornbeamstep.example/policy/history"
+)
+
+func files(bound string) []folder.File {
+	return []folder.File{
+		{Name: "a.yaml", Data: []byte("pools: {p: {bound: " + bound + "}}\n")},
+		{Name: "b.yaml", Data: []byte("models: {m: {pool: p}}\n")},
+	}
+}
+
+func change(base int64, id, bound string) history.Change {
+	return history.Change{Base: base, Author: id, Message: "set bound", Files: files(bound), Push: id}
+}
+
+// Guards against lost updates between operators, and against copies of unchanged files.
+func TestPushAndFetch(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	m := &objectapi.Memory{}
+	h := &history.History{Store: m}
+	_, err := h.Head(ctx)
+	var none *history.NoRevisionError
+	c.Assert(errors.As(err, &none), qt.IsTrue)
+
+	one, err := h.Push(ctx, change(0, "one", "2"))
+	c.Assert(err, qt.IsNil)
+	two, err := h.Push(ctx, change(1, "two", "3"))
+	c.Assert(err, qt.IsNil)
+	_, err = h.Push(ctx, change(1, "late", "4"))
+	var conflict *history.ConflictError
+	c.Assert(errors.As(err, &conflict), qt.IsTrue)
+	c.Assert(conflict.Head.Author, qt.Equals, "two")
+	same, err := h.Push(ctx, change(history.Any, "again", "3"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(same.Number, qt.Equals, two.Number)
+
+	old, err := history.Fetch(ctx, one, nil, h)
+	c.Assert(err, qt.IsNil)
+	c.Assert(history.Missing(two, old), qt.HasLen, 1)
+	before := m.Counts().Get
+	contents, err := history.Fetch(ctx, two, old, peer{"wrong"}, h)
+	c.Assert(err, qt.IsNil)
+	c.Assert(m.Counts().Get-before, qt.Equals, int64(1))
+	state, err := history.NewState(two, contents)
+	c.Assert(err, qt.IsNil)
+	c.Assert(state.Policy.Pools["p"].Bound, qt.Equals, 3.0)
+
+	list, err := h.List(ctx, 10)
+	c.Assert(err, qt.IsNil)
+	c.Assert(list, qt.HasLen, 2)
+	c.Assert(history.DiffFiles(one.Files, two.Files)[0].Name, qt.Equals, "a.yaml")
+	first, _, err := h.Load(ctx, one)
+	c.Assert(err, qt.IsNil)
+	second, _, err := h.Load(ctx, two)
+	c.Assert(err, qt.IsNil)
+	c.Assert(history.DiffValues(first, second), qt.DeepEquals, []history.ValueDiff{{Key: "pools.p.bound", Before: "2", After: "3"}})
+	e, err := h.Explain(ctx, one, "pools.p.bound")
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Value, qt.Equals, "2")
+	_, err = h.Push(ctx, change(two.Number, "bad", "0"))
+	var faults folder.Errors
+	c.Assert(errors.As(err, &faults), qt.IsTrue)
+}
+
+type peer struct{ data string }
+
+func (p peer) Blob(context.Context, history.Ref) ([]byte, error) { return []byte(p.data), nil }
+
+// Guards against files above the value limit of the object API being refused or damaged.
+func TestLargeFile(t *testing.T) {
+	c := qt.New(t)
+	h := &history.History{Store: &objectapi.Memory{}}
+	large := folder.File{Name: "c.yaml", Data: []byte(strings.Repeat("# padding\n", 230_000))}
+	r, err := h.Push(context.Background(), history.Change{Files: append(files("2"), large), Push: "one"})
+	c.Assert(err, qt.IsNil)
+	_, got, err := h.Load(context.Background(), r)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got[2].Data) == string(large.Data), qt.IsTrue)
+}
+
+// Guards against a push that reports a loss although its write took effect after the reply was lost, and the reverse.
+func TestLostReplyIsSettled(t *testing.T) {
+	rules := map[string]objectapi.Fault{"after effect": {Lost: true}, "before effect": {Late: 300 * time.Millisecond}}
+	for name, f := range rules {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := &objectapi.Memory{}
+				m.Inject(func(c objectapi.Call) objectapi.Fault {
+					if c.Write() && c.N <= 4 {
+						return f
+					}
+					return objectapi.Fault{}
+				})
+				h := &history.History{Store: m}
+				r, err := h.Push(context.Background(), change(0, "one", "2"))
+				qt.Assert(t, err, qt.IsNil)
+				head, err := h.Head(context.Background())
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, head.Push, qt.Equals, r.Push)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a configuration in force that reverts.
+func TestInForceIsMonotone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var f history.InForce
+		highest := int64(0)
+		for _, n := range rapid.SliceOf(rapid.Int64Range(1, 20)).Draw(t, "revisions") {
+			accepted := f.Accept(history.State{Revision: history.Revision{Number: n}})
+			if accepted != (n > highest) {
+				t.Fatalf("revision %d over %d: accepted %v", n, highest, accepted)
+			}
+			highest = max(highest, n)
+			if s, ok := f.Current(); !ok || s.Revision.Number != highest {
+				t.Fatalf("in force is %d, not %d", s.Revision.Number, highest)
+			}
+		}
+	})
+}
+
+type pushInput struct {
+	read bool
+	base int64
+}
+
+type pushResult struct {
+	number    int64
+	won, lost bool
+}
+
+// headModel is the head as one register: a push from a base succeeds only if the head is the base, and only raises it.
+var headModel = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{int64(0)} },
+	Step: func(state, input, output any) []any {
+		head, in, out := state.(int64), input.(pushInput), output.(pushResult)
+		switch {
+		case in.read && out.number == head:
+			return []any{head}
+		case in.read:
+			return nil
+		case out.won && head == in.base && out.number > head:
+			return []any{out.number}
+		case out.won:
+			return nil
+		case out.lost && head != in.base:
+			return []any{head}
+		case out.lost:
+			return nil
+		case head == in.base && out.number > head:
+			return []any{head, out.number}
+		}
+		return []any{head}
+	},
+}).ToModel()
+
+// Guards against two operators who both win, a winner who is told of a loss, and a head that reverts, under lost and late writes.
+func TestHeadIsLinearizable(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkHead(t, seed) })
+		})
+	}
+}
+
+func checkHead(t *testing.T, seed uint64) {
+	m := &objectapi.Memory{}
+	m.Inject(objectapi.Random(seed, objectapi.Chances{
+		Down: 0.05, Lost: 0.2, Late: 0.15, Slow: 20 * time.Millisecond, Delay: 400 * time.Millisecond,
+	}))
+	start := time.Now()
+	var mu sync.Mutex
+	var ops []porcupine.Operation
+	record := func(client int, call time.Time, in pushInput, out pushResult, open bool) {
+		end := time.Since(start)
+		if open {
+			end = 1 << 60
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		ops = append(ops, porcupine.Operation{ClientId: client, Input: in, Call: int64(call.Sub(start)), Output: out, Return: int64(end)})
+	}
+	var wg sync.WaitGroup
+	for client := range 4 {
+		wg.Go(func() {
+			h := &history.History{Store: m}
+			for i := range 6 {
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				call := time.Now()
+				head, err := h.Head(ctx)
+				var none *history.NoRevisionError
+				if err == nil || errors.As(err, &none) {
+					record(client, call, pushInput{read: true}, pushResult{number: head.Number}, false)
+				}
+				call = time.Now()
+				id := fmt.Sprintf("%d-%d", client, i)
+				r, err := h.Push(ctx, change(head.Number, id, fmt.Sprintf("%d.%d", client+1, i+1)))
+				in := pushInput{base: head.Number}
+				var conflict *history.ConflictError
+				var unsettled *history.UnsettledError
+				switch {
+				case err == nil:
+					record(client, call, in, pushResult{number: r.Number, won: true}, false)
+				case errors.As(err, &conflict):
+					record(client, call, in, pushResult{lost: true}, false)
+				case errors.As(err, &unsettled):
+					record(client, call, in, pushResult{number: unsettled.Number}, true)
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(time.Second)
+	qt.Assert(t, len(ops) > 20, qt.IsTrue)
+	qt.Assert(t, porcupine.CheckOperations(headModel, ops), qt.IsTrue)
+}
--- /dev/null
+++ b/policy/history/push.go
@@ -0,0 +1,241 @@
+package history
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/policy/folder"
+)
+
+const (
+	defaultPause = 50 * time.Millisecond
+	longestPause = time.Second
+)
+
+// Any as the base of a push accepts whatever revision is current.
+const Any int64 = -1
+
+// Change is what a push writes.
+type Change struct {
+	// Base is the revision that the change was made from, 0 for an empty history, or Any.
+	Base            int64
+	Author, Message string
+	Files           []folder.File
+	// Push is unique for each push.
+	Push string
+}
+
+// ConflictError says that another push won.
+type ConflictError struct {
+	// Base is the revision that the push was made from, and Head the current one.
+	Base int64
+	Head Revision
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("revision %d by %s (%q) replaced revision %d; show the difference, merge it into the folder and push with base %d",
+		e.Head.Number, e.Head.Author, e.Head.Message, e.Base, e.Head.Number)
+}
+
+// UnsettledError says that the reply to the update of the head was lost and the result could not be read back in time.
+type UnsettledError struct {
+	Number int64
+	Cause  error
+}
+
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("it is unknown whether revision %d became the head; list the history before pushing again: %v", e.Number, e.Cause)
+}
+
+// Unwrap returns the error of the last call.
+func (e *UnsettledError) Unwrap() error { return e.Cause }
+
+// Push checks the files and makes them the next revision. Of several pushes from one base, exactly one wins. A lost reply is
+// settled by reading back until ctx ends. Files equal to those of the head return the head. Errors: folder.Errors,
+// *ConflictError, *UnsettledError, *objectapi.UnavailableError.
+func (h *History) Push(ctx context.Context, c Change) (Revision, error) {
+	if _, err := folder.Load(c.Files); err != nil {
+		return Revision{}, err
+	}
+	number, version, err := h.head(ctx)
+	if err != nil {
+		return Revision{}, err
+	}
+	r := Revision{Parent: number, Author: c.Author, Time: h.now().UTC(), Message: c.Message, Files: refs(c.Files), Push: c.Push}
+	var current Revision
+	if number > 0 {
+		if current, err = h.Revision(ctx, number); err != nil {
+			return Revision{}, err
+		}
+	}
+	if c.Base != Any && c.Base != number {
+		return Revision{}, &ConflictError{Base: c.Base, Head: current}
+	}
+	if number > 0 && slices.Equal(current.Files, r.Files) {
+		return current, nil
+	}
+	if err := h.writeBlobs(ctx, c.Files); err != nil {
+		return Revision{}, err
+	}
+	if r, err = h.writeRevision(ctx, r); err != nil {
+		return Revision{}, err
+	}
+	return r, h.moveHead(ctx, r, version)
+}
+
+func (h *History) now() time.Time {
+	if h.Now != nil {
+		return h.Now()
+	}
+	return time.Now()
+}
+
+func (h *History) writeBlobs(ctx context.Context, files []folder.File) error {
+	for _, f := range files {
+		ref := Ref{Name: f.Name, Digest: digest(f.Data), Size: len(f.Data)}
+		for i, name := range blobNames(ref) {
+			part := f.Data[i*objectapi.MaxValue:]
+			part = part[:min(len(part), objectapi.MaxValue)]
+			if _, err := h.create(ctx, name, part); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// writeRevision stores r under the first free number above its parent. The object of a push that lost keeps its number, so
+// several numbers may have to be tried.
+func (h *History) writeRevision(ctx context.Context, r Revision) (Revision, error) {
+	for r.Number = r.Parent + 1; ; r.Number++ {
+		value, err := json.Marshal(r)
+		if err != nil {
+			return Revision{}, err
+		}
+		created, err := h.create(ctx, revName(r.Number), value)
+		if created || err != nil {
+			return r, err
+		}
+	}
+}
+
+// create writes an immutable object and reports whether it holds the value; false if it held another one before.
+func (h *History) create(ctx context.Context, name string, value []byte) (bool, error) {
+	wait := h.backoff()
+	for {
+		_, err := h.Store.Put(ctx, objectapi.Object{Kind: Kind, Name: name, Value: value})
+		var conflict *objectapi.ConflictError
+		var ambiguous *objectapi.AmbiguousError
+		switch {
+		case err == nil:
+			return true, nil
+		case errors.As(err, &conflict):
+			same, found, err := h.holds(ctx, name, value)
+			if err != nil || found {
+				return same, err
+			}
+			// A lagging read has not seen the object yet.
+		case errors.As(err, &ambiguous):
+			// Creating it again is safe: exactly one of the writes can succeed, and both have the same value.
+		default:
+			return false, err
+		}
+		if err := wait(ctx); err != nil {
+			return false, &objectapi.UnavailableError{Cause: err}
+		}
+	}
+}
+
+func (h *History) holds(ctx context.Context, name string, value []byte) (same, found bool, err error) {
+	o, err := h.Store.Get(ctx, Kind, name)
+	var missing *objectapi.NotFoundError
+	if errors.As(err, &missing) {
+		return false, false, nil
+	}
+	return bytes.Equal(o.Value, value), err == nil, err
+}
+
+// moveHead makes r the head if the head still has a version.
+func (h *History) moveHead(ctx context.Context, r Revision, version int64) error {
+	value, err := json.Marshal(wireHead{Revision: r.Number})
+	if err != nil {
+		return err
+	}
+	wait := h.backoff()
+	// sent is true once a write may have taken effect or may still do so.
+	sent := false
+	for {
+		_, err := h.Store.Put(ctx, objectapi.Object{Kind: Kind, Name: headName, Version: version, Value: value})
+		var conflict *objectapi.ConflictError
+		var ambiguous *objectapi.AmbiguousError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			// The version has moved on: either an earlier write of this push took effect or another push won.
+			settled, settleErr := h.settle(ctx, r, version)
+			if settled {
+				return settleErr
+			}
+			err = settleErr
+		case errors.As(err, &ambiguous):
+			sent = true
+		case !sent:
+			return err
+		}
+		if waitErr := wait(ctx); waitErr != nil {
+			return &UnsettledError{Number: r.Number, Cause: errors.Join(err, waitErr)}
+		}
+	}
+}
+
+// settle finds out whether r is part of the history once the head has left a version.
+func (h *History) settle(ctx context.Context, r Revision, version int64) (settled bool, err error) {
+	number, now, err := h.head(ctx)
+	if err != nil {
+		return false, err
+	}
+	if now == version {
+		return false, errors.New("the read of the head lags behind")
+	}
+	head, err := h.Revision(ctx, number)
+	if err != nil {
+		return false, err
+	}
+	for at := head; ; {
+		if at.Push == r.Push && at.Number == r.Number {
+			return true, nil
+		}
+		if at.Parent <= r.Parent {
+			return true, &ConflictError{Base: r.Parent, Head: head}
+		}
+		if at, err = h.Revision(ctx, at.Parent); err != nil {
+			return false, err
+		}
+	}
+}
+
+// backoff returns a function that waits twice as long each time.
+func (h *History) backoff() func(context.Context) error {
+	next := h.Pause
+	if next == 0 {
+		next = defaultPause
+	}
+	return func(ctx context.Context) error {
+		t := time.NewTimer(next)
+		defer t.Stop()
+		next = min(2*next, longestPause)
+		select {
+		case <-t.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
