feat: admission gate of an engine

Holds the load bound with lagging reports and means, leases slots, queues fairly among client accounts with ageing, keeps a reserve free of surging accounts and ramps a new owner up from the engine's report. Refusals are typed and carry a retry time. The router's share for an unreachable owner is one request.

--- /dev/null
+++ b/routing/admission/gate_test.go
@@ -0,0 +1,161 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/routing/admission"
+	"hornbeamstep.example/routing/outcome"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// gate returns a gate with a capacity and no limit from the mean.
+func gate(capacity float64) *admission.Gate {
+	s := admission.Defaults()
+	s.Capacity = capacity
+	s.Reserve = 0
+	g := admission.New(start, s)
+	g.Mean(start, admission.Mean{Load: 1000, Engines: 9})
+	return g
+}
+
+func ask(account string, n int) admission.Ask {
+	return admission.Ask{Request: fmt.Sprintf("%s-%d", account, n), Account: account, Class: admission.Normal}
+}
+
+// Guards against a load above the bound by stale knowledge of the mean or of the engine.
+func TestBoundFollowsMeanAndReport(t *testing.T) {
+	g := admission.New(start, admission.Defaults())
+	g.Mean(start, admission.Mean{Load: 4, Engines: 9})
+	granted := 0
+	for i := range 20 {
+		if g.Offer(start, ask("a", i)).Kind == admission.Granted {
+			granted++
+		}
+	}
+	// With L requests the mean is 4+L/9, and L may be 1.25 times that plus 1: 6.97.
+	qt.Assert(t, granted, qt.Equals, 6)
+	g.Report(after(time.Second), admission.Report{At: after(time.Second), Load: 9})
+	qt.Assert(t, g.Load(), qt.Equals, 9.0)
+	qt.Assert(t, g.Release(after(time.Second), 1), qt.HasLen, 0)
+}
+
+// Guards against a queue that lets one account or class starve another.
+func TestOrderOfGrants(t *testing.T) {
+	urgent := ask("u", 0)
+	urgent.Class = admission.Urgent
+	old := ask("b", 0)
+	old.Class = admission.Batch
+	cases := map[string]struct {
+		offers []admission.Ask
+		gap    time.Duration
+		want   []string
+	}{
+		"fair between accounts": {[]admission.Ask{ask("a", 1), ask("a", 2), ask("a", 3), ask("c", 1)}, 0, []string{"a-1", "c-1"}},
+		"urgent first":          {[]admission.Ask{ask("a", 1), urgent}, 0, []string{"u-0", "a-1"}},
+		"old batch first":       {[]admission.Ask{old, urgent}, 4 * time.Second, []string{"b-0", "u-0"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := gate(1)
+			slot := g.Offer(start, ask("first", 0)).Slot
+			for i, a := range c.offers {
+				got := g.Offer(after(time.Duration(i)*c.gap), a)
+				qt.Assert(t, got.Kind, qt.Equals, admission.Queued)
+			}
+			now := after(c.gap + time.Second)
+			for _, want := range c.want {
+				actions := g.Release(now, slot.ID)
+				qt.Assert(t, actions, qt.HasLen, 1)
+				qt.Assert(t, actions[0].Ask.Request, qt.Equals, want)
+				slot = actions[0].Slot
+			}
+		})
+	}
+}
+
+// Guards against slots that a lost router keeps for ever, and against renewal of a slot that was given away.
+func TestSlotsExpire(t *testing.T) {
+	g := gate(2)
+	a := g.Offer(start, ask("a", 1)).Slot
+	b := g.Offer(start, ask("a", 2)).Slot
+	qt.Assert(t, g.Offer(start, ask("a", 3)).Kind, qt.Equals, admission.Queued)
+	qt.Assert(t, g.Renew(after(8*time.Second), []uint64{a.ID}), qt.HasLen, 0)
+	actions := g.Tick(after(10 * time.Second))
+	qt.Assert(t, actions[0].Kind, qt.Equals, admission.Expired)
+	qt.Assert(t, actions[0].Slot.ID, qt.Equals, b.ID)
+	qt.Assert(t, g.Renew(after(10*time.Second), []uint64{a.ID, b.ID}), qt.DeepEquals, []uint64{b.ID})
+}
+
+// Guards against a second slot for a request that is offered again after a lost reply.
+func TestRepeatedOffer(t *testing.T) {
+	g := gate(2)
+	first := g.Offer(start, ask("a", 1))
+	qt.Assert(t, g.Offer(after(time.Second), ask("a", 1)).Slot.ID, qt.Equals, first.Slot.ID)
+	qt.Assert(t, g.Slots(), qt.Equals, 1)
+}
+
+// Guards against a surging account that fills the queue, and against refusals without a typed result.
+func TestFullQueue(t *testing.T) {
+	s := admission.Defaults()
+	s.Capacity, s.Queue, s.Reserve = 1, 3, 0
+	g := admission.New(start, s)
+	g.Offer(start, ask("a", 0))
+	for i := 1; i <= 3; i++ {
+		g.Offer(start, ask("a", i))
+	}
+	got := g.Offer(start, ask("a", 4))
+	qt.Assert(t, got.Kind, qt.Equals, admission.Refused)
+	qt.Assert(t, got.Code, qt.Equals, outcome.QueueFull)
+	qt.Assert(t, got.Retry >= time.Second, qt.IsTrue)
+	qt.Assert(t, got.Err(), qt.ErrorMatches, ".*queue_full, not run.*")
+	qt.Assert(t, g.Offer(start, ask("b", 1)).Kind, qt.Equals, admission.Queued)
+	actions := g.Tick(start)
+	qt.Assert(t, actions, qt.HasLen, 1)
+	qt.Assert(t, actions[0].Ask.Request, qt.Equals, "a-3")
+}
+
+// Guards against a reserve that one account can use up.
+func TestReserve(t *testing.T) {
+	s := admission.Defaults()
+	s.Capacity = 8
+	g := admission.New(start, s)
+	g.Mean(start, admission.Mean{Load: 1000, Engines: 9})
+	for i := range 8 {
+		g.Offer(start, ask("a", i))
+	}
+	qt.Assert(t, g.Slots(), qt.Equals, 6)
+	qt.Assert(t, g.Offer(start, ask("b", 1)).Kind, qt.Equals, admission.Granted)
+}
+
+// Guards against a new owner that grants the whole bound while slots of the former owner are still in use.
+func TestTakeoverRampsUp(t *testing.T) {
+	s := admission.Defaults()
+	g := admission.Takeover(start, s)
+	g.Mean(start, admission.Mean{Load: 8, Engines: 9})
+	for i := range 20 {
+		g.Offer(start, ask("a", i))
+	}
+	qt.Assert(t, g.Slots(), qt.Equals, 1)
+	g.Report(after(time.Second), admission.Report{At: after(time.Second), Load: 6})
+	g.Tick(after(time.Second))
+	qt.Assert(t, g.Load() <= 7.5, qt.IsTrue, qt.Commentf("%v", g.Load()))
+	g.Report(after(6*time.Second), admission.Report{At: after(6 * time.Second), Load: 6})
+	qt.Assert(t, g.Load() > 9, qt.IsTrue, qt.Commentf("%v", g.Load()))
+}
+
+// Guards against more than one request per router while the owner is out of reach.
+func TestShare(t *testing.T) {
+	s := admission.NewShare(admission.Defaults())
+	a := s.Offer(start, ask("a", 1))
+	qt.Assert(t, a.Kind, qt.Equals, admission.Granted)
+	qt.Assert(t, s.Offer(start, ask("a", 2)).Kind, qt.Equals, admission.Refused)
+	s.Release(a.Slot.ID)
+	qt.Assert(t, s.Offer(start, ask("a", 2)).Kind, qt.Equals, admission.Granted)
+}
