feat: baseline placers

Random, round robin, least load, consistent hashing, bounded consistent hashing and an omniscient placer, all behind placement.Placer, to measure placement against.

--- /dev/null
+++ b/routing/baseline/baseline_test.go
@@ -0,0 +1,53 @@
+package baseline_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/routing/baseline"
+	"hornbeamstep.example/routing/placement"
+)
+
+type oracle struct {
+	cached map[string]int
+	load   map[string]float64
+}
+
+func (o oracle) Cached(_ placement.Request, id string) int { return o.cached[id] }
+func (o oracle) Load(id string) float64                    { return o.load[id] }
+
+// Guards against baselines that use an engine out of service, or ignore what they are defined by.
+func TestBaselines(t *testing.T) {
+	v := placement.NewView([]placement.Engine{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d", State: placement.Leaving}}).
+		WithStatuses(map[string]placement.Status{"a": {Load: 8}, "b": {Load: 2}, "c": {Load: 5}})
+	r := placement.Request{Model: "m", Chat: "x"}
+	home := v.Chain(nil, r, 1)[0]
+	full := v.WithStatus(home, placement.Status{Load: 90})
+	o := oracle{map[string]int{"a": 9, "c": 9, "b": 5}, map[string]float64{"a": 4, "b": 3, "c": 3}}
+	cases := map[string]struct {
+		placer placement.Placer
+		v      placement.View
+		want   string
+	}{
+		"random":         {baseline.NewRandom(1), v, "abc"},
+		"round robin":    {&baseline.RoundRobin{}, v, "abc"},
+		"least load":     {baseline.LeastLoad{}, v, "b"},
+		"hash":           {baseline.Hash{}, full, home},
+		"bounded":        {baseline.BoundedHash{Bound: 1.25}, full, v.Chain(nil, r, 2)[1]},
+		"omniscient":     {baseline.Omniscient{Oracle: o, Bound: 1.25}, v, "c"},
+		"no engine left": {baseline.LeastLoad{}, placement.NewView(nil), ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := c.placer.Place(time.Time{}, r, c.v).Engine
+			if c.want == "" {
+				qt.Assert(t, got, qt.Equals, "")
+				return
+			}
+			qt.Assert(t, c.want, qt.Contains, got)
+			qt.Assert(t, got, qt.Not(qt.Equals), "")
+		})
+	}
+}
