feat: trace format, generators and virtual-time replay

Fakes at the interfaces (engines, routers with lagging views, callers, claim log) drive the decision packages and the baselines on one trace and judge stated outcomes.

--- /dev/null
+++ b/hornbeambench/replay/attempt.go
@@ -0,0 +1,236 @@
+package replay
+
+import (
+	"fmt"
+	"time"
+
+	"hornbeamstep.example/routing/placement"
+)
+
+// Progress deadlines of an attempt, in wall time.
+const (
+	firstToken = 5 * time.Second
+	nextToken  = time.Second
+)
+
+// start sends the request to its engine, after the import of its KV cache if there is one to move.
+func (r *router) start(q *call) {
+	s := r.fleet
+	attempt, e := q.attempt, s.byID[q.engine]
+	delay := s.net(r.zone, e.zone)
+	if s.placer == Omniscient {
+		delay = 0
+	}
+	delay += s.importFor(q, e)
+	s.after(delay, func() { r.begin(q, attempt, e) })
+}
+
+// importFor moves the KV cache of a chat and returns the time that takes.
+func (s *fleet) importFor(q *call, to *engine) time.Duration {
+	from := s.byID[q.from]
+	if q.from == "" || !from.up || from.hung {
+		return 0
+	}
+	tokens := from.cache.tokens(q.req.Chat)
+	if tokens == 0 || tokens <= to.cache.tokens(q.req.Chat) {
+		return s.Between * 2
+	}
+	s.transfer(q.req.Chat, q.req.Account, from, to, tokens)
+	s.measure.moved += tokens
+	return s.Placement.TransferBase + time.Duration(tokens)*s.Placement.Transfer
+}
+
+func (s *fleet) transfer(chat, account string, from, to *engine, tokens int) {
+	from.cache.drop(chat)
+	to.cache.put(cached{name: chat, chat: chat, account: account, tokens: tokens, last: s.now.Seconds()})
+}
+
+// move carries out moves one after the other at the rate of the KV transfer.
+func (s *fleet) move(moves []placement.Move) {
+	at := time.Duration(0)
+	for _, m := range moves {
+		at += s.Placement.TransferBase + time.Duration(m.Tokens)*s.Placement.Transfer
+		s.after(at, func() {
+			from, to := s.byID[m.From], s.byID[m.To]
+			n := from.cache.tokens(m.Chat)
+			if n == 0 || !from.up || !to.up {
+				return
+			}
+			s.transfer(m.Chat, "", from, to, n)
+			s.measure.moved += n
+		})
+	}
+}
+
+func (r *router) begin(q *call, attempt string, e *engine) {
+	s := r.fleet
+	if q.attempt != attempt || q.state != open {
+		return
+	}
+	n := &run{call: q, attempt: attempt, class: q.class(), answer: q.req.Answer}
+	current := func(f func()) func() {
+		return func() {
+			s.after(s.net(r.zone, e.zone), func() {
+				r.do(func() {
+					if q.attempt == attempt && q.state == open {
+						f()
+					}
+				})
+			})
+		}
+	}
+	n.first = current(func() { r.first(q) })
+	n.done = current(func() { r.done(q, n) })
+	n.broken = current(func() { r.broken(q, e) })
+	q.run = n
+	if !e.start(n) {
+		q.run = nil
+		r.refused(q, e)
+		return
+	}
+	if q.waited == 0 {
+		q.waited = s.now - q.arrival
+	}
+	r.remember(q, e)
+	r.watch(q, attempt, e, n, -1, firstToken)
+}
+
+// remember tells the owner of the home where the context is from now on.
+func (r *router) remember(q *call, e *engine) {
+	if r.placer != nil || q.home == "" {
+		return
+	}
+	owner := r.owner(q.home)
+	key := placement.Key(q.req.Model, q.req.Adapter, q.req.Chat)
+	home, now := q.home, r.fleet.wall()
+	r.send(owner, func() {
+		if e.id == home {
+			owner.exceptions.Forget(key)
+			return
+		}
+		owner.exceptions.Put(now, key, e.id)
+	})
+}
+
+// refused handles a connection that the engine did not accept: the request did not run.
+func (r *router) refused(q *call, e *engine) {
+	r.unhold(q)
+	r.observe(e.id)
+	if q.attempts > 2*len(r.fleet.engines) {
+		r.releaseClaim(q)
+		r.refuse(q, time.Second, notRun)
+		return
+	}
+	r.place(q)
+}
+
+func (r *router) first(q *call) {
+	if q.first == 0 {
+		q.first = r.fleet.now
+		q.hit = q.run.hit
+	}
+}
+
+func (r *router) done(q *call, n *run) {
+	s := r.fleet
+	if n.call != q || n.attempt != q.attempt {
+		s.measure.crossed++
+	}
+	r.first(q)
+	r.unhold(q)
+	q.attempt = ""
+	if !q.req.Repeat {
+		if c := s.claims[fmt.Sprintf("%s/%d", q.req.Chat, q.req.Turn)]; c != nil {
+			c.done = true
+		}
+	}
+	s.after(s.Client, func() { s.end(q, answered) })
+}
+
+// broken handles a stream that ended early.
+func (r *router) broken(q *call, e *engine) {
+	r.unhold(q)
+	r.observe(e.id)
+	q.run = nil
+	switch {
+	case !q.req.Repeat:
+		r.refuse(q, 0, unknown)
+	case q.first == 0:
+		r.place(q)
+	default:
+		// Tokens were delivered: the caller is told, and sends the request again as a new one.
+		q.attempt, q.first = "", 0
+		r.fleet.measure.broken++
+		sends := q.sends
+		r.fleet.after(2*r.fleet.Client, func() {
+			if q.sends == sends {
+				r.fleet.sendOr(q, interrupted)
+			}
+		})
+	}
+}
+
+// sendOr sends again, or ends with a result if the caller has sent often enough.
+func (s *fleet) sendOr(q *call, res result) {
+	if q.sends >= s.Sends {
+		s.end(q, res)
+		return
+	}
+	s.send(q)
+}
+
+// watch enforces the progress deadlines. A stream that stands still is resumed on a new connection once, and then
+// treated as broken.
+func (r *router) watch(q *call, attempt string, e *engine, n *run, seen int, limit time.Duration) {
+	s := r.fleet
+	s.after(limit, func() {
+		r.do(func() {
+			if q.attempt != attempt || q.state != open || q.run != n {
+				return
+			}
+			e.settle()
+			got := n.tokens
+			if n.silent {
+				got = seen
+			}
+			if got != seen && got > 0 {
+				r.watch(q, attempt, e, n, got, nextToken)
+				return
+			}
+			if n.silent {
+				r.resume(q, e, n)
+				r.watch(q, attempt, e, n, -1, nextToken)
+				return
+			}
+			e.cancel(n)
+			r.broken(q, e)
+		})
+	})
+}
+
+// resume reads on from the last token on a new connection.
+func (r *router) resume(q *call, e *engine, n *run) {
+	n.silent = false
+	switch {
+	case !e.up:
+		n.broken()
+	case n.finished:
+		n.done()
+	case n.tokens > 0:
+		n.first()
+	}
+}
+
+// abandon cancels the attempt of a caller that has gone.
+func (r *router) abandon(q *call) {
+	if q.run != nil && q.run.call == q && q.attempt != "" {
+		r.fleet.byID[q.engine].cancel(q.run)
+	}
+	for _, o := range r.fleet.routers {
+		if g := o.gates[q.engine]; g != nil {
+			g.Abandon(q.attempt)
+		}
+	}
+	r.unhold(q)
+	q.attempt = ""
+}
--- /dev/null
+++ b/hornbeambench/replay/clock.go
@@ -0,0 +1,58 @@
+// Package replay runs a recorded trace against the decision packages in virtual time and judges the outcome.
+package replay
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the wall time of the start of a replay.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// clock runs functions in the order of virtual time, and of their scheduling where times are equal.
+type clock struct {
+	now   time.Duration
+	queue eventQueue
+	seq   uint64
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64
+	do  func()
+}
+
+func (c *clock) wall() time.Time { return epoch.Add(c.now) }
+
+func (c *clock) after(d time.Duration, do func()) {
+	c.seq++
+	heap.Push(&c.queue, event{at: c.now + max(0, d), seq: c.seq, do: do})
+}
+
+// run executes events until none is left or the limit is reached.
+func (c *clock) run(limit time.Duration) {
+	for len(c.queue) > 0 && c.queue[0].at <= limit {
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.do()
+	}
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := len(old) - 1
+	e := old[last]
+	old[last] = event{}
+	*q = old[:last]
+	return e
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/hornbeambench/replay/command.go
@@ -0,0 +1,137 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"hornbeamstep.example/hornbeambench/trace"
+)
+
+// Command replays a scenario and judges its outcomes.
+type Command struct {
+	Scenario string `arg:"" help:"Name of a built-in scenario, see list."`
+	Seed     uint64 `default:"1" help:"Seed of the trace and of the fakes."`
+	JSON     string `name:"json" help:"Write the figures to this file as JSON." placeholder:"FILE"`
+	Trace    string `help:"Replay the requests of this file in place of the generated ones." placeholder:"FILE"`
+	Faults   string `help:"Inject the faults of this file in place of the scenario's." placeholder:"FILE"`
+	Record   string `help:"Write the generated requests to this file." placeholder:"FILE"`
+}
+
+// ErrShort is returned if an outcome falls short.
+var ErrShort = eris.New("an outcome falls short; the lines marked \"short\" say what was seen")
+
+// Run runs the command. It returns ErrShort if an outcome falls short.
+func (c *Command) Run() error { return c.run(os.Stdout) }
+
+func (c *Command) run(w io.Writer) error {
+	for _, s := range Scenarios() {
+		if s.Name != c.Scenario {
+			continue
+		}
+		requests, faults, err := c.load(s)
+		if err != nil {
+			return err
+		}
+		r := Judge(s, requests, faults, c.Seed)
+		if err := r.write(w); err != nil {
+			return err
+		}
+		return c.finish(r)
+	}
+	return eris.Errorf("there is no scenario %q; see the list command", c.Scenario)
+}
+
+func (c *Command) load(s Scenario) ([]trace.Request, []trace.Fault, error) {
+	requests, faults := trace.Generate(s.Shape, c.Seed), s.Faults
+	var err error
+	if c.Trace != "" {
+		if requests, err = readFile(c.Trace, trace.ReadRequests); err != nil {
+			return nil, nil, err
+		}
+	}
+	if c.Faults != "" {
+		if faults, err = readFile(c.Faults, trace.ReadFaults); err != nil {
+			return nil, nil, err
+		}
+	}
+	if c.Record == "" {
+		return requests, faults, nil
+	}
+	f, err := os.Create(c.Record)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "record the trace")
+	}
+	if err := trace.Write(f, requests); err != nil {
+		_ = f.Close()
+		return nil, nil, err
+	}
+	return requests, faults, eris.Wrap(f.Close(), "record the trace")
+}
+
+func readFile[T any](name string, read func(io.Reader) ([]T, error)) ([]T, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, eris.Wrap(err, "open the trace")
+	}
+	defer func() { _ = f.Close() }()
+	return read(f)
+}
+
+func (c *Command) finish(r Result) error {
+	if c.JSON != "" {
+		data, err := json.MarshalIndent(r, "", "  ")
+		if err != nil {
+			return eris.Wrap(err, "encode the figures")
+		}
+		if err := os.WriteFile(c.JSON, append(data, '\n'), 0o644); err != nil {
+			return eris.Wrap(err, "write the figures")
+		}
+	}
+	if !r.Held() {
+		return ErrShort
+	}
+	return nil
+}
+
+// write prints the figures as a table and the verdicts.
+func (r Result) write(w io.Writer) error {
+	all := append([]Figures{r.Project, r.Omniscient}, r.Baselines...)
+	if r.Control != nil {
+		control := *r.Control
+		control.Placer = "control run"
+		all = append(all, control)
+	}
+	text := fmt.Sprintf("%s, seed %d, %d requests\n", r.Scenario, r.Seed, r.Project.Calls)
+	text += fmt.Sprintf("%-28s %7s %7s %7s %7s %6s %8s %8s %7s %7s %7s %5s %7s\n", "placer", "reuse", "elsewhr", "skew", "above", "load",
+		"ttft50", "ttft95", "itl95", "wait95", "refused", "lost", "broken")
+	for _, f := range all {
+		text += fmt.Sprintf("%-28s %7.4f %7.4f %7.3f %7.2f %6.2f %8.1f %8.1f %7.2f %7.1f %7d %5d %7d\n", f.Placer, f.Reuse, f.Elsewhere, f.Skew,
+			f.Above, f.Mean, f.TTFT.P50, f.TTFT.P95, f.ITL.P95, f.Wait["normal"].P95, f.Refused, f.Lost, f.Interrupted+f.Unknown)
+	}
+	for _, v := range r.Verdicts {
+		mark := "holds"
+		if !v.Held {
+			mark = "short"
+		}
+		text += fmt.Sprintf("%s: %s: %s\n", mark, v.Outcome, v.Seen)
+	}
+	_, err := io.WriteString(w, text)
+	return eris.Wrap(err, "write the figures")
+}
+
+// List prints the built-in scenarios.
+type List struct{}
+
+// Run runs the command.
+func (List) Run() error {
+	for _, s := range Scenarios() {
+		if _, err := fmt.Printf("%-8s %s\n", s.Name, s.About); err != nil {
+			return eris.Wrap(err, "print the scenarios")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/hornbeambench/trace/trace_test.go
@@ -0,0 +1,47 @@
+package trace_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/hornbeambench/trace"
+)
+
+// Guards against a format that loses fields, and against generators that depend on anything but the seed.
+func TestRoundTrip(t *testing.T) {
+	shapes := map[string]trace.Shape{"mwalimu": trace.Mwalimu(), "umgeni": trace.Umgeni(), "scaled": trace.Scaled(100)}
+	for name, s := range shapes {
+		t.Run(name, func(t *testing.T) {
+			list := trace.Generate(s, 7)
+			qt.Assert(t, list, qt.DeepEquals, trace.Generate(s, 7))
+			var b bytes.Buffer
+			qt.Assert(t, trace.Write(&b, list), qt.IsNil)
+			got, err := trace.ReadRequests(&b)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, got, qt.DeepEquals, list)
+			turns := map[string]int{}
+			for _, r := range list {
+				turns[r.Chat]++
+				qt.Assert(t, r.Turn, qt.Equals, turns[r.Chat])
+			}
+		})
+	}
+}
+
+// Guards against faulty lines that replay would take as zero values.
+func TestReadRefuses(t *testing.T) {
+	cases := map[string]string{
+		`{"at":1`: "line 1 of the trace is not a JSON object.*",
+		`{"at":1,"chat":"c","turn":1,"answer":1,"class":"high"}`: `request 1 of the trace has class "high".*`,
+		`{"at":1,"chat":"c","answer":1,"class":"normal"}`:        "request 1 of the trace is incomplete.*",
+	}
+	for in, want := range cases {
+		_, err := trace.ReadRequests(strings.NewReader(in))
+		qt.Check(t, err, qt.ErrorMatches, want)
+	}
+	_, err := trace.ReadFaults(strings.NewReader(`{"at":1,"kind":"flood"}`))
+	qt.Check(t, err, qt.ErrorMatches, `fault 1 has kind "flood".*`)
+}
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -119,6 +119,19 @@
 // Abandon removes a waiting request whose caller has gone. It is false if the request is not waiting.
 func (g *Gate) Abandon(request string) bool { return g.queue.remove(request) }
 
+// Close refuses all waiting requests, because the engine takes no more work or has another owner.
+func (g *Gate) Close(now time.Time) []Action {
+	var actions []Action
+	for g.queue.len() > 0 {
+		e := g.queue.entries[0]
+		g.queue.cut(0)
+		a := g.refuse(now, e.ask, outcome.NoBackend)
+		a.Waited = now.Sub(e.at)
+		actions = append(actions, a)
+	}
+	return actions
+}
+
 // Report takes the engine's own load. An older report than the last one is ignored.
 func (g *Gate) Report(now time.Time, r Report) []Action {
 	if g.reported && r.At.Before(g.report.At) {
--- a/routing/placement/move.go
+++ b/routing/placement/move.go
@@ -42,3 +42,16 @@
 	}
 	return moves
 }
+
+// Attract returns the moves that bring contexts of one engine to a joining engine which has become their home, within a
+// budget of tokens and in the order of Evacuate. Without them these chats would miss until they have run there once.
+func (p Rule) Attract(now time.Time, from, joining string, contexts []Context, budget int, v View) []Move {
+	var due []Context
+	for _, c := range contexts {
+		home, _ := v.Homes(c.Model, c.Adapter, Key(c.Model, c.Adapter, c.Chat))
+		if home == joining && from != joining {
+			due = append(due, c)
+		}
+	}
+	return p.Evacuate(now, from, due, budget, v.WithState(from, Leaving))
+}
