--- /dev/null
+++ b/hornbeamctl/drain/drain.go
@@ -0,0 +1,100 @@
+// Package drain holds the commands that stop new work to a backend server or a router, and take it back.
+package drain
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"hornbeamstep.example/hornbeamctl/confirm"
+	"hornbeamstep.example/hornbeamctl/exit"
+	"hornbeamstep.example/hornbeamctl/output"
+	"hornbeamstep.example/hornbeamd/operator"
+)
+
+const pollInterval = time.Second
+
+// Target names what to drain.
+type Target struct {
+	Backend string `arg:"" optional:"" help:"Name of the backend server."`
+	Self    bool   `help:"Drain the router at --address instead of a backend server."`
+	Reason  string `help:"Reason to record on the time line." placeholder:"TEXT"`
+}
+
+// Validate checks that exactly one target is named. Kong calls it.
+func (t *Target) Validate() error {
+	if (t.Backend == "") != t.Self {
+		return &exit.Error{Code: exit.Usage, Text: "name a backend server or set --self, not both"}
+	}
+	return nil
+}
+
+func (t *Target) target() operator.Target {
+	return operator.Target{Backend: t.Backend, Self: t.Self, Reason: t.Reason}
+}
+
+func (t *Target) name() string {
+	if t.Self {
+		return "this router"
+	}
+	return t.Backend
+}
+
+// Command stops new work to a target.
+type Command struct {
+	Target
+	confirm.Flags
+	Wait time.Duration `help:"Wait this long until no request is in progress; 0 does not wait." default:"0s" placeholder:"DURATION"`
+}
+
+// Run runs the command.
+func (c *Command) Run(ctx context.Context, fleet operator.Fleet, out *output.Printer, prompt confirm.Prompt) error {
+	if err := prompt.Ask(c.Flags, fmt.Sprintf("Stop new work to %s?", c.name())); err != nil {
+		return err
+	}
+	drained, err := c.wait(ctx, fleet, out)
+	if err != nil {
+		return err
+	}
+	return show(out, drained)
+}
+
+// wait repeats the order, which is idempotent, until nothing runs or the time is over.
+func (c *Command) wait(ctx context.Context, fleet operator.Fleet, out *output.Printer) (operator.Drained, error) {
+	deadline := time.Now().Add(c.Wait)
+	for {
+		drained, err := fleet.Drain(ctx, c.target())
+		if err != nil || c.Wait == 0 || drained.Running == 0 {
+			return drained, err
+		}
+		if time.Now().After(deadline) {
+			return drained, &exit.Error{Code: exit.Incomplete, Text: fmt.Sprintf(
+				"%d requests are still in progress on %s; it gets no new work, repeat the command to wait longer", drained.Running, c.name())}
+		}
+		out.Progressf("%s: %d requests in progress", c.name(), drained.Running)
+		select {
+		case <-ctx.Done():
+			return drained, ctx.Err()
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// Undo takes a target back into service.
+type Undo struct{ Target }
+
+// Run runs the command.
+func (c *Undo) Run(ctx context.Context, fleet operator.Fleet, out *output.Printer) error {
+	drained, err := fleet.Undrain(ctx, c.target())
+	if err != nil {
+		return err
+	}
+	return show(out, drained)
+}
+
+func show(out *output.Printer, d operator.Drained) error {
+	return out.Print(d, func(rows output.Rows) {
+		rows.Row("TARGET", "STATE", "RUNNING", "REVISION")
+		rows.Row(d.Target, d.State, d.Running, d.Revision)
+	})
+}
--- /dev/null
+++ b/hornbeamctl/orders/orders.go
@@ -0,0 +1,26 @@
+// Package orders is the command that shows orders to engines.
+package orders
+
+import (
+	"context"
+
+	"hornbeamstep.example/hornbeamctl/output"
+	"hornbeamstep.example/hornbeamd/operator"
+)
+
+// Command shows orders and their state.
+type Command struct{}
+
+// Run runs the command.
+func (c *Command) Run(ctx context.Context, fleet operator.Fleet, out *output.Printer) error {
+	orders, err := fleet.Orders(ctx)
+	if err != nil {
+		return err
+	}
+	return out.Print(orders, func(rows output.Rows) {
+		rows.Row("ENGINE", "KIND", "WANT", "STATE", "HOLDER", "FENCE", "EXPIRES", "TEXT")
+		for _, o := range orders {
+			rows.Row(o.Engine, o.Kind, o.Want, o.State, o.Holder, o.Fence, o.Expires, o.Text)
+		}
+	})
+}
--- /dev/null
+++ b/hornbeamctl/status/status.go
@@ -0,0 +1,72 @@
+// Package status is the command that shows the fleet as one router sees it.
+package status
+
+import (
+	"context"
+
+	"hornbeamstep.example/hornbeamctl/output"
+	"hornbeamstep.example/hornbeamd/operator"
+)
+
+// Command shows members, backend servers and the revision in force.
+type Command struct {
+	Owners bool `help:"Also show which router owns what."`
+}
+
+// report is the result as JSON.
+type report struct {
+	Status   operator.Status    `json:"status"`
+	Backends []operator.Backend `json:"backends"`
+	InForce  operator.InForce   `json:"inforce"`
+}
+
+// Run runs the command.
+func (c *Command) Run(ctx context.Context, fleet operator.Fleet, out *output.Printer) error {
+	var r report
+	var err error
+	if r.Status, err = fleet.Status(ctx); err != nil {
+		return err
+	}
+	if r.Backends, err = fleet.Backends(ctx); err != nil {
+		return err
+	}
+	if r.InForce, err = fleet.InForce(ctx, 0); err != nil {
+		return err
+	}
+	if !c.Owners {
+		r.Status.Owners = nil
+	}
+	return out.Print(r, r.table)
+}
+
+func (r report) table(rows output.Rows) {
+	s := r.Status
+	rows.Row("DAEMON", "ZONE", "REGION", "REVISION", "HEAD", "READY", "DRAINING", "REASON")
+	rows.Row(s.Daemon, s.Zone, s.Region, s.Revision, r.InForce.Revision, s.Ready, s.Draining, s.Reason)
+	rows.Gap()
+	answered := map[string]operator.RouterRevision{}
+	for _, router := range r.InForce.Routers {
+		answered[router.Router] = router
+	}
+	rows.Row("MEMBER", "ADDRESS", "ZONE", "STATE", "INCARNATION", "REVISION", "ANSWERED")
+	for _, m := range s.Members {
+		router, known := answered[m.ID]
+		if known {
+			m.Revision = router.Revision
+		}
+		rows.Row(m.ID, m.Address, m.Zone, m.State, m.Incarnation, m.Revision, router.Answered)
+	}
+	rows.Gap()
+	rows.Row("BACKEND", "POOL", "SERVICE", "ZONE", "STATE", "OWNER", "LOAD", "MEAN", "BOUND", "RUNNING", "QUEUED")
+	for _, b := range r.Backends {
+		rows.Row(b.Name, b.Pool, b.Service, b.Zone, b.State, b.Owner, b.Load, b.Mean, b.Bound, b.Running, b.Queued)
+	}
+	if len(s.Owners) == 0 {
+		return
+	}
+	rows.Gap()
+	rows.Row("KIND", "NAME", "ROUTER")
+	for _, o := range s.Owners {
+		rows.Row(o.Kind, o.Name, o.Router)
+	}
+}
--- /dev/null
+++ b/hornbeamctl/where/where.go
@@ -0,0 +1,29 @@
+// Package where is the command that says where a chat goes, and why.
+package where
+
+import (
+	"context"
+
+	"hornbeamstep.example/hornbeamctl/output"
+	"hornbeamstep.example/hornbeamd/operator"
+)
+
+// Command looks up one chat.
+type Command struct {
+	Chat    string `arg:"" help:"Name of the chat, as in header Chat-Id."`
+	Model   string `help:"Model that the chat requests; needed if there are several."`
+	Adapter string `help:"Adapter that the chat requests."`
+	Account string `help:"Client account of the chat."`
+}
+
+// Run runs the command.
+func (c *Command) Run(ctx context.Context, fleet operator.Fleet, out *output.Printer) error {
+	w, err := fleet.Where(ctx, operator.Query{Chat: c.Chat, Model: c.Model, Adapter: c.Adapter, Account: c.Account})
+	if err != nil {
+		return err
+	}
+	return out.Print(w, func(rows output.Rows) {
+		rows.Row("CHAT", "MODEL", "ENGINE", "HOME", "SECOND", "OWNER", "REASON")
+		rows.Row(w.Chat, w.Model, w.Engine, w.Home, w.Second, w.Owner, w.Reason)
+	})
+}
