--- a/routing/admission/admission.go
+++ b/routing/admission/admission.go
@@ -2,6 +2,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"hornbeamstep.example/routing/outcome"
@@ -22,7 +23,7 @@
 	// Bound is the greatest load as a multiple of the pool's mean; at least 1.
 	Bound float64
 	// SmallPool is the number of engines up to which a pool has an allowance of one request above the bound. In larger
-	// pools one request may always run, because the bound of a nearly idle pool would admit none.
+	// pools the bound is rounded up to whole requests.
 	SmallPool int
 	// Capacity is the greatest load whatever the mean, in the engine's own unit; 0 for none. A report can lower it.
 	Capacity float64
@@ -58,6 +59,16 @@
 	}
 }
 
+// Allowed is the greatest load of an engine at a mean load over the engines in service, for requests of one cost. Without
+// rounding up, a large pool with one request on each engine would never admit more: 1.25 times 1 is less than 2.
+func (s Settings) Allowed(mean float64, engines int, cost float64) float64 {
+	l := s.Bound * max(0, mean)
+	if engines <= s.SmallPool {
+		return l + cost
+	}
+	return max(1, math.Ceil(l/cost-1e-9)) * cost
+}
+
 // Ask is a request for a slot.
 type Ask struct {
 	// Request is unique for each attempt. A second Offer with the same value returns the state of the first.
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -210,11 +210,7 @@
 	if g.mean.Engines > 0 {
 		mean += (load + cost - g.atMean) / n
 	}
-	l := g.settings.Bound * max(0, mean)
-	if g.mean.Engines <= g.settings.SmallPool {
-		l += cost
-	}
-	l = max(l, cost)
+	l := g.settings.Allowed(mean, g.mean.Engines, cost)
 	if c := g.capacity(); c > 0 {
 		l = min(l, c)
 	}
--- a/routing/admission/gate_test.go
+++ b/routing/admission/gate_test.go
@@ -159,3 +159,11 @@
 	s.Release(a.Slot.ID)
 	qt.Assert(t, s.Offer(start, ask("a", 2)).Kind, qt.Equals, admission.Granted)
 }
+
+// Guards against a large pool that never admits more than one request to each engine, because 1.25 times 1 is less than 2.
+func TestLargePoolGrows(t *testing.T) {
+	g := admission.New(start, admission.Defaults())
+	g.Mean(start, admission.Mean{Load: 1, Engines: 30})
+	g.Offer(start, ask("a", 1))
+	qt.Assert(t, g.Offer(start, ask("a", 2)).Kind, qt.Equals, admission.Granted)
+}
