--- a/hornbeambench/replay/scenario.go
+++ b/hornbeambench/replay/scenario.go
@@ -140,6 +140,7 @@
 	f := Small()
 	f.Engines, f.Routers = 30, 9
 	f.Tries = 4
+	f.Mean = time.Second
 	return Scenario{
 		Name: "scaled", About: "the two-year size divided by 20",
 		Fleet: f, Shape: trace.Scaled(20), Compare: true,
