--- a/routing/admission/admission.go
+++ b/routing/admission/admission.go
@@ -22,6 +22,9 @@
 type Settings struct {
 	// Bound is the greatest load as a multiple of the pool's mean; at least 1.
 	Bound float64
+	// Even is the multiple of the mean below which a request that can go elsewhere is granted a slot. A value of 1 keeps
+	// the engines level, so that a fall of the mean leaves none above the bound; 0 turns the rule off.
+	Even float64
 	// SmallPool is the number of engines up to which a pool has an allowance of one request above the bound. In larger
 	// pools the bound is rounded up to whole requests.
 	SmallPool int
@@ -48,6 +51,7 @@
 func Defaults() Settings {
 	return Settings{
 		Bound:     1.25,
+		Even:      1,
 		SmallPool: 16,
 		Reserve:   0.25,
 		Lease:     10 * time.Second,
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -199,18 +199,24 @@
 	if load+ask.Cost > g.limit(now, ask.Cost, load)+1e-9 {
 		return false
 	}
+	if ask.NoQueue && g.settings.Even > 0 && g.mean.Engines > 1 && load > g.settings.Even*g.meanWith(ask.Cost, load)+1e-9 {
+		return false
+	}
 	return g.fair(ask, load)
 }
 
-// limit is the greatest load with a further request of the given cost. The mean includes the engine itself, so it moves
-// by 1/Engines of the engine's own change since the mean was taken.
-func (g *Gate) limit(now time.Time, cost, load float64) float64 {
-	n := float64(max(1, g.mean.Engines))
-	mean := g.mean.Load
-	if g.mean.Engines > 0 {
-		mean += (load + cost - g.atMean) / n
+// meanWith is the mean load with a further request. The mean includes the engine itself, so it moves by 1/Engines of the
+// engine's own change since the mean was taken.
+func (g *Gate) meanWith(cost, load float64) float64 {
+	if g.mean.Engines < 1 {
+		return 0
 	}
-	l := g.settings.Allowed(mean, g.mean.Engines, cost)
+	return g.mean.Load + (load+cost-g.atMean)/float64(g.mean.Engines)
+}
+
+// limit is the greatest load with a further request of the given cost.
+func (g *Gate) limit(now time.Time, cost, load float64) float64 {
+	l := g.settings.Allowed(g.meanWith(cost, load), g.mean.Engines, cost)
 	if c := g.capacity(); c > 0 {
 		l = min(l, c)
 	}
