--- a/hornbeambench/replay/attempt.go
+++ b/hornbeambench/replay/attempt.go
@@ -22,7 +22,11 @@
 		delay = 0
 	}
 	delay += s.importFor(q, e)
-	s.after(delay, func() { r.begin(q, attempt, e) })
+	e.coming++
+	s.after(delay, func() {
+		e.coming--
+		r.begin(q, attempt, e)
+	})
 }
 
 // importFor moves the KV cache of a chat and returns the time that takes.
--- a/hornbeambench/replay/engine.go
+++ b/hornbeambench/replay/engine.go
@@ -25,7 +25,9 @@
 	cache    *prefixCache
 	cacheMax int
 	running  []*run
-	waiting  []*run
+	// coming counts requests placed here that have not arrived yet; only the omniscient placer knows it.
+	coming  int
+	waiting []*run
 	// last is the end of the last computed step.
 	last time.Duration
 	// timer invalidates scheduled changes that were overtaken.
--- a/hornbeambench/replay/fleet.go
+++ b/hornbeambench/replay/fleet.go
@@ -158,8 +158,8 @@
 	return min(r.Context, s.byID[id].cache.tokens(r.Chat))
 }
 
-// Load returns the true load of an engine.
-func (s *fleet) Load(id string) float64 { return s.byID[id].load() }
+// Load returns the true load of an engine with the requests on their way to it.
+func (s *fleet) Load(id string) float64 { return s.byID[id].load() + float64(s.byID[id].coming) }
 
 // chance returns a number in [0,1) that depends on the seed and the parts only.
 func (s *fleet) chance(parts ...string) float64 {
