--- a/hornbeambench/replay/fleet.go
+++ b/hornbeambench/replay/fleet.go
@@ -45,7 +45,7 @@
 		Engines: 9, Routers: 6, Zones: 3,
 		Step: 3 * time.Millisecond, Chunk: 30, Batch: 16, Cache: 120000,
 		Between: 1500 * time.Microsecond, Client: 3 * time.Millisecond,
-		Mean: time.Second, Report: 100 * time.Millisecond, Lag: 50 * time.Millisecond, List: time.Second,
+		Mean: 200 * time.Millisecond, Report: 100 * time.Millisecond, Lag: 50 * time.Millisecond, List: time.Second,
 		Patience: 20 * time.Second, Sends: 4,
 		Placement: placement.Defaults(), Admission: admission.Defaults(), Tries: 9,
 	}
@@ -158,8 +158,8 @@
 	return min(r.Context, s.byID[id].cache.tokens(r.Chat))
 }
 
-// Load returns the true load of an engine.
-func (s *fleet) Load(id string) float64 { return s.byID[id].load() }
+// Load returns the true load of an engine with the requests on their way to it.
+func (s *fleet) Load(id string) float64 { return s.byID[id].load() + float64(s.byID[id].coming) }
 
 // chance returns a number in [0,1) that depends on the seed and the parts only.
 func (s *fleet) chance(parts ...string) float64 {
