--- a/hornbeamctl/command/command.go
+++ b/hornbeamctl/command/command.go
@@ -18,6 +18,7 @@
 	"hornbeamstep.example/hornbeamctl/orders"
 	"hornbeamstep.example/hornbeamctl/output"
 	"hornbeamstep.example/hornbeamctl/quarantine"
+	"hornbeamstep.example/hornbeamctl/revisions"
 	"hornbeamstep.example/hornbeamctl/status"
 	"hornbeamstep.example/hornbeamctl/timeline"
 	"hornbeamstep.example/hornbeamctl/top"
@@ -37,6 +38,7 @@
 	Timeline   timeline.Command    `cmd:"" help:"Show the merged time line of all routers."`
 	Drain      drain.Command       `cmd:"" help:"Stop new work to a backend server or a router."`
 	Undrain    drain.Undo          `cmd:"" help:"Take a backend server or a router back into service."`
+	Config     revisions.Commands  `cmd:"" help:"Check, push and explain the configuration."`
 	Orders     orders.Command      `cmd:"" help:"Show orders to engines."`
 	Quarantine quarantine.Commands `cmd:"" help:"Requests that crashed engines."`
 	Completion completion.Command  `cmd:"" help:"Write a script for completion in a shell."`
@@ -73,15 +75,14 @@
 		_ = fail(streams, err)
 		return exit.Usage
 	}
-	parsed.Bind(parser, &output.Printer{Format: cli.Output, Out: streams.Out, Progress: streams.Err})
-	if err := parsed.BindToProvider(func() (operator.Fleet, error) {
-		if fleet != nil {
-			return fleet, nil
+	out := &output.Printer{Format: cli.Output, Out: streams.Out, Progress: streams.Err}
+	if fleet == nil {
+		if fleet, err = cli.Fleet(); err != nil {
+			return fail(streams, err)
 		}
-		return cli.Fleet()
-	}); err != nil {
-		return fail(streams, err)
 	}
+	parsed.Bind(parser, out, cli.Config.Env(ctx, fleet, out))
+	parsed.BindTo(fleet, (*operator.Fleet)(nil))
 	err = parsed.Run()
 	if err != nil && ctx.Err() != nil {
 		err = errors.Join(ctx.Err(), err)
--- a/hornbeamctl/connection/connection.go
+++ b/hornbeamctl/connection/connection.go
@@ -14,7 +14,7 @@
 	Cert    string        `help:"File with the operator's certificate, PEM." env:"HORNBEAMCTL_TLS_CERT" placeholder:"FILE" name:"tls-cert" and:"tls"`
 	Key     string        `help:"File with the operator's private key, PEM." env:"HORNBEAMCTL_TLS_KEY" placeholder:"FILE" name:"tls-key" and:"tls"`
 	CA      string        `help:"File with the authorities of the routers' certificates, PEM." env:"HORNBEAMCTL_TLS_CA" placeholder:"FILE" name:"tls-ca" and:"tls"`
-	Timeout time.Duration `help:"Longest time for one call." default:"15s" env:"HORNBEAMCTL_TIMEOUT"`
+	Timeout time.Duration `help:"Longest time for one call to a router." default:"15s" env:"HORNBEAMCTL_CALL_TIMEOUT" name:"call-timeout"`
 }
 
 // Fleet returns a client of the router. Errors are *operator.Error.
--- a/hornbeamctl/exit/exit.go
+++ b/hornbeamctl/exit/exit.go
@@ -5,39 +5,41 @@
 	"context"
 	"errors"
 
+	"hornbeamstep.example/hornbeamctl/config"
 	"hornbeamstep.example/hornbeamd/operator"
 )
 
 // Code is an exit code of the process.
 type Code int
 
-// The exit codes.
+// The exit codes. Those of the config commands are declared in package config.
 const (
 	OK Code = 0
 	// Failed is any failure without a code of its own.
-	Failed Code = 1
+	Failed Code = config.ExitFailed
 	// Usage is a wrong command line.
-	Usage    Code = 2
-	NotFound Code = 3
-	// NotAllowed is a missing certificate or role.
-	NotAllowed Code = 4
+	Usage Code = 2
 	// Conflict is a change that lost to another one.
-	Conflict Code = 5
+	Conflict Code = config.ExitConflict
 	// Unavailable is a router, or something that it needs, that does not answer.
-	Unavailable Code = 6
+	Unavailable Code = config.ExitUnavailable
+	NotFound    Code = config.ExitNotFound
+	// NotAllowed is a missing certificate or role.
+	NotAllowed Code = 10
 	// Unhealthy is a check of doctor that failed.
-	Unhealthy Code = 7
-	// Incomplete is an answer without some of the routers.
-	Incomplete Code = 8
+	Unhealthy Code = 11
+	// Incomplete is an answer without some of the routers, or a drain that has not ended.
+	Incomplete Code = 12
 	// Unconfirmed is a disruptive command that was not confirmed.
-	Unconfirmed Code = 9
+	Unconfirmed Code = 13
 	// Interrupted is the end by SIGINT, as shells have it.
 	Interrupted Code = 130
 )
 
 // Help documents the codes for the usage text.
-const Help = "Exit codes: 0 success, 1 failure, 2 wrong usage, 3 not found, 4 not allowed, 5 conflict, 6 unavailable, " +
-	"7 doctor found a failure, 8 some routers did not answer, 9 not confirmed, 130 interrupted."
+const Help = "Exit codes: 0 success, 1 failure, 2 wrong usage, 3 invalid configuration, 4 conflict, 5 push not settled, " +
+	"6 unavailable, 7 revision not in force everywhere, 8 not found, 9 configurations differ, 10 not allowed, " +
+	"11 doctor found a failure, 12 some routers did not answer or a drain has not ended, 13 not confirmed, 130 interrupted."
 
 // Error ends the process with a code.
 type Error struct {
@@ -60,6 +62,7 @@
 func Of(err error) Code {
 	var coded *Error
 	var failed *operator.Error
+	var revision *config.ExitError
 	switch {
 	case err == nil:
 		return OK
@@ -67,6 +70,8 @@
 		return coded.Code
 	case errors.Is(err, context.Canceled):
 		return Interrupted
+	case errors.As(err, &revision):
+		return Code(revision.Code)
 	case errors.As(err, &failed):
 		if code, ok := codes[failed.Code]; ok {
 			return code
