--- /dev/null
+++ b/hornbeambench/command/command.go
@@ -0,0 +1,47 @@
+// Package command is the command line of hornbeambench.
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"hornbeamstep.example/hornbeambench/replay"
+	"hornbeamstep.example/hornbeambench/report"
+)
+
+// CLI holds all commands.
+type CLI struct {
+	Replay replay.Command `cmd:"" help:"Replay a scenario in virtual time and judge its outcomes."`
+	List   replay.List    `cmd:"" help:"List the scenarios of replay."`
+	Report report.Command `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
+}
+
+// Main runs one command line and returns the exit code: 0 if every outcome held, 1 if one did not or the command failed, and 2
+// for wrong usage.
+func Main(ctx context.Context, args []string) int {
+	var cli CLI
+	parser, err := kong.New(&cli,
+		kong.Name("hornbeambench"),
+		kong.Description("Demonstrates and measures hornbeamstep. Exit codes: 0 every outcome held, 1 one did not or the command failed, 2 wrong usage."),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	if err != nil {
+		return fail(err, 1)
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		return fail(err, 2)
+	}
+	if err := parsed.Run(); err != nil {
+		return fail(err, 1)
+	}
+	return 0
+}
+
+func fail(err error, code int) int {
+	_, _ = fmt.Fprintf(os.Stderr, "hornbeambench: %v\n", err)
+	return code
+}
--- a/hornbeambench/report/chart.go
+++ b/hornbeambench/report/chart.go
@@ -45,6 +45,7 @@
 	p.Y.Label.Text = y
 	p.Legend.Top = true
 	p.Legend.Padding = vg.Points(3)
+	p.Legend.XOffs = -vg.Points(10)
 	p.Add(plotter.NewGrid())
 	return p
 }
@@ -77,6 +78,8 @@
 	// Room above the bars keeps the legend off them.
 	p.Y.Max = highest * 1.25
 	p.NominalX(names...)
+	// Whole bars stay within the frame.
+	p.X.Min, p.X.Max = -0.6, float64(len(names))-0.4
 	if len(names) > 4 {
 		p.X.Tick.Label.Rotation = math.Pi / 8
 		p.X.Tick.Label.XAlign = draw.XRight
@@ -156,7 +159,7 @@
 	x, y float64
 }
 
-// dots draws named points, each in a colour and shape of its own.
+// dots draws named points, each in a colour and shape of its own. Their x is a share.
 func dots(title, x, y string, all []dot) (*plot.Plot, error) {
 	p := newPlot(title, x, y)
 	shapes := []draw.GlyphDrawer{draw.CircleGlyph{}, draw.SquareGlyph{}, draw.TriangleGlyph{}, draw.PyramidGlyph{}, draw.RingGlyph{}, draw.BoxGlyph{}, draw.CrossGlyph{}}
@@ -171,10 +174,10 @@
 		p.Add(scatter)
 		p.Legend.Add(d.name, scatter)
 	}
-	widen(&p.X)
+	p.X.Min, p.X.Max = 0, 1
 	widen(&p.Y)
-	// The legend takes room at the right of all points.
-	p.X.Max += (p.X.Max - p.X.Min) * 0.6
+	// The legend takes room above all points.
+	p.Y.Max += (p.Y.Max - p.Y.Min) * 0.8
 	return p, nil
 }
 
@@ -227,6 +230,7 @@
 		p.Add(scatter, line)
 		p.Legend.Add(f.name, scatter, line)
 	}
+	// The legend stays off the lines above the highest of them.
 	limit := straight(fit{base: budget}, until, color.Gray{Y: 0x60})
 	limit.Dashes = []vg.Length{vg.Points(6), vg.Points(3)}
 	p.Add(limit)
