--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -8,15 +8,19 @@
 
 	"github.com/alecthomas/kong"
 
+	"hornbeamstep.example/hornbeambench/fleet"
 	"hornbeamstep.example/hornbeambench/replay"
 	"hornbeamstep.example/hornbeambench/report"
+	"hornbeamstep.example/hornbeambench/standin"
 )
 
 // CLI holds all commands.
 type CLI struct {
-	Replay replay.Command `cmd:"" help:"Replay a scenario in virtual time and judge its outcomes."`
-	List   replay.List    `cmd:"" help:"List the scenarios of replay."`
-	Report report.Command `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
+	Standin standin.Commands `cmd:"" help:"Run a stand-in as a process of its own."`
+	Replay  replay.Command   `cmd:"" help:"Replay a scenario in virtual time and judge its outcomes."`
+	List    replay.List      `cmd:"" help:"List the scenarios of replay."`
+	Report  report.Command   `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
+	Fleet   fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
 }
 
 // Main runs one command line and returns the exit code: 0 if every outcome held, 1 if one did not or the command failed, and 2
