perf: count the load exactly and keep the engines level

The gate counted recent slots twice, and engines filled to the bound were above it when the mean fell.

--- a/hornbeambench/replay/call.go
+++ b/hornbeambench/replay/call.go
@@ -293,6 +293,10 @@
 	lookup := step.Engine == step.Home && !q.redirect && q.context > 0
 	a := admission.Ask{
 		Request: attempt, Router: r.name, Account: q.req.Account, Class: q.class(), Cost: 1, NoQueue: !step.Queue,
+		Since: epoch.Add(q.asked),
+	}
+	if step.Queue && s.Requeue > 0 {
+		a.Deadline = s.wall().Add(s.Requeue)
 	}
 	reached := false
 	r.send(owner, func() {
@@ -373,6 +377,9 @@
 	case stale:
 	case a.Kind == admission.Refused && a.Code == outcome.NoBackend:
 		r.place(q)
+	case a.Kind == admission.Refused && a.Code == outcome.Overloaded && r.fleet.now-q.asked < r.fleet.Admission.Wait:
+		q.walk.Again()
+		r.ask(q)
 	case a.Kind == admission.Refused:
 		r.releaseClaim(q)
 		r.refuse(q, a.Retry, notRun)
--- a/hornbeambench/replay/fleet.go
+++ b/hornbeambench/replay/fleet.go
@@ -35,6 +35,8 @@
 	Impatient bool
 	Placement placement.Settings
 	Admission admission.Settings
+	// Requeue is how long a request waits at one engine before it asks the others again; 0 for no limit.
+	Requeue time.Duration
 	// Tries is the number of engines that a request asks before it waits.
 	Tries int
 }
@@ -47,7 +49,7 @@
 		Between: 1500 * time.Microsecond, Client: 3 * time.Millisecond,
 		Mean: 200 * time.Millisecond, Report: 100 * time.Millisecond, Lag: 50 * time.Millisecond, List: time.Second,
 		Patience: 20 * time.Second, Sends: 4,
-		Placement: placement.Defaults(), Admission: admission.Defaults(), Tries: 9,
+		Placement: placement.Defaults(), Admission: admission.Defaults(), Tries: 9, Requeue: 30 * time.Millisecond,
 	}
 	f.Admission.Capacity = float64(f.Batch)
 	return f
--- a/routing/admission/admission.go
+++ b/routing/admission/admission.go
@@ -22,9 +22,11 @@
 type Settings struct {
 	// Bound is the greatest load as a multiple of the pool's mean; at least 1.
 	Bound float64
-	// Even is the multiple of the mean below which a request that can go elsewhere is granted a slot. A value of 1 keeps
-	// the engines level, so that a fall of the mean leaves none above the bound; 0 turns the rule off.
+	// Even is the multiple of the mean up to which a new request is granted a slot. A value of 1 keeps the engines level,
+	// so that a fall of the mean leaves few above the bound; below 1 the pool cannot grow. 0 turns the rule off.
 	Even float64
+	// Level is the time since the request first asked during which Even applies; after it only the bound does.
+	Level time.Duration
 	// SmallPool is the number of engines up to which a pool has an allowance of one request above the bound. In larger
 	// pools the bound is rounded up to whole requests.
 	SmallPool int
@@ -42,8 +44,8 @@
 	Age time.Duration
 	// Ramp is the time over which a new owner raises its limit from the engine's own report to the bound.
 	Ramp time.Duration
-	// ReportLag is the greatest age of the state in a report. A slot granted or released within it may or may not be
-	// included in the report; the gate assumes the higher load.
+	// ReportLag is the greatest time from a grant until the engine's load includes the request. A slot granted within it
+	// before a report may or may not be included; the gate assumes the higher load.
 	ReportLag time.Duration
 }
 
@@ -52,6 +54,7 @@
 	return Settings{
 		Bound:     1.25,
 		Even:      1,
+		Level:     100 * time.Millisecond,
 		SmallPool: 16,
 		Reserve:   0.25,
 		Lease:     10 * time.Second,
@@ -85,6 +88,9 @@
 	Weight float64
 	// Cost is the load that the request adds, in the engine's own unit; 1 if it is not positive.
 	Cost float64
+	// Since is when the request first asked an engine, if that was before this Offer. Ageing counts from there, so that a
+	// request which waits at one engine after the other loses nothing.
+	Since time.Time
 	// Deadline ends the wait in the queue before Settings.Wait does; zero for none.
 	Deadline time.Time
 	// NoQueue is set by a caller that has another engine to go to: the answer is then never Queued.
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -19,12 +19,14 @@
 	// report is valid if reported is true.
 	report   Report
 	reported bool
+	// foreign holds the load of other owners' requests by the last reports, the latest first.
+	foreign []float64
 	// mean is valid if Engines is at least 1; atMean is the gate's load when it arrived.
 	mean   Mean
 	atMean float64
 	// slots are in the order of their IDs.
 	slots []slot
-	// freed are releases that the latest report does not surely include, in order of time.
+	// freed are slots that were released after the latest report, in order of time.
 	freed []release
 	own   float64
 	// users holds what each account uses, and weights the sum of their weights.
@@ -49,8 +51,8 @@
 }
 
 type release struct {
-	at   time.Time
-	cost float64
+	granted, at time.Time
+	cost        float64
 }
 
 // New returns the gate of an engine that nobody owned before.
@@ -70,10 +72,13 @@
 // the request that makes room.
 func (g *Gate) Offer(now time.Time, ask Ask) Action {
 	ask = normal(ask)
+	if ask.Since.IsZero() || ask.Since.After(now) {
+		ask.Since = now
+	}
 	if a, ok := g.known(ask); ok {
 		return a
 	}
-	if !g.blocked(now, ask) && g.fits(now, ask) {
+	if !g.blocked(now, ask) && g.fits(now, ask, now.Sub(ask.Since)) {
 		g.queue.charge(ask)
 		return g.grant(now, ask, 0)
 	}
@@ -138,11 +143,32 @@
 		return nil
 	}
 	g.report, g.reported = r, true
-	since := r.At.Add(-g.settings.ReportLag)
-	g.freed = slices.DeleteFunc(g.freed, func(f release) bool { return f.at.Before(since) })
+	g.freed = slices.DeleteFunc(g.freed, func(f release) bool { return !f.at.After(r.At) })
+	g.foreign = append([]float64{max(0, r.Load-g.present(r.At))}, g.foreign[:min(len(g.foreign), foreignReports-1)]...)
 	return g.advance(now)
 }
 
+// foreignReports is the number of reports over which the lowest load of others counts. A request on its way, which was
+// granted long before the report but reaches the engine after it, looks like load of others in one report only.
+const foreignReports = 3
+
+// present is the load of the gate's own slots that the engine surely had at a time.
+func (g *Gate) present(at time.Time) float64 {
+	sure := at.Add(-g.settings.ReportLag)
+	sum := 0.0
+	for _, s := range g.slots {
+		if !s.at.After(sure) {
+			sum += s.ask.Cost
+		}
+	}
+	for _, f := range g.freed {
+		if !f.granted.After(sure) {
+			sum += f.cost
+		}
+	}
+	return sum
+}
+
 // Mean takes the mean load of the pool.
 func (g *Gate) Mean(now time.Time, m Mean) []Action {
 	g.mean, g.atMean = m, g.Load()
@@ -152,22 +178,12 @@
 // Tick expires slots, ends waits that took too long, and grants what has become possible. Call it at least every 100 ms.
 func (g *Gate) Tick(now time.Time) []Action { return g.advance(now) }
 
-// Load is the best estimate of the engine's load, never below the gate's own slots.
+// Load is the gate's own slots plus the load of other owners' requests as the engine reports it.
 func (g *Gate) Load() float64 {
-	if !g.reported {
+	if len(g.foreign) == 0 {
 		return g.own
 	}
-	estimate := g.report.Load
-	since := g.report.At
-	for i := len(g.slots) - 1; i >= 0 && g.slots[i].at.After(since.Add(-g.settings.ReportLag)); i-- {
-		estimate += g.slots[i].ask.Cost
-	}
-	for _, f := range g.freed {
-		if f.at.After(since) {
-			estimate -= f.cost
-		}
-	}
-	return max(g.own, estimate)
+	return g.own + slices.Min(g.foreign)
 }
 
 // Limit is the load above which the gate grants nothing.
@@ -182,7 +198,7 @@
 // Expected is the expected wait of a request that arrives now.
 func (g *Gate) Expected(now time.Time) time.Duration {
 	load := g.Load()
-	if g.queue.len() == 0 && load+1 <= g.limit(now, 1, load) {
+	if g.queue.len() == 0 && g.fits(now, Ask{Cost: 1, Weight: 1}, 0) {
 		return 0
 	}
 	parallel := max(1, min(load, g.limit(now, 1, load)))
@@ -191,7 +207,7 @@
 }
 
 // fits is true if the load with the request stays within the bound, and the account within its share.
-func (g *Gate) fits(now time.Time, ask Ask) bool {
+func (g *Gate) fits(now time.Time, ask Ask, waited time.Duration) bool {
 	load := g.Load()
 	if g.ramp && !g.reported {
 		return len(g.slots) == 0
@@ -199,7 +215,7 @@
 	if load+ask.Cost > g.limit(now, ask.Cost, load)+1e-9 {
 		return false
 	}
-	if ask.NoQueue && g.settings.Even > 0 && g.mean.Engines > 1 && load > g.settings.Even*g.meanWith(ask.Cost, load)+1e-9 {
+	if waited < g.settings.Level && g.settings.Even > 0 && g.mean.Engines > 1 && load > g.settings.Even*g.meanWith(ask.Cost, load)+1e-9 {
 		return false
 	}
 	return g.fair(ask, load)
@@ -278,7 +294,7 @@
 		actions = append(actions, a)
 	}
 	for {
-		e, ok := g.queue.next(now, func(ask Ask) bool { return g.fits(now, ask) })
+		e, ok := g.queue.next(now, func(e waiting) bool { return g.fits(now, e.ask, now.Sub(e.ask.Since)) })
 		if !ok {
 			return actions
 		}
@@ -367,7 +383,7 @@
 	if len(g.slots) == 0 {
 		g.own, g.weights = 0, 0
 	}
-	g.freed = append(g.freed, release{at: now, cost: s.ask.Cost})
+	g.freed = append(g.freed, release{granted: s.at, at: now, cost: s.ask.Cost})
 	// Without reports the list would grow; the oldest releases matter least.
 	const most = 4096
 	if len(g.freed) > most {
--- a/routing/admission/queue.go
+++ b/routing/admission/queue.go
@@ -55,7 +55,7 @@
 	if q.settings.Age <= 0 {
 		return int(e.ask.Class)
 	}
-	return int(e.ask.Class) - int(now.Sub(e.at)/q.settings.Age)
+	return int(e.ask.Class) - int(now.Sub(e.ask.Since)/q.settings.Age)
 }
 
 // before orders the entries; it is a strict order because seq is unique.
@@ -77,7 +77,7 @@
 
 // next removes and returns the first entry if it fits. An entry that does not fit blocks only its own account, since the
 // reason may be that account's share.
-func (q *queue) next(now time.Time, fits func(Ask) bool) (waiting, bool) {
+func (q *queue) next(now time.Time, fits func(waiting) bool) (waiting, bool) {
 	var blocked []string
 	for {
 		best := -1
@@ -93,7 +93,7 @@
 			return waiting{}, false
 		}
 		e := q.entries[best]
-		if !fits(e.ask) {
+		if !fits(e) {
 			blocked = append(blocked, e.ask.Account)
 			continue
 		}
@@ -124,6 +124,7 @@
 		if e := q.entries[i]; !now.Before(e.until) {
 			out = append(out, e)
 			q.cut(i)
+			q.refund(e.ask)
 			continue
 		}
 		i++
@@ -181,10 +182,19 @@
 	if i < 0 {
 		return false
 	}
+	ask := q.entries[i].ask
 	q.cut(i)
+	q.refund(ask)
 	return true
 }
 
+// refund takes back the charge of a request that got no slot.
+func (q *queue) refund(ask Ask) {
+	if f, ok := q.finish[ask.Account]; ok {
+		q.finish[ask.Account] = max(q.virtual, f-ask.Cost/ask.Weight)
+	}
+}
+
 // cut removes the entry at a position.
 func (q *queue) cut(i int) {
 	account := q.entries[i].ask.Account
--- a/routing/placement/walk.go
+++ b/routing/placement/walk.go
@@ -51,6 +51,9 @@
 	w.tried = append(w.tried, attempt{engine, wait})
 }
 
+// Again starts over after a wait at one engine, since another may have room by now.
+func (w *Walk) Again() { w.tried = w.tried[:0] }
+
 // Avoid removes an engine from the walk because it cannot be reached.
 func (w *Walk) Avoid(now time.Time, engine string) {
 	w.view = w.view.WithState(engine, Suspect)
