--- a/hornbeambench/replay/attempt.go
+++ b/hornbeambench/replay/attempt.go
@@ -49,8 +49,9 @@
 	to.cache.put(cached{name: chat, chat: chat, account: account, tokens: tokens, last: s.now.Seconds()})
 }
 
-// move carries out moves one after the other at the rate of the KV transfer.
-func (s *fleet) move(moves []placement.Move) {
+// move carries out moves one after the other at the rate of the KV transfer. A nil router stands for the omniscient
+// placer; otherwise the owners of the homes learn of each move.
+func (s *fleet) move(by *router, moves []placement.Move) {
 	at := time.Duration(0)
 	for _, m := range moves {
 		at += s.Placement.TransferBase + time.Duration(m.Tokens)*s.Placement.Transfer
@@ -62,6 +63,9 @@
 			}
 			s.transfer(m.Chat, "", from, to, n)
 			s.measure.moved += n
+			if by != nil {
+				by.do(func() { by.note("m", "", m.Chat, m.To) })
+			}
 		})
 	}
 }
@@ -104,15 +108,23 @@
 	if r.placer != nil || q.home == "" {
 		return
 	}
-	owner := r.owner(q.home)
-	key := placement.Key(q.req.Model, q.req.Adapter, q.req.Chat)
-	home, now := q.home, r.fleet.wall()
+	r.note(q.req.Model, q.req.Adapter, q.req.Chat, e.id)
+}
+
+// note tells the owner of a chat's home which engine holds the context.
+func (r *router) note(model, adapter, chat, engine string) {
+	key := placement.Key(model, adapter, chat)
+	home, _ := r.view.Homes(model, adapter, key)
+	if home == "" {
+		return
+	}
+	owner, now := r.owner(home), r.fleet.wall()
 	r.send(owner, func() {
-		if e.id == home {
+		if engine == home {
 			owner.exceptions.Forget(key)
 			return
 		}
-		owner.exceptions.Put(now, key, e.id)
+		owner.exceptions.Put(now, key, engine)
 	})
 }
 
--- a/hornbeambench/replay/faults.go
+++ b/hornbeambench/replay/faults.go
@@ -108,7 +108,7 @@
 			moves = append(moves, placement.Move{Chat: c.chat, From: e.id, To: to.id, Tokens: c.tokens})
 		}
 	}
-	s.move(moves)
+	s.move(nil, moves)
 }
 
 // suspicion is the time in which the other routers notice that one does not answer; each notices at another moment.
--- a/hornbeambench/replay/router.go
+++ b/hornbeambench/replay/router.go
@@ -212,11 +212,11 @@
 	switch {
 	case st == placement.Leaving && r.gates[id] != nil:
 		e := r.fleet.byID[id]
-		r.fleet.move(r.rule.Evacuate(r.fleet.wall(), id, r.contexts(e), budget, r.view))
+		r.fleet.move(r, r.rule.Evacuate(r.fleet.wall(), id, r.contexts(e), budget, r.view))
 	case st == placement.Joining && was != placement.Joining:
 		for _, from := range r.owned() {
 			share := budget / len(r.fleet.engines)
-			r.fleet.move(r.rule.Attract(r.fleet.wall(), from, id, r.contexts(r.fleet.byID[from]), share, r.view))
+			r.fleet.move(r, r.rule.Attract(r.fleet.wall(), from, id, r.contexts(r.fleet.byID[from]), share, r.view))
 		}
 	}
 }
