--- a/hornbeambench/replay/attempt.go
+++ b/hornbeambench/replay/attempt.go
@@ -31,17 +31,22 @@
 
 // importFor moves the KV cache of a chat and returns the time that takes.
 func (s *fleet) importFor(q *call, to *engine) time.Duration {
-	from := s.byID[q.from]
-	if q.from == "" || !from.up || from.hung {
-		return 0
-	}
-	tokens := from.cache.tokens(q.req.Chat)
-	if tokens == 0 || tokens <= to.cache.tokens(q.req.Chat) {
-		return s.Between * 2
+	spent := time.Duration(0)
+	for _, id := range []string{q.from, q.orElse} {
+		from := s.byID[id]
+		if id == "" || !from.up || from.hung {
+			continue
+		}
+		tokens := from.cache.tokens(q.req.Chat)
+		if tokens == 0 || tokens <= to.cache.tokens(q.req.Chat) {
+			spent += s.Between * 2
+			continue
+		}
+		s.transfer(q.req.Chat, q.req.Account, from, to, tokens)
+		s.measure.moved += tokens
+		return spent + s.Placement.TransferBase + time.Duration(tokens)*s.Placement.Transfer
 	}
-	s.transfer(q.req.Chat, q.req.Account, from, to, tokens)
-	s.measure.moved += tokens
-	return s.Placement.TransferBase + time.Duration(tokens)*s.Placement.Transfer
+	return spent
 }
 
 func (s *fleet) transfer(chat, account string, from, to *engine, tokens int) {
--- a/hornbeambench/replay/call.go
+++ b/hornbeambench/replay/call.go
@@ -25,10 +25,12 @@
 	attempts int
 	router   *router
 	walk     *placement.Walk
+	// redirect is true once the owner of the home was asked where the context is.
 	redirect bool
 	engine   string
 	home     string
 	from     string
+	orElse   string
 	owner    *router
 	slot     uint64
 	expires  time.Time
@@ -260,7 +262,7 @@
 		return
 	}
 	r.sent[d.Engine]++
-	q.engine, q.from = d.Engine, ""
+	q.engine, q.from, q.orElse = d.Engine, "", ""
 	if s.placer == Omniscient {
 		q.from = s.bestSource(q, d.Engine)
 	}
@@ -287,8 +289,13 @@
 		r.refuse(q, time.Second, notRun)
 		return
 	}
-	q.engine, q.home, q.from = step.Engine, step.Home, step.From
+	q.engine, q.home, q.from, q.orElse = step.Engine, step.Home, step.From, step.Else
 	owner, attempt := r.owner(step.Engine), q.attempt
+	if step.Engine != step.Home && !q.redirect && q.context > 0 {
+		q.redirect = true
+		r.lookup(q, r.owner(step.Home))
+		return
+	}
 	q.owner = owner
 	lookup := step.Engine == step.Home && !q.redirect && q.context > 0
 	a := admission.Ask{
@@ -312,6 +319,30 @@
 	}
 }
 
+// lookup asks the owner of the home where the context is, when the first engine to ask is not the home.
+func (r *router) lookup(q *call, owner *router) {
+	s, attempt, reached := r.fleet, q.attempt, false
+	next := func(held string) {
+		if q.attempt != attempt || q.state != open {
+			return
+		}
+		if held != "" {
+			q.walk.Held(s.wall(), held)
+		}
+		r.ask(q)
+	}
+	r.send(owner, func() {
+		reached = true
+		held, _ := owner.exceptions.Find(placement.Key(q.req.Model, q.req.Adapter, q.req.Chat))
+		owner.send(r, func() { next(held) })
+	})
+	s.after(200*time.Millisecond, func() {
+		if !reached {
+			r.do(func() { next("") })
+		}
+	})
+}
+
 // slotCall is the owner's side of a call for a slot.
 func (r *router) slotCall(from *router, q *call, step placement.Step, a admission.Ask, lookup bool) {
 	s := r.fleet
--- a/routing/placement/placement.go
+++ b/routing/placement/placement.go
@@ -95,7 +95,8 @@
 	Home, Second string
 	Reason       Reason
 	// From names an engine whose KV cache of the chat is worth exporting to Engine; empty if there is nothing to move.
-	From string
+	// Else names the engine to try if From no longer has it, because it was moved in the meantime.
+	From, Else string
 }
 
 // Placer chooses an engine for a request. The baselines implement it too.
--- a/routing/placement/rule.go
+++ b/routing/placement/rule.go
@@ -149,8 +149,7 @@
 	if source == none || source == at {
 		return c
 	}
-	miss := time.Duration(r.Context) * p.Settings.Prefill
-	return c + min(miss, p.moveCost(r, miss))
+	return c + min(p.miss(r), p.moveCost(r, p.miss(r)))
 }
 
 // moveCost is the time to move the context, or miss if KV cache is not moved.
@@ -163,16 +162,29 @@
 
 func (p Rule) finish(d Decision, r Request, v View, at int32, reason Reason, source int32) Decision {
 	d.Engine, d.Reason = v.id(at), reason
-	if source == none || source == at || v.engines[source].State == Suspect {
+	if source == none || p.moveCost(r, p.miss(r)) >= p.miss(r) {
 		return d
 	}
-	miss := time.Duration(r.Context) * p.Settings.Prefill
-	if p.moveCost(r, miss) < miss {
-		d.From = v.id(source)
+	for _, id := range [...]string{v.id(source), d.Home, d.Second} {
+		i, ok := v.index[id]
+		if !ok || i == at || id == d.From || v.engines[i].State == Suspect {
+			continue
+		}
+		if d.From == "" {
+			if source == at {
+				return d
+			}
+			d.From = id
+			continue
+		}
+		d.Else = id
+		return d
 	}
 	return d
 }
 
+func (p Rule) miss(r Request) time.Duration { return time.Duration(r.Context) * p.Settings.Prefill }
+
 // takes is true if the engine takes new work.
 func (v View) takes(i int32) bool {
 	s := v.engines[i].State
--- a/routing/placement/walk.go
+++ b/routing/placement/walk.go
@@ -27,10 +27,10 @@
 type Step struct {
 	// Engine is empty if no engine can take the request.
 	Engine string
-	// From names an engine whose KV cache of the chat is worth exporting to Engine.
-	From   string
-	Home   string
-	Reason Reason
+	// From and Else are those of Decision.
+	From, Else string
+	Home       string
+	Reason     Reason
 	// Queue is true if the request should wait there; otherwise the gate is asked not to queue it.
 	Queue bool
 }
@@ -92,7 +92,9 @@
 func (w *Walk) step(now time.Time, engine string, reason Reason, queue bool) Step {
 	s := Step{Engine: engine, Home: w.first.Home, Reason: reason, Queue: queue}
 	at, source := w.view.index[engine], w.source(now)
-	s.From = w.rule.finish(Decision{}, w.request, w.view, at, reason, source).From
+	d := Decision{Home: w.first.Home, Second: w.first.Second}
+	d = w.rule.finish(d, w.request, w.view, at, reason, source)
+	s.From, s.Else = d.From, d.Else
 	return s
 }
 
