feat: limits per client account that hold fleet-wide

Routers report only accounts above a tenth of their even share and spend their part of the limit by demand. In the test's model a limit of 100 requests/s held for demand that is even, at one router, at one of 100 and light, with at least 85 (45 for light demand) granted. A detector of surging accounts works from each router's own sample of the traffic.

--- /dev/null
+++ b/routing/limit/limit_test.go
@@ -0,0 +1,109 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/routing/limit"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// fleet lets routers spend a limit of 100 requests a second for a minute and returns the rate of the last 30 s. The demand
+// of router i is weights[i] requests a second.
+func fleet(weights []float64) float64 {
+	s := limit.Defaults()
+	var routers []*limit.Limiter
+	for range weights {
+		l := limit.New(s, len(weights))
+		l.SetLimits(map[string]limit.Limits{"a": {Requests: 100}})
+		routers = append(routers, l)
+	}
+	aggregator := limit.NewAggregator(s)
+	due := make([]float64, len(weights))
+	granted := 0
+	for step := range 6000 {
+		now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+		for i, l := range routers {
+			for due[i] += weights[i] / 100; due[i] >= 1; due[i]-- {
+				if l.Allow(now, "a", 0).OK && step >= 3000 {
+					granted++
+				}
+			}
+			if step%100 == 99 {
+				l.Totals(now, aggregator.Report(now, fmt.Sprint("r", i), l.Usage(now)))
+			}
+		}
+	}
+	return float64(granted) / 30
+}
+
+// Guards against a limit that is exceeded because each router sees a sliver, or wasted because it is split evenly.
+func TestLimitHoldsFleetWide(t *testing.T) {
+	cases := map[string]struct {
+		weights []float64
+		least   float64
+	}{
+		"even":        {[]float64{50, 50, 50, 50, 50, 50}, 95},
+		"one router":  {[]float64{300, 0, 0, 0, 0, 0}, 85},
+		"two routers": {[]float64{300, 100, 0, 0, 0, 0}, 85},
+		"one of many": {append(make([]float64, 99), 300), 85},
+		"light":       {append(make([]float64, 19), 50, 1), 45},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := fleet(c.weights)
+			qt.Assert(t, got <= 100, qt.IsTrue, qt.Commentf("%v", got))
+			qt.Assert(t, got >= c.least, qt.IsTrue, qt.Commentf("%v", got))
+		})
+	}
+}
+
+// Guards against refusals without a time to come back, and against tokens that are not charged.
+func TestTokens(t *testing.T) {
+	l := limit.New(limit.Defaults(), 1)
+	l.SetLimits(map[string]limit.Limits{"a": {Tokens: 1000}})
+	qt.Assert(t, l.Allow(start, "a", 1500).OK, qt.IsTrue)
+	l.Charge(start, "a", 1500)
+	got := l.Allow(start, "a", 1500)
+	qt.Assert(t, got.OK, qt.IsFalse)
+	qt.Assert(t, got.Retry, qt.Equals, 2500*time.Millisecond)
+	qt.Assert(t, l.Allow(start.Add(got.Retry), "a", 1500).OK, qt.IsTrue)
+	qt.Assert(t, l.Allow(start, "free", 1e9).OK, qt.IsTrue)
+}
+
+// Guards against usage messages about accounts that need none.
+func TestOnlyHeavyAccountsAreExchanged(t *testing.T) {
+	l := limit.New(limit.Defaults(), 10)
+	l.SetLimits(map[string]limit.Limits{"heavy": {Requests: 100}, "light": {Requests: 1000}})
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		l.Allow(now, "heavy", 0)
+		l.Allow(now, "light", 0)
+	}
+	got := l.Usage(start.Add(time.Second))
+	qt.Assert(t, got, qt.HasLen, 1)
+	qt.Assert(t, got[0].Account, qt.Equals, "heavy")
+}
+
+// Guards against a surge that goes unnoticed, and against a steady large account that is taken for one.
+func TestSurges(t *testing.T) {
+	u := limit.NewSurges(start, limit.DefaultSurge())
+	surging := func(from, until int, perSecond int) (yes, all int) {
+		for i := from * perSecond; i < until*perSecond; i++ {
+			now := start.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+			all++
+			if u.Request(now, "a") {
+				yes++
+			}
+		}
+		return yes, all
+	}
+	yes, _ := surging(0, 120, 10)
+	qt.Assert(t, yes, qt.Equals, 0)
+	yes, all := surging(121, 141, 100)
+	qt.Assert(t, yes > all*9/10, qt.IsTrue, qt.Commentf("%d of %d", yes, all))
+}
