--- a/hornbeambench/replay/attempt.go
+++ b/hornbeambench/replay/attempt.go
@@ -31,17 +31,22 @@
 
 // importFor moves the KV cache of a chat and returns the time that takes.
 func (s *fleet) importFor(q *call, to *engine) time.Duration {
-	from := s.byID[q.from]
-	if q.from == "" || !from.up || from.hung {
-		return 0
-	}
-	tokens := from.cache.tokens(q.req.Chat)
-	if tokens == 0 || tokens <= to.cache.tokens(q.req.Chat) {
-		return s.Between * 2
+	spent := time.Duration(0)
+	for _, id := range []string{q.from, q.orElse} {
+		from := s.byID[id]
+		if id == "" || !from.up || from.hung {
+			continue
+		}
+		tokens := from.cache.tokens(q.req.Chat)
+		if tokens == 0 || tokens <= to.cache.tokens(q.req.Chat) {
+			spent += s.Between * 2
+			continue
+		}
+		s.transfer(q.req.Chat, q.req.Account, from, to, tokens)
+		s.measure.moved += tokens
+		return spent + s.Placement.TransferBase + time.Duration(tokens)*s.Placement.Transfer
 	}
-	s.transfer(q.req.Chat, q.req.Account, from, to, tokens)
-	s.measure.moved += tokens
-	return s.Placement.TransferBase + time.Duration(tokens)*s.Placement.Transfer
+	return spent
 }
 
 func (s *fleet) transfer(chat, account string, from, to *engine, tokens int) {
@@ -49,8 +54,9 @@
 	to.cache.put(cached{name: chat, chat: chat, account: account, tokens: tokens, last: s.now.Seconds()})
 }
 
-// move carries out moves one after the other at the rate of the KV transfer.
-func (s *fleet) move(moves []placement.Move) {
+// move carries out moves one after the other at the rate of the KV transfer. A nil router stands for the omniscient
+// placer; otherwise the owners of the homes learn of each move.
+func (s *fleet) move(by *router, moves []placement.Move) {
 	at := time.Duration(0)
 	for _, m := range moves {
 		at += s.Placement.TransferBase + time.Duration(m.Tokens)*s.Placement.Transfer
@@ -62,6 +68,9 @@
 			}
 			s.transfer(m.Chat, "", from, to, n)
 			s.measure.moved += n
+			if by != nil {
+				by.do(func() { by.note("m", "", m.Chat, m.To) })
+			}
 		})
 	}
 }
@@ -104,15 +113,23 @@
 	if r.placer != nil || q.home == "" {
 		return
 	}
-	owner := r.owner(q.home)
-	key := placement.Key(q.req.Model, q.req.Adapter, q.req.Chat)
-	home, now := q.home, r.fleet.wall()
+	r.note(q.req.Model, q.req.Adapter, q.req.Chat, e.id)
+}
+
+// note tells the owner of a chat's home which engine holds the context.
+func (r *router) note(model, adapter, chat, engine string) {
+	key := placement.Key(model, adapter, chat)
+	home, _ := r.view.Homes(model, adapter, key)
+	if home == "" {
+		return
+	}
+	owner, now := r.owner(home), r.fleet.wall()
 	r.send(owner, func() {
-		if e.id == home {
+		if engine == home {
 			owner.exceptions.Forget(key)
 			return
 		}
-		owner.exceptions.Put(now, key, e.id)
+		owner.exceptions.Put(now, key, engine)
 	})
 }
 
--- a/hornbeambench/replay/fleet.go
+++ b/hornbeambench/replay/fleet.go
@@ -35,6 +35,8 @@
 	Impatient bool
 	Placement placement.Settings
 	Admission admission.Settings
+	// Requeue is how long a request waits at one engine before it asks the others again; 0 for no limit.
+	Requeue time.Duration
 	// Tries is the number of engines that a request asks before it waits.
 	Tries int
 }
@@ -47,7 +49,7 @@
 		Between: 1500 * time.Microsecond, Client: 3 * time.Millisecond,
 		Mean: 200 * time.Millisecond, Report: 100 * time.Millisecond, Lag: 50 * time.Millisecond, List: time.Second,
 		Patience: 20 * time.Second, Sends: 4,
-		Placement: placement.Defaults(), Admission: admission.Defaults(), Tries: 9,
+		Placement: placement.Defaults(), Admission: admission.Defaults(), Tries: 9, Requeue: 30 * time.Millisecond,
 	}
 	f.Admission.Capacity = float64(f.Batch)
 	return f
@@ -225,13 +227,18 @@
 	}
 }
 
-// means sends the mean over the engines in service to every router.
+// means sends the mean over the engines in service to every router. What the cache events say of evictions takes the same
+// time.
 func (s *fleet) means() {
 	sum, n := 0.0, 0
+	evicted := map[string]float64{}
 	for _, e := range s.engines {
 		if e.up && !e.leaving {
 			sum += e.load()
 			n++
+			if e.cache.evicted > 0 {
+				evicted[e.id] = e.cache.evicted
+			}
 		}
 	}
 	if n == 0 {
@@ -239,7 +246,7 @@
 	}
 	m := admission.Mean{Load: sum / float64(n), Engines: n}
 	for _, r := range s.routers {
-		s.after(s.Lag+time.Duration(r.index)*5*time.Millisecond, func() { r.do(func() { r.mean(m) }) })
+		s.after(s.Lag+time.Duration(r.index)*5*time.Millisecond, func() { r.do(func() { r.mean(m, evicted) }) })
 	}
 }
 
--- a/hornbeambench/replay/router.go
+++ b/hornbeambench/replay/router.go
@@ -122,8 +122,13 @@
 	}
 }
 
-func (r *router) mean(m admission.Mean) {
+func (r *router) mean(m admission.Mean, evicted map[string]float64) {
 	r.lastMean = m
+	status := map[string]placement.Status{}
+	for id, at := range evicted {
+		status[id] = placement.Status{Evicted: epoch.Add(seconds(at))}
+	}
+	r.view = r.view.WithStatuses(status)
 	for _, id := range r.owned() {
 		r.deliver(id, r.gates[id].Mean(r.fleet.wall(), m))
 	}
@@ -207,11 +212,11 @@
 	switch {
 	case st == placement.Leaving && r.gates[id] != nil:
 		e := r.fleet.byID[id]
-		r.fleet.move(r.rule.Evacuate(r.fleet.wall(), id, r.contexts(e), budget, r.view))
+		r.fleet.move(r, r.rule.Evacuate(r.fleet.wall(), id, r.contexts(e), budget, r.view))
 	case st == placement.Joining && was != placement.Joining:
 		for _, from := range r.owned() {
 			share := budget / len(r.fleet.engines)
-			r.fleet.move(r.rule.Attract(r.fleet.wall(), from, id, r.contexts(r.fleet.byID[from]), share, r.view))
+			r.fleet.move(r, r.rule.Attract(r.fleet.wall(), from, id, r.contexts(r.fleet.byID[from]), share, r.view))
 		}
 	}
 }
--- a/routing/placement/rule.go
+++ b/routing/placement/rule.go
@@ -12,7 +12,7 @@
 	// Margin is how much cheaper another engine has to be before a chat with context leaves its engine. It keeps chats
 	// from moving back and forth when waits are nearly equal.
 	Margin time.Duration
-	// Retention stands for Engine.Retention where that is unknown.
+	// Retention is the idle time after which a context counts as evicted if the engine has not told of any eviction.
 	Retention time.Duration
 }
 
@@ -24,7 +24,7 @@
 		Transfer:     20 * time.Microsecond,
 		TransferBase: 5 * time.Millisecond,
 		Margin:       20 * time.Millisecond,
-		Retention:    time.Hour,
+		Retention:    12 * time.Hour,
 	}
 }
 
@@ -75,22 +75,21 @@
 	case v.engines[at].State == Joining && second.index != none:
 		at = second.index
 	}
-	if p.evicted(now, r, v.engines[at]) {
+	if p.evicted(now, r, v.status[at]) {
 		return none
 	}
 	return at
 }
 
 // evicted is true if the chat has been idle for so long that its context is surely gone.
-func (p Rule) evicted(now time.Time, r Request, e Engine) bool {
+func (p Rule) evicted(now time.Time, r Request, s Status) bool {
 	if r.Last.IsZero() {
 		return false
 	}
-	retention := e.Retention
-	if retention <= 0 {
-		retention = p.Settings.Retention
+	if !s.Evicted.IsZero() {
+		return r.Last.Before(s.Evicted)
 	}
-	return now.Sub(r.Last) > retention
+	return now.Sub(r.Last) > p.Settings.Retention
 }
 
 // spill chooses between the preferred engine and the alternatives by the wait plus the cost of the miss.
@@ -150,8 +149,7 @@
 	if source == none || source == at {
 		return c
 	}
-	miss := time.Duration(r.Context) * p.Settings.Prefill
-	return c + min(miss, p.moveCost(r, miss))
+	return c + min(p.miss(r), p.moveCost(r, p.miss(r)))
 }
 
 // moveCost is the time to move the context, or miss if KV cache is not moved.
@@ -164,16 +162,29 @@
 
 func (p Rule) finish(d Decision, r Request, v View, at int32, reason Reason, source int32) Decision {
 	d.Engine, d.Reason = v.id(at), reason
-	if source == none || source == at || v.engines[source].State == Suspect {
+	if source == none || p.moveCost(r, p.miss(r)) >= p.miss(r) {
 		return d
 	}
-	miss := time.Duration(r.Context) * p.Settings.Prefill
-	if p.moveCost(r, miss) < miss {
-		d.From = v.id(source)
+	for _, id := range [...]string{v.id(source), d.Home, d.Second} {
+		i, ok := v.index[id]
+		if !ok || i == at || id == d.From || v.engines[i].State == Suspect {
+			continue
+		}
+		if d.From == "" {
+			if source == at {
+				return d
+			}
+			d.From = id
+			continue
+		}
+		d.Else = id
+		return d
 	}
 	return d
 }
 
+func (p Rule) miss(r Request) time.Duration { return time.Duration(r.Context) * p.Settings.Prefill }
+
 // takes is true if the engine takes new work.
 func (v View) takes(i int32) bool {
 	s := v.engines[i].State
