--- a/hornbeambench/fleet/command.go
+++ b/hornbeambench/fleet/command.go
@@ -210,7 +210,7 @@
 
 // WaitCommand waits for processes to be ready.
 type WaitCommand struct {
-	URLs  []string      `arg:"" help:"URLs."`
+	URLs  []string      `arg:"" help:"URLs." name:"url"`
 	Limit time.Duration `help:"Longest wait." default:"30s"`
 }
 
--- a/hornbeambench/fleet/judge.go
+++ b/hornbeambench/fleet/judge.go
@@ -47,7 +47,10 @@
 }
 
 // Judge judges the outcomes that the design requires. Its bounds are the stated ones.
-func Judge(e Evidence) []Verdict {
+func Judge(e Evidence) []Verdict { return append(JudgeCallers(e), e.above()) }
+
+// JudgeCallers judges the outcomes that concern callers.
+func JudgeCallers(e Evidence) []Verdict {
 	return []Verdict{
 		e.none("every request gets a whole answer or a typed error", func(r load.Record) bool { return r.Ending == load.Unanswered }),
 		e.none("no answer is crossed, truncated or doubled", func(r load.Record) bool { return r.Ending == load.Wrong }),
@@ -58,7 +61,6 @@
 		e.none("no call is answered that did not run", func(r load.Record) bool {
 			return r.Ending == load.Answered && r.Key != "" && e.Ran[r.Key] == 0
 		}),
-		e.above(),
 	}
 }
 
--- a/hornbeambench/load/session.go
+++ b/hornbeambench/load/session.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 	Attempts int    `json:"attempts"`
 	Router   string `json:"router,omitempty"`
 	Text     string `json:"text,omitempty"`
+	// Earlier says how the earlier attempts ended.
+	Earlier []string `json:"earlier,omitempty"`
 	// At and Total are seconds since the start of the run and since the planned arrival.
 	At    float64 `json:"at"`
 	Total float64 `json:"total"`
@@ -156,6 +159,9 @@
 }
 
 func (r *Record) note(a attempt) {
+	if r.Text != "" {
+		r.Earlier = append(r.Earlier, strings.TrimSpace(fmt.Sprintf("%s %s %s", r.Code, r.Outcome, r.Text)))
+	}
 	r.Code, r.Outcome, r.Text = "", "", ""
 	switch {
 	case a.whole:
