feat(peer): members carry the address for callers, slots carry the fingerprint of suspects

Cause: route answers need the callers' address of each router, and an owner has to run crash suspects apart before gossip arrives. Change: member.Member and the wire form get the address for callers; a slot request carries fingerprint and crash, a grant the engine's boot, a notice the boot.

--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -51,6 +51,8 @@
 	Address string
 	Zone    string
 	Region  string
+	// Caller is the address for callers, as ip:port. It is exchanged like Address.
+	Caller string
 	// Incarnation orders the reports about one boot. Only the member itself raises it.
 	Incarnation uint32
 	Status      Status
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -25,6 +25,15 @@
 	Cost float64
 	// Wait is how long the request may be queued.
 	Wait time.Duration
+	// Fingerprint identifies the request. Suspect is set if the request was in flight on an engine that crashed.
+	Fingerprint string
+	Suspect     *Crash
+}
+
+// Crash names one life of an engine that ended in a crash.
+type Crash struct {
+	Engine string `json:"engine"`
+	Boot   string `json:"boot"`
 }
 
 // SlotGrant is permission to run one request.
@@ -33,6 +42,8 @@
 	Slot string
 	// Lease is how long it lasts unless it is renewed, by the owner's clock.
 	Lease time.Duration
+	// Boot is the engine's present life; empty while the owner has no report.
+	Boot string
 }
 
 // Notice is something that every router should know soon.
@@ -40,9 +51,9 @@
 	// Kind is "suspect", "quarantine" or "release".
 	Kind        string
 	Fingerprint string
-	// Engine is the one that crashed, for suspects.
-	Engine string
-	At     time.Time
+	// Engine is the one that crashed and Boot its life, for suspects and quarantine.
+	Engine, Boot string
+	At           time.Time
 }
 
 // Query selects events of the time line.
@@ -62,13 +73,16 @@
 	Class   int     `json:"class,omitempty"`
 	Cost    float64 `json:"cost,omitempty"`
 	// Wait is in milliseconds.
-	Wait int64 `json:"wait,omitempty"`
+	Wait        int64  `json:"wait,omitempty"`
+	Fingerprint string `json:"print,omitempty"`
+	Suspect     *Crash `json:"suspect,omitempty"`
 }
 
 type wireGrant struct {
 	Slot string `json:"slot"`
 	// Lease is in milliseconds.
-	Lease int64 `json:"lease"`
+	Lease int64  `json:"lease"`
+	Boot  string `json:"boot,omitempty"`
 }
 
 type wireSlots struct {
@@ -84,6 +98,7 @@
 	Kind        string    `json:"kind"`
 	Fingerprint string    `json:"print"`
 	Engine      string    `json:"engine,omitempty"`
+	Boot        string    `json:"boot,omitempty"`
 	At          time.Time `json:"time"`
 }
 
@@ -190,7 +205,7 @@
 	case r.Method == "slot" && n.Slots != nil:
 		return with(r, func(w wireAsk) (wireGrant, error) {
 			g, err := n.Slots.Take(ctx, w.From, w.ask())
-			return wireGrant{g.Slot, g.Lease.Milliseconds()}, err
+			return wireGrant{g.Slot, g.Lease.Milliseconds(), g.Boot}, err
 		})
 	case r.Method == "free" && n.Slots != nil:
 		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Free(ctx, w.From, w.Slots) })
@@ -213,7 +228,10 @@
 }
 
 func (w wireAsk) ask() SlotAsk {
-	return SlotAsk{w.Request, w.Engine, w.Account, w.Class, w.Cost, time.Duration(w.Wait) * time.Millisecond}
+	return SlotAsk{
+		Request: w.Request, Engine: w.Engine, Account: w.Account, Class: w.Class, Cost: w.Cost,
+		Wait: time.Duration(w.Wait) * time.Millisecond, Fingerprint: w.Fingerprint, Suspect: w.Suspect,
+	}
 }
 
 func (n *Node) handlePing(ctx context.Context, w wirePing) (wireAck, error) {
@@ -306,9 +324,12 @@
 		return n.Slots.Take(ctx, n.ID, a)
 	}
 	var w wireGrant
-	params := wireAsk{n.ID, a.Request, a.Engine, a.Account, a.Class, a.Cost, a.Wait.Milliseconds()}
+	params := wireAsk{
+		From: n.ID, Request: a.Request, Engine: a.Engine, Account: a.Account, Class: a.Class, Cost: a.Cost,
+		Wait: a.Wait.Milliseconds(), Fingerprint: a.Fingerprint, Suspect: a.Suspect,
+	}
 	err := n.send(ctx, router, "slot", params, &w)
-	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond}, err
+	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond, w.Boot}, err
 }
 
 // Free returns slots to the owner that granted them.
--- a/hornbeamd/peer/loop.go
+++ b/hornbeamd/peer/loop.go
@@ -45,7 +45,7 @@
 func (l *loop) start(n *Node) {
 	now := n.Clock()
 	l.n = n
-	self := member.Member{ID: n.ID, Boot: n.Boot, Address: n.address, Zone: n.Zone, Region: n.Region}
+	self := member.Member{ID: n.ID, Boot: n.Boot, Address: n.address, Zone: n.Zone, Region: n.Region, Caller: n.Caller}
 	l.members = member.New(member.Config{Self: self, Uniform: n.Uniform}, now, n.Rand)
 	l.revisions = revision.New(revision.Config{}, now, n.Rand)
 	l.loads = loadsum.New()
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -64,6 +64,8 @@
 	Zone, Region string
 	// Listen is ip:port; port 0 takes a free one. Advertise is what other routers are told, by default the same.
 	Listen, Advertise string
+	// Caller is the address for callers that other routers are told, as ip:port.
+	Caller string
 	// Keys turn on mutual TLS. They may be nil on a loopback address only.
 	Keys *Keys
 	// Seeds are addresses of routers to contact first. Listed replaces them.
--- a/hornbeamd/peer/wire.go
+++ b/hornbeamd/peer/wire.go
@@ -61,18 +61,19 @@
 	Address     string `json:"at,omitempty"`
 	Zone        string `json:"zone,omitempty"`
 	Region      string `json:"region,omitempty"`
+	Caller      string `json:"caller,omitempty"`
 	Incarnation uint32 `json:"inc,omitempty"`
 	Status      uint8  `json:"state,omitempty"`
 	Leaving     bool   `json:"leaving,omitempty"`
 }
 
 func fromMember(m member.Member) wireMember {
-	return wireMember{m.ID, m.Boot, m.Address, m.Zone, m.Region, m.Incarnation, uint8(m.Status), m.Leaving}
+	return wireMember{m.ID, m.Boot, m.Address, m.Zone, m.Region, m.Caller, m.Incarnation, uint8(m.Status), m.Leaving}
 }
 
 func (w wireMember) member() member.Member {
 	return member.Member{
-		ID: w.ID, Boot: w.Boot, Address: w.Address, Zone: w.Zone, Region: w.Region, Incarnation: w.Incarnation,
+		ID: w.ID, Boot: w.Boot, Address: w.Address, Zone: w.Zone, Region: w.Region, Caller: w.Caller, Incarnation: w.Incarnation,
 		Status: member.Status(w.Status), Leaving: w.Leaving,
 	}
 }
