--- a/routing/outcome/outcome.go
+++ b/routing/outcome/outcome.go
@@ -34,6 +34,7 @@
 	KeyReused      Code = "key_reused"
 	InProgress     Code = "in_progress"
 	AlreadyRan     Code = "already_ran"
+	MayHaveRun     Code = "may_have_run"
 	RateLimited    Code = "rate_limited"
 	QueueFull      Code = "queue_full"
 	Overloaded     Code = "overloaded"
