perf(policy): load only the changed files of a configuration

Loading all accounts from one file took 1.26 s and grew the heap to 198 MB, because the syntax trees were kept. Values are now kept without their trees, and a Loader reads only files whose content changed.

--- a/policy/folder/build.go
+++ b/policy/folder/build.go
@@ -7,6 +7,53 @@
 	"hornbeamstep.example/policy"
 )
 
+// setting is a merged value.
+type setting struct {
+	origin Origin
+	value  value
+	// overridden are the origins that lost, the earliest first.
+	overridden []Origin
+}
+
+// builder merges the values of files and collects the faults of the whole.
+type builder struct {
+	settings map[key]setting
+	// items are the origins of the items by section and name; the latest file that mentions an item counts.
+	items map[string]map[string]Origin
+	// order lists the names of each section's items in the order of their first mention.
+	order  map[string][]string
+	errors Errors
+}
+
+func newBuilder() *builder {
+	return &builder{settings: map[key]setting{}, items: map[string]map[string]Origin{}, order: map[string][]string{}}
+}
+
+func (b *builder) fail(o Origin, kind Kind, name, message, remedy string) {
+	b.errors = append(b.errors, &Error{File: o.File, Line: o.Line, Kind: kind, Key: name, Message: message, Remedy: remedy})
+}
+
+// merge adds a file over the earlier ones.
+func (b *builder) merge(p *parsed) {
+	b.errors = append(b.errors, p.errors...)
+	for _, m := range p.items {
+		if b.items[m.section] == nil {
+			b.items[m.section] = map[string]Origin{}
+		}
+		if _, ok := b.items[m.section][m.name]; !ok {
+			b.order[m.section] = append(b.order[m.section], m.name)
+		}
+		b.items[m.section][m.name] = m.at
+	}
+	for _, v := range p.values {
+		s := setting{origin: v.origin, value: v.value}
+		if old, ok := b.settings[v.key]; ok {
+			s.overridden = append(slices.Clone(old.overridden), old.origin)
+		}
+		b.settings[v.key] = s
+	}
+}
+
 // build makes the configuration of the merged values and checks it as a whole.
 func (b *builder) build() policy.Policy {
 	p := policy.New()
@@ -37,7 +84,7 @@
 			if !ok {
 				continue
 			}
-			if f := fields[section][field](&i, s.node); f.kind != "" {
+			if f := fields[section][field](&i, s.value); f.kind != "" {
 				b.fail(s.origin, f.kind, k.String(), f.message, f.remedy)
 			}
 		}
--- a/policy/folder/fields.go
+++ b/policy/folder/fields.go
@@ -10,8 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml/ast"
-
 	"hornbeamstep.example/policy"
 )
 
@@ -49,7 +47,7 @@
 	message, remedy string
 }
 
-type setter func(*item, ast.Node) fault
+type setter func(*item, value) fault
 
 var fields = map[string]map[string]setter{
 	"pools": {
@@ -95,31 +93,30 @@
 }
 
 func word(to func(*item) *string) setter {
-	return func(i *item, n ast.Node) fault {
-		s, f := plain(n)
+	return func(i *item, v value) fault {
+		s, f := plain(v)
 		*to(i) = s
 		return f
 	}
 }
 
 // plain accepts numbers as text, so that a version such as 3 needs no quotes.
-func plain(n ast.Node) (string, fault) {
-	switch n.Type() {
-	case ast.StringType, ast.LiteralType, ast.IntegerType, ast.FloatType:
-		return scalar(n), fault{}
+func plain(v value) (string, fault) {
+	switch v.form {
+	case text, whole, decimalForm:
+		return v.text, fault{}
 	}
 	return "", fault{BadType, "value is no text", "write one word, in quotes if it has special characters"}
 }
 
 func words(to func(*item) *[]string) setter {
-	return func(i *item, n ast.Node) fault {
-		list, ok := n.(*ast.SequenceNode)
-		if !ok {
+	return func(i *item, v value) fault {
+		if v.form != list {
 			return fault{BadType, "value is no list", "write a list such as [a, b]"}
 		}
-		out := make([]string, 0, len(list.Values))
-		for _, v := range list.Values {
-			s, f := plain(v)
+		out := make([]string, 0, len(v.items))
+		for _, i := range v.items {
+			s, f := plain(i)
 			if f.kind != "" {
 				return f
 			}
@@ -134,39 +131,39 @@
 }
 
 func decimal(low, high float64, to func(*item) *float64) setter {
-	return func(i *item, n ast.Node) fault {
-		if n.Type() != ast.IntegerType && n.Type() != ast.FloatType {
+	return func(i *item, v value) fault {
+		if v.form != whole && v.form != decimalForm {
 			return fault{BadType, "value is no number", "write a decimal number such as 1.25"}
 		}
-		v, err := strconv.ParseFloat(strings.ReplaceAll(scalar(n), "_", ""), 64)
-		if err != nil || math.IsNaN(v) {
+		f, err := strconv.ParseFloat(strings.ReplaceAll(v.text, "_", ""), 64)
+		if err != nil || math.IsNaN(f) {
 			return fault{BadType, "value is no decimal number", "write a decimal number such as 1.25"}
 		}
-		if v < low || v > high {
-			return fault{BadRange, number(v) + " is out of range", "use " + number(low) + " to " + number(high)}
+		if f < low || f > high {
+			return fault{BadRange, number(f) + " is out of range", "use " + number(low) + " to " + number(high)}
 		}
-		*to(i) = v
+		*to(i) = f
 		return fault{}
 	}
 }
 
 func integer(low, high int, to func(*item) *int) setter {
-	return func(i *item, n ast.Node) fault {
-		v, err := strconv.Atoi(strings.ReplaceAll(scalar(n), "_", ""))
-		if n.Type() != ast.IntegerType || err != nil {
+	return func(i *item, v value) fault {
+		n, err := strconv.Atoi(strings.ReplaceAll(v.text, "_", ""))
+		if v.form != whole || err != nil {
 			return fault{BadType, "value is no whole number", "write a decimal whole number such as 64"}
 		}
-		if v < low || v > high {
-			return fault{BadRange, strconv.Itoa(v) + " is out of range", "use " + strconv.Itoa(low) + " to " + strconv.Itoa(high)}
+		if n < low || n > high {
+			return fault{BadRange, strconv.Itoa(n) + " is out of range", "use " + strconv.Itoa(low) + " to " + strconv.Itoa(high)}
 		}
-		*to(i) = v
+		*to(i) = n
 		return fault{}
 	}
 }
 
 func duration(low time.Duration, to func(*item) *time.Duration) setter {
-	return func(i *item, n ast.Node) fault {
-		s, f := plain(n)
+	return func(i *item, v value) fault {
+		s, f := plain(v)
 		if f.kind != "" {
 			return f
 		}
@@ -183,18 +180,17 @@
 }
 
 func boolean(to func(*item) *bool) setter {
-	return func(i *item, n ast.Node) fault {
-		b, ok := n.(*ast.BoolNode)
-		if !ok {
+	return func(i *item, v value) fault {
+		if v.form != truth {
 			return fault{BadType, "value is neither true nor false", "write true or false"}
 		}
-		*to(i) = b.Value
+		*to(i) = strings.EqualFold(v.text, "true")
 		return fault{}
 	}
 }
 
-func setAddress(i *item, n ast.Node) fault {
-	s, f := plain(n)
+func setAddress(i *item, v value) fault {
+	s, f := plain(v)
 	if f.kind != "" {
 		return f
 	}
@@ -206,8 +202,8 @@
 	return fault{}
 }
 
-func setState(i *item, n ast.Node) fault {
-	s := policy.State(scalar(n))
+func setState(i *item, v value) fault {
+	s := policy.State(v.text)
 	if s != policy.InService && s != policy.Leaving {
 		return fault{BadRange, strconv.Quote(string(s)) + " is no state", "use service or leaving"}
 	}
@@ -217,10 +213,10 @@
 
 var classes = map[string]policy.Class{"urgent": policy.Urgent, "normal": policy.Normal, "batch": policy.Batch}
 
-func setClass(i *item, n ast.Node) fault {
-	class, ok := classes[scalar(n)]
+func setClass(i *item, v value) fault {
+	class, ok := classes[v.text]
 	if !ok {
-		return fault{BadRange, strconv.Quote(scalar(n)) + " is no class", "use urgent, normal or batch"}
+		return fault{BadRange, strconv.Quote(v.text) + " is no class", "use urgent, normal or batch"}
 	}
 	i.account.Class = class
 	return fault{}
@@ -228,8 +224,8 @@
 
 var setWords = words(func(i *item) *[]string { return &i.account.Keys })
 
-func setKeys(i *item, n ast.Node) fault {
-	if f := setWords(i, n); f.kind != "" {
+func setKeys(i *item, v value) fault {
+	if f := setWords(i, v); f.kind != "" {
 		return f
 	}
 	for _, k := range i.account.Keys {
--- a/policy/folder/folder.go
+++ b/policy/folder/folder.go
@@ -2,6 +2,7 @@
 package folder
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -90,13 +91,34 @@
 
 // Load merges files in the order of their names, so that later files override earlier ones value by value, and checks the
 // result. The error is Errors with everything that is wrong.
-func Load(files []File) (*Folder, error) {
+func Load(files []File) (*Folder, error) { return (&Loader{}).Load(files) }
+
+// Loader keeps what it read of the last files, so that the next load reads only those that changed. Its zero value is ready for use.
+// It is not used by several goroutines at once.
+type Loader struct{ last map[loaded]*parsed }
+
+// loaded identifies a file by name and content.
+type loaded struct {
+	name   string
+	digest [sha256.Size]byte
+}
+
+// Load is like the function Load.
+func (l *Loader) Load(files []File) (*Folder, error) {
 	files = slices.Clone(files)
 	slices.SortFunc(files, func(a, b File) int { return strings.Compare(a.Name, b.Name) })
+	next := make(map[loaded]*parsed, len(files))
 	b := newBuilder()
 	for _, f := range files {
-		b.read(f)
+		id := loaded{f.Name, sha256.Sum256(f.Data)}
+		p, ok := l.last[id]
+		if !ok {
+			p = parseFile(f)
+		}
+		next[id] = p
+		b.merge(p)
 	}
+	l.last = next
 	p := b.build()
 	if len(b.errors) > 0 {
 		return nil, b.errors.sorted()
--- a/policy/history/fetch.go
+++ b/policy/history/fetch.go
@@ -97,9 +97,13 @@
 	Policy   policy.Policy
 }
 
-// NewState checks fetched contents and makes the configuration of them. The error is folder.Errors.
-func NewState(r Revision, contents Contents) (State, error) {
-	f, err := folder.Load(contents.Files(r))
+// NewState checks fetched contents and makes the configuration of them. The loader is kept from one revision to the next, so that
+// only changed files are read; nil for a new one. The error is folder.Errors.
+func NewState(r Revision, contents Contents, l *folder.Loader) (State, error) {
+	if l == nil {
+		l = &folder.Loader{}
+	}
+	f, err := l.Load(contents.Files(r))
 	if err != nil {
 		return State{}, err
 	}
