--- a/hornbeamctl/config/commands.go
+++ b/hornbeamctl/config/commands.go
@@ -80,7 +80,7 @@
 		return err
 	}
 	if len(d.Files) > 0 {
-		return &ExitError{Code: ExitDiffers, Cause: fmt.Errorf("folder differs from revision %d in %d files", r.Number, len(d.Files))}
+		return &ExitError{Code: ExitDiffers, Cause: fmt.Errorf("folder differs from revision %d, in %d file(s)", r.Number, len(d.Files))}
 	}
 	return nil
 }
@@ -152,6 +152,11 @@
 		result.In, result.Missing, err = e.wait(r.Number, c.Limit)
 	}
 	printErr := show(e, result, func(w io.Writer) {
+		if !c.Wait {
+			row(w, "REVISION", "FILES")
+			row(w, r.Number, len(r.Files))
+			return
+		}
 		row(w, "REVISION", "FILES", "IN FORCE", "MISSING")
 		row(w, r.Number, len(r.Files), len(result.In), len(result.Missing))
 	})
--- a/hornbeamctl/config/config_test.go
+++ b/hornbeamctl/config/config_test.go
@@ -84,7 +84,7 @@
 	b.write("pools: {p: {bound: 2}}")
 	expect(0, "1 values", "check", b.dir)
 	expect(config.ExitDiffers, "pools.p.bound  -       2", "diff", b.dir)
-	expect(0, "", "push", b.dir, "-m", "first", "--base", "0", "--wait")
+	expect(0, "IN FORCE", "push", b.dir, "-m", "first", "--base", "0", "--wait")
 	expect(0, "KEY", "diff", b.dir)
 	b.write("pools: {p: {bound: 3}}")
 	expect(config.ExitConflict, "", "push", b.dir, "-m", "x", "--base", "0")
