--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"hornbeamstep.example/hornbeambench/control"
 	"hornbeamstep.example/hornbeambench/fleet"
 	"hornbeamstep.example/hornbeambench/replay"
 	"hornbeamstep.example/hornbeambench/report"
@@ -20,6 +21,7 @@
 	Replay  replay.Command   `cmd:"" help:"Replay a scenario in virtual time and judge its outcomes."`
 	List    replay.List      `cmd:"" help:"List the scenarios of replay."`
 	Report  report.Command   `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
+	Control control.Command  `cmd:"" help:"Measure the control traffic between real nodes in this process."`
 	Fleet   fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
 }
 
--- a/hornbeambench/control/control.go
+++ b/hornbeambench/control/control.go
@@ -73,8 +73,8 @@
 }
 
 // Run carries out the measurement.
-func (c *Command) Run() error {
-	return c.Write(context.Background(), os.Stdout)
+func (c *Command) Run(ctx context.Context) error {
+	return c.Write(ctx, os.Stdout)
 }
 
 // Write carries out the measurement and prints the report.
