--- a/coord/loadsum/loadsum.go
+++ b/coord/loadsum/loadsum.go
@@ -220,12 +220,12 @@
 	return got.Mean(), now.Sub(got.at), true
 }
 
-// Means returns every known mean by pool.
-func (s *State) Means(now time.Time) map[string]float64 {
-	out := make(map[string]float64, len(s.means))
-	for pool := range s.means {
-		if mean, _, ok := s.Mean(now, pool); ok {
-			out[pool] = mean
+// Sums returns every fleet-wide sum that is known and not stale, by pool.
+func (s *State) Sums(now time.Time) map[string]Sum {
+	out := make(map[string]Sum, len(s.means))
+	for pool, got := range s.means {
+		if _, _, ok := s.Mean(now, pool); ok {
+			out[pool] = got.Sum
 		}
 	}
 	return out
--- a/coord/member/exchange.go
+++ b/coord/member/exchange.go
@@ -95,7 +95,7 @@
 // brief is the router itself without what others know.
 func (s *State) brief() Member {
 	b := s.self
-	b.Address, b.Zone, b.Region = "", "", ""
+	b.Address, b.Zone, b.Region, b.Caller = "", "", "", ""
 	return b
 }
 
--- a/coord/member/merge.go
+++ b/coord/member/merge.go
@@ -58,7 +58,7 @@
 }
 
 func valid(u Member) bool {
-	long := len(u.ID) > maxField || len(u.Address) > maxField || len(u.Zone) > maxField || len(u.Region) > maxField
+	long := len(u.ID) > maxField || len(u.Address) > maxField || len(u.Zone) > maxField || len(u.Region) > maxField || len(u.Caller) > maxField
 	return u.ID != "" && !long && u.Status <= Left && u.Incarnation < math.MaxUint32
 }
 
@@ -104,7 +104,7 @@
 	s.penalize(now, e)
 	u.Damped = e.Damped
 	if u.Address == "" {
-		u.Address, u.Zone, u.Region = e.Address, e.Zone, e.Region
+		u.Address, u.Zone, u.Region, u.Caller = e.Address, e.Zone, e.Region, e.Caller
 	}
 	e.Member = u
 	e.since = now
@@ -142,7 +142,7 @@
 	}
 	e.Incarnation, e.Status, e.Leaving = u.Incarnation, u.Status, u.Leaving
 	if u.Address != "" {
-		e.Address, e.Zone, e.Region = u.Address, u.Zone, u.Region
+		e.Address, e.Zone, e.Region, e.Caller = u.Address, u.Zone, u.Region, u.Caller
 	}
 	if from != u.Status {
 		e.since = now
@@ -158,7 +158,7 @@
 func (s *State) touched(m Member) {
 	if m.Status != Alive {
 		// Others know the address of an earlier report, or ask for it by sync.
-		m.Address, m.Zone, m.Region = "", "", ""
+		m.Address, m.Zone, m.Region, m.Caller = "", "", "", ""
 	}
 	s.queue.put(m)
 	s.doubts = slices.DeleteFunc(s.doubts, func(id string) bool { return id == m.ID })
--- /dev/null
+++ b/hornbeamd/control/engines.go
@@ -0,0 +1,193 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hornbeamstep.example/hornbeamd/engine"
+	"hornbeamstep.example/policy"
+	"hornbeamstep.example/routing/admission"
+	"hornbeamstep.example/routing/outcome"
+	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/timeline"
+)
+
+const (
+	// suspectAfter is the number of failed polls in a row after which an engine is suspect.
+	suspectAfter = 2
+	// pollLimit is the longest time for one poll.
+	pollLimit = time.Second
+	// hearsay is how long a router that does not own an engine keeps requests away from it after a failure.
+	hearsay = 2 * time.Second
+)
+
+// reconcile takes over and gives up engines as ownership changes.
+func (l *Loop) reconcile(ctx context.Context, now time.Time) {
+	owners := l.Peers.Owners()
+	for _, name := range l.state.order {
+		e := l.state.engines[name]
+		switch owns := owners.Owns(name); {
+		case owns && e.gate == nil:
+			l.own(e, now)
+		case !owns && e.gate != nil:
+			l.disown(e, "owned by "+owners.Engine(name)+" now")
+		}
+		if e.gate != nil && e.stopPoll == nil {
+			l.startPoll(ctx, e)
+		}
+		if e.gate == nil && e.health == placement.Suspect && !now.Before(e.until) {
+			l.setHealth(e, placement.InService, "time of suspicion is over")
+		}
+	}
+}
+
+// own begins the admission of an engine. Its load is unknown, so the gate starts from the engine's own report.
+func (l *Loop) own(e *engineState, now time.Time) {
+	e.gate = admission.Takeover(now, gateSettings(e.pool))
+	e.failures = 0
+	e.share = nil
+	l.record(timeline.Event{Kind: timeline.Owner, Backend: e.backend.Name, Text: "this router owns the engine"})
+}
+
+// disown ends the admission of an engine. Requests that wait are answered, so that they ask the next owner.
+func (l *Loop) disown(e *engineState, why string) {
+	if e.stopPoll != nil {
+		e.stopPoll()
+		e.stopPoll = nil
+	}
+	if e.gate == nil {
+		return
+	}
+	e.gate = nil
+	l.empty(e)
+	l.record(timeline.Event{Kind: timeline.Owner, Backend: e.backend.Name, Text: why})
+}
+
+// empty answers the requests that wait, so that they are placed anew, and forgets the slots.
+func (l *Loop) empty(e *engineState) {
+	for request, w := range e.waiters {
+		delete(e.waiters, request)
+		l.answer(e, w, admission.Action{Kind: admission.Refused, Ask: w.ask.Ask, Code: outcome.NoBackend})
+	}
+	for slot := range e.granted {
+		l.forget(e, slot)
+	}
+}
+
+// startPoll reads the engine's load report until it is stopped.
+func (l *Loop) startPoll(ctx context.Context, e *engineState) {
+	ctx, e.stopPoll = context.WithCancel(ctx)
+	name, client := e.backend.Name, l.Engine(e.backend)
+	go func() {
+		defer client.Close()
+		for ctx.Err() == nil {
+			call, cancel := context.WithTimeout(ctx, pollLimit)
+			asked := l.Now()
+			report, err := client.Load(call)
+			cancel()
+			l.send(func(now time.Time) {
+				if ctx.Err() == nil {
+					l.reported(name, report, err, asked, now)
+				}
+			})
+			select {
+			case <-ctx.Done():
+			case <-time.After(l.Settings.Engine.Poll):
+			}
+		}
+	}()
+}
+
+func (l *Loop) stopPolls() {
+	for _, e := range l.state.engines {
+		if e.stopPoll != nil {
+			e.stopPoll()
+		}
+	}
+}
+
+// reported takes a load report, or the failure to get one. The report counts as measured when it was asked for: the engine's
+// clock is another one.
+func (l *Loop) reported(name string, report engine.Report, err error, asked, now time.Time) {
+	e, ok := l.state.engines[name]
+	if !ok || e.gate == nil {
+		return
+	}
+	if err != nil {
+		e.failures++
+		if e.failures == suspectAfter {
+			l.setHealth(e, placement.Suspect, "load report failed: "+err.Error())
+		}
+		return
+	}
+	e.failures = 0
+	if e.boot != "" && e.boot != report.Boot {
+		l.restarted(e, now)
+	}
+	e.boot = report.Boot
+	e.report, e.reported = report, asked
+	if e.health == placement.Suspect {
+		l.setHealth(e, placement.InService, "load reports again")
+	}
+	l.carryOut(e, e.gate.Report(now, admission.Report{At: asked, Load: report.Load}))
+}
+
+// restarted begins anew with an engine that lost its requests and its cache: the gate ramps up, which is the slow start.
+func (l *Loop) restarted(e *engineState, now time.Time) {
+	l.empty(e)
+	e.gate = admission.Takeover(now, gateSettings(e.pool))
+	l.memory.drop(e.backend.Name)
+	l.record(timeline.Event{Kind: timeline.Member, Backend: e.backend.Name, Text: "engine restarted"})
+}
+
+func (l *Loop) setHealth(e *engineState, health placement.State, why string) {
+	if e.health == health {
+		return
+	}
+	e.health = health
+	l.state.dirty = true
+	text := "in service: " + why
+	if health == placement.Suspect {
+		text = "suspect: " + why
+	}
+	l.record(timeline.Event{Kind: timeline.Member, Backend: e.backend.Name, Text: text})
+	l.Log.Info("state of engine changed", zap.String("engine", e.backend.Name), zap.String("state", text))
+}
+
+// failed takes a failure that a request met on an engine. A poll by the owner decides soon; until then requests go elsewhere.
+func (l *Loop) failed(name string, now time.Time) {
+	e, ok := l.state.engines[name]
+	if !ok {
+		return
+	}
+	e.until = now.Add(hearsay)
+	l.setHealth(e, placement.Suspect, "a request failed")
+}
+
+// carryOut answers the requests that a gate has decided about.
+func (l *Loop) carryOut(e *engineState, actions []admission.Action) {
+	for _, a := range actions {
+		if a.Kind == admission.Expired {
+			l.forget(e, a.Slot.ID)
+			l.metrics.expired.Inc()
+			continue
+		}
+		w, ok := e.waiters[a.Ask.Request]
+		if !ok {
+			// The request left the queue just before it was granted.
+			if a.Kind == admission.Granted && e.gate != nil {
+				l.carryOut(e, e.gate.Release(l.Now(), a.Slot.ID))
+			}
+			continue
+		}
+		delete(e.waiters, a.Ask.Request)
+		l.answer(e, w, a)
+	}
+}
+
+// takesWork is false for engines that get no new request from their owner.
+func (l *Loop) takesWork(e *engineState) bool {
+	return e.health == placement.InService && e.backend.State != policy.Leaving && !l.state.drained[e.backend.Name]
+}
--- /dev/null
+++ b/hornbeamd/control/oversight.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"hornbeamstep.example/hornbeamd/operator"
+	"hornbeamstep.example/policy"
+	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/routing/quarantine"
+)
+
+// answerLimit is the longest wait for the control loop by an operator's query.
+const answerLimit = time.Second
+
+// query runs a read on the control loop and returns its result, or the zero value if the loop does not answer in time.
+func query[T any](l *Loop, read func(now time.Time) T) T {
+	answer := make(chan T, 1)
+	var zero T
+	if !l.send(func(now time.Time) { answer <- read(now) }) {
+		return zero
+	}
+	select {
+	case v := <-answer:
+		return v
+	case <-time.After(answerLimit):
+		return zero
+	}
+}
+
+// Backends returns the backend servers of the configuration, with loads for the engines that this router owns.
+func (l *Loop) Backends() []operator.Backend {
+	return query(l, func(now time.Time) []operator.Backend {
+		owners := l.Peers.Owners()
+		var out []operator.Backend
+		for name, b := range l.state.policy.Backends {
+			view := operator.Backend{Name: name, Pool: b.Pool, Service: b.Service, Zone: b.Zone, Address: b.Address, State: string(b.State)}
+			if e, ok := l.state.engines[name]; ok {
+				l.describe(&view, e, now)
+				view.Owner = owners.Engine(name)
+			}
+			if l.state.drained[name] {
+				view.State = "draining"
+			}
+			out = append(out, view)
+		}
+		slices.SortFunc(out, func(a, b operator.Backend) int { return strings.Compare(a.Name, b.Name) })
+		return out
+	})
+}
+
+func (l *Loop) describe(view *operator.Backend, e *engineState, now time.Time) {
+	if e.health == placement.Suspect && e.backend.State != policy.Leaving {
+		view.State = "suspect"
+	}
+	if e.gate == nil {
+		return
+	}
+	view.Load = e.gate.Load()
+	view.Bound = e.gate.Limit(now)
+	view.Running, view.Queued = e.report.Running, e.report.Queued
+	view.Reported = e.reported
+	if sum, ok := l.Peers.Mean(e.backend.Pool); ok {
+		view.Mean = sum.Mean()
+	}
+}
+
+// SetDrained takes a backend server out of service on this router, or back, and reports whether it exists. The configuration
+// is the lasting way; this one acts at once and is forgotten when the router is replaced.
+func (l *Loop) SetDrained(name string, drained bool) bool {
+	return query(l, func(time.Time) bool {
+		b, ok := l.state.policy.Backends[name]
+		if !ok {
+			return false
+		}
+		if drained {
+			l.state.drained[name] = true
+		} else {
+			delete(l.state.drained, name)
+		}
+		l.state.dirty = true
+		l.services.drain(b.Name, drained)
+		return true
+	})
+}
+
+// Where returns the placement of a chat's next request.
+func (l *Loop) Where(account, model, adapter, chat string) placement.Decision {
+	s := l.snap.Load()
+	return s.rule.Place(l.Now(), placement.Request{Account: account, Chat: chat, Model: model, Adapter: adapter}, s.view)
+}
+
+// Accounts returns the client accounts with the most requests here, busiest first.
+func (l *Loop) Accounts(most int) []operator.AccountUse {
+	l.init()
+	uses := l.limits.rates(l.Now())
+	slices.SortFunc(uses, func(a, b operator.AccountUse) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), strings.Compare(a.Name, b.Name))
+	})
+	return uses[:min(most, len(uses))]
+}
+
+// Quarantine returns the quarantined fingerprints.
+func (l *Loop) Quarantine() []operator.Quarantined {
+	l.init()
+	l.tracked.Lock()
+	defer l.tracked.Unlock()
+	var out []operator.Quarantined
+	for _, e := range l.tracker.List(l.Now()) {
+		if !e.Quarantined {
+			continue
+		}
+		q := operator.Quarantined{Fingerprint: e.Fingerprint, Since: e.At, Until: e.At.Add(quarantine.Defaults().Expiry)}
+		for _, c := range e.Crashes {
+			q.Engines = append(q.Engines, c.Engine)
+		}
+		out = append(out, q)
+	}
+	return out
+}
+
+// ReleaseFingerprint ends a quarantine here and reports whether there was one.
+func (l *Loop) ReleaseFingerprint(fingerprint string) bool {
+	l.init()
+	l.tracked.Lock()
+	defer l.tracked.Unlock()
+	now := l.Now()
+	if l.tracker.State(now, fingerprint) != quarantine.Quarantined {
+		return false
+	}
+	l.tracker.Release(now, fingerprint)
+	return true
+}
--- /dev/null
+++ b/hornbeamd/control/peers.go
@@ -0,0 +1,196 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"hornbeamstep.example/coord/loadsum"
+	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/routing/admission"
+	"hornbeamstep.example/routing/outcome"
+	"hornbeamstep.example/routing/quarantine"
+)
+
+// Peers is what the control loop needs of the other daemons.
+type Peers interface {
+	// Owners returns the present assignment of engines to routers. Never nil.
+	Owners() *owner.Snapshot
+	// Take asks the owner of an engine for a slot. The error says that the owner did not answer.
+	Take(ctx context.Context, router, engine string, ask SlotAsk) (Answer, error)
+	// Renew extends slots and returns those that the owner no longer knows.
+	Renew(ctx context.Context, router, engine string, slots []uint64) ([]uint64, error)
+	// Free returns a slot. A message that is lost is made up for by the slot's expiry.
+	Free(router, engine string, slot uint64)
+	// Load sends the sums over the engines that this router owns, by pool.
+	Load(sums map[string]loadsum.Sum)
+	// Mean returns the sum over all engines of a pool, false if none is recent.
+	Mean(pool string) (loadsum.Sum, bool)
+	// Addresses returns the addresses for callers of the routers that take part, by name.
+	Addresses() map[string]Address
+	// Isolated is true if neither peers nor the platform have been heard for longer than the limit that the design states.
+	Isolated() bool
+	// Spread tells all routers of a crash suspect, a quarantined request, or a release, as kind says.
+	Spread(kind, fingerprint string, c quarantine.Crash, at time.Time)
+}
+
+// Address is where callers reach a router.
+type Address struct {
+	Caller, Zone string
+	// Leaving routers are left out of route answers.
+	Leaving bool
+}
+
+// slotRef names a slot that a request of this router has.
+type slotRef struct {
+	// router is empty for slots of this router's own gates and shares.
+	router, engine string
+	slot           uint64
+}
+
+// owned asks the gate of this router.
+func (l *Loop) owned(ctx context.Context, engine string, ask SlotAsk) Answer {
+	a := l.Take(ctx, engine, ask)
+	if a.Kind == admission.Granted {
+		l.send(func(time.Time) { l.state.local[ask.Request] = slotRef{engine: engine, slot: a.Slot.ID} })
+	}
+	return a
+}
+
+// remote asks the owner of an engine. If it does not answer, a conservative share of the engine is used.
+func (l *Loop) remote(ctx context.Context, engine string, ask SlotAsk) Answer {
+	router := l.Peers.Owners().Engine(engine)
+	if router == "" || router == l.Settings.ID {
+		return l.shared(ctx, engine, ask)
+	}
+	l.metrics.slotCalls.Inc()
+	a, err := l.Peers.Take(ctx, router, engine, ask)
+	if err != nil {
+		if ctx.Err() != nil {
+			// The owner may have granted the slot; it expires there.
+			return refuse(ask, gone)
+		}
+		return l.shared(ctx, engine, ask)
+	}
+	if a.Kind == admission.Granted {
+		slot := slotRef{router: router, engine: engine, slot: a.Slot.ID}
+		l.send(func(time.Time) { l.state.remote[ask.Request] = slot })
+	}
+	return a
+}
+
+// shared uses the share of an engine that a router has without its owner. Suspects wait for the owner, who alone can keep
+// them apart.
+func (l *Loop) shared(ctx context.Context, name string, ask SlotAsk) Answer {
+	if ask.Suspect != nil {
+		return refuse(ask, apart)
+	}
+	answer := make(chan Answer, 1)
+	sent := l.send(func(now time.Time) {
+		e, ok := l.state.engines[name]
+		if !ok || !l.takesWork(e) {
+			answer <- refuse(ask, outcome.NoBackend)
+			return
+		}
+		if e.share == nil {
+			e.share = admission.NewShare(gateSettings(e.pool))
+		}
+		a := e.share.Offer(now, ask.Ask)
+		if a.Kind == admission.Granted {
+			l.state.shared[ask.Request] = slotRef{engine: name, slot: a.Slot.ID}
+			l.metrics.shares.Inc()
+		}
+		answer <- Answer{Action: a}
+	})
+	if !sent {
+		return refuse(ask, outcome.Draining)
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		// A granted share expires by itself.
+		return refuse(ask, gone)
+	}
+}
+
+// exchange renews slots and exchanges load sums.
+func (l *Loop) exchange(now time.Time) {
+	sums := map[string]loadsum.Sum{}
+	for _, name := range l.state.order {
+		e := l.state.engines[name]
+		if e.gate == nil {
+			continue
+		}
+		if !l.takesWork(e) {
+			continue
+		}
+		sum := sums[e.backend.Pool]
+		sums[e.backend.Pool] = loadsum.Sum{Load: sum.Load + e.gate.Load(), Count: sum.Count + 1}
+	}
+	for _, s := range l.state.local {
+		if e, ok := l.state.engines[s.engine]; ok && e.gate != nil {
+			e.gate.Renew(now, []uint64{s.slot})
+		}
+	}
+	l.Peers.Load(sums)
+	l.means(now)
+	l.renewRemote()
+	l.measure()
+}
+
+// means gives the gates the mean load of their pool.
+func (l *Loop) means(now time.Time) {
+	for _, name := range l.state.order {
+		e := l.state.engines[name]
+		if e.gate == nil {
+			continue
+		}
+		if sum, ok := l.Peers.Mean(e.backend.Pool); ok && sum.Count > 0 {
+			l.carryOut(e, e.gate.Mean(now, admission.Mean{Load: sum.Mean(), Engines: sum.Count}))
+		}
+	}
+}
+
+// renewRemote extends the slots that other routers granted, in one call for each engine.
+func (l *Loop) renewRemote() {
+	type target struct{ router, engine string }
+	groups := map[target][]uint64{}
+	for _, s := range l.state.remote {
+		t := target{s.router, s.engine}
+		groups[t] = append(groups[t], s.slot)
+	}
+	for t, slots := range groups {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), second)
+			defer cancel()
+			// A request whose slot has expired goes on: the engine's report counts it.
+			lost, err := l.Peers.Renew(ctx, t.router, t.engine, slots)
+			if err == nil && len(lost) > 0 {
+				l.metrics.lost.Add(float64(len(lost)))
+			}
+		}()
+	}
+	for _, s := range l.state.shared {
+		if e, ok := l.state.engines[s.engine]; ok && e.share != nil {
+			e.share.Renew(l.Now(), s.slot)
+		}
+	}
+}
+
+// freed returns the slot of a request that has ended, wherever it came from.
+func (l *Loop) freed(request string, now time.Time) {
+	if s, ok := l.state.local[request]; ok {
+		delete(l.state.local, request)
+		l.free(s.engine, s.slot, now)
+	}
+	if s, ok := l.state.remote[request]; ok {
+		delete(l.state.remote, request)
+		go l.Peers.Free(s.router, s.engine, s.slot)
+	}
+	if s, ok := l.state.shared[request]; ok {
+		delete(l.state.shared, request)
+		if e, ok := l.state.engines[s.engine]; ok && e.share != nil {
+			e.share.Release(s.slot)
+		}
+	}
+}
--- /dev/null
+++ b/hornbeamd/control/policy.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"hornbeamstep.example/hornbeamd/caller"
+	"hornbeamstep.example/policy"
+	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/routing/outcome"
+	"hornbeamstep.example/timeline"
+)
+
+// Policy implements caller.Dispatcher.
+func (l *Loop) Policy() policy.Policy {
+	l.init()
+	return l.snap.Load().policy
+}
+
+// enterForce makes a new revision visible at once and records it.
+func (l *Loop) enterForce(s history.State) {
+	l.record(timeline.Event{
+		Kind: timeline.InForce,
+		Text: fmt.Sprintf("revision %d by %s: %s", s.Revision.Number, s.Revision.Author, s.Revision.Message),
+	})
+	l.Log.Info("configuration in force", zap.Int64("revision", s.Revision.Number), zap.String("author", s.Revision.Author))
+}
+
+// Record implements caller.Dispatcher.
+func (l *Loop) Record(e timeline.Event) { l.record(e) }
+
+func (l *Loop) record(e timeline.Event) {
+	if l.Ring != nil {
+		l.Ring.Add(e)
+	}
+}
+
+// Draining implements caller.Dispatcher.
+func (l *Loop) Draining() bool { return l.draining.Load() }
+
+// Drain makes the router leave the route answers.
+func (l *Loop) Drain() {
+	if !l.draining.Swap(true) {
+		l.Log.Info("drain begins")
+	}
+}
+
+// Ready implements caller.Dispatcher.
+func (l *Loop) Ready() error {
+	l.init()
+	switch {
+	case l.Draining():
+		return &NotReadyError{Reason: "the router is draining", Remedy: "use another router"}
+	case l.snap.Load().policy.Revision == 0:
+		return &NotReadyError{Reason: "no configuration is in force yet", Remedy: "push a configuration, or check the object api and the peers' addresses"}
+	case l.Peers.Isolated():
+		return &NotReadyError{Reason: "neither peers nor the platform answer", Remedy: "check the network of this instance"}
+	}
+	return nil
+}
+
+// NotReadyError says why a router should get no new callers.
+type NotReadyError struct{ Reason, Remedy string }
+
+func (e *NotReadyError) Error() string { return e.Reason + "; " + e.Remedy }
+
+// isolated refuses requests once the router has been cut off for longer than its configuration can be trusted.
+func (l *Loop) isolated() *outcome.Error {
+	if !l.Peers.Isolated() {
+		return nil
+	}
+	var others []string
+	for _, a := range l.Route("", "", "").Addresses {
+		if a.Address != l.Settings.Caller.Address {
+			others = append(others, a.Address)
+		}
+	}
+	return &outcome.Error{
+		Code: outcome.Isolated, Outcome: outcome.NotRun, Status: 503, Retry: comeBack, Addresses: others,
+		Message: "this router is cut off from the fleet",
+		Remedy:  "send the request to another router",
+	}
+}
+
+var _ caller.Dispatcher = (*Loop)(nil)
--- /dev/null
+++ b/hornbeamd/control/slots.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"hornbeamstep.example/routing/admission"
+	"hornbeamstep.example/routing/outcome"
+	"hornbeamstep.example/routing/quarantine"
+)
+
+// notOwner is the code with which a router refuses a slot of an engine that another one owns. It never reaches a caller.
+const notOwner outcome.Code = "not_owner"
+
+// gone is the code for a request whose caller left while it waited.
+const gone outcome.Code = "gone"
+
+// SlotAsk is a request for a slot on an engine.
+type SlotAsk struct {
+	admission.Ask
+	// Fingerprint identifies the request. Suspect is set if it was in flight on an engine that crashed.
+	Fingerprint string
+	Suspect     *quarantine.Crash
+}
+
+// Answer is an owner's answer to a SlotAsk.
+type Answer struct {
+	admission.Action
+	// Boot is the engine's present life; empty while the owner has no report.
+	Boot string
+}
+
+// refuse returns a refusal that the gate did not make.
+func refuse(ask SlotAsk, code outcome.Code) Answer {
+	return Answer{Action: admission.Action{Kind: admission.Refused, Ask: ask.Ask, Code: code, Retry: comeBack}}
+}
+
+// Take asks the gate of an engine that this router owns, and waits in its queue.
+func (l *Loop) Take(ctx context.Context, name string, ask SlotAsk) Answer {
+	answer := make(chan Answer, 1)
+	if !l.send(func(now time.Time) { l.offered(name, ask, answer, now) }) {
+		return refuse(ask, outcome.Draining)
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		l.send(func(now time.Time) { l.abandon(name, ask.Request, answer, now) })
+		return refuse(ask, gone)
+	}
+}
+
+func (l *Loop) offered(name string, ask SlotAsk, answer chan<- Answer, now time.Time) {
+	e, ok := l.state.engines[name]
+	switch {
+	case !ok || e.gate == nil:
+		answer <- refuse(ask, notOwner)
+		return
+	case !l.takesWork(e):
+		answer <- refuse(ask, outcome.NoBackend)
+		return
+	}
+	if code := l.mayStart(now, name, ask); code != "" {
+		answer <- refuse(ask, code)
+		return
+	}
+	// A suspect does not wait: while it did, no other suspect could use the engine.
+	ask.NoQueue = ask.NoQueue || ask.Suspect != nil
+	a := e.gate.Offer(now, ask.Ask)
+	if a.Kind == admission.Queued {
+		e.waiters[ask.Request] = waiter{answer: answer, ask: ask}
+		return
+	}
+	l.answer(e, waiter{answer: answer, ask: ask}, a)
+}
+
+// waiter is a request in the queue of an engine.
+type waiter struct {
+	answer chan<- Answer
+	ask    SlotAsk
+}
+
+// answer gives a request the decision of the gate, and remembers its slot.
+func (l *Loop) answer(e *engineState, w waiter, a admission.Action) {
+	if a.Kind == admission.Granted {
+		e.granted[a.Slot.ID] = w.ask
+	} else {
+		l.over(w.ask.Fingerprint, e.backend.Name, false)
+	}
+	w.answer <- Answer{Action: a, Boot: e.boot}
+}
+
+// abandon takes a request out of the queue. If it was granted meanwhile, its slot is freed.
+func (l *Loop) abandon(name, request string, answer <-chan Answer, now time.Time) {
+	select {
+	case a := <-answer:
+		if a.Kind == admission.Granted {
+			l.free(name, a.Slot.ID, now)
+		}
+		return
+	default:
+	}
+	e, ok := l.state.engines[name]
+	if !ok || e.gate == nil {
+		return
+	}
+	e.gate.Abandon(request)
+	if w, ok := e.waiters[request]; ok {
+		delete(e.waiters, request)
+		l.over(w.ask.Fingerprint, name, false)
+	}
+}
+
+// Free returns a slot on an engine that this router owns.
+func (l *Loop) Free(name string, slot uint64) {
+	l.send(func(now time.Time) { l.free(name, slot, now) })
+}
+
+func (l *Loop) free(name string, slot uint64, now time.Time) {
+	e, ok := l.state.engines[name]
+	if !ok || e.gate == nil {
+		return
+	}
+	l.forget(e, slot)
+	l.carryOut(e, e.gate.Release(now, slot))
+}
+
+// forget ends what a slot's request was remembered for.
+func (l *Loop) forget(e *engineState, slot uint64) {
+	if ask, ok := e.granted[slot]; ok {
+		delete(e.granted, slot)
+		l.over(ask.Fingerprint, e.backend.Name, false)
+	}
+}
+
+// Renew extends slots on an engine that this router owns, and returns those that are no longer held.
+func (l *Loop) Renew(ctx context.Context, name string, slots []uint64) []uint64 {
+	answer := make(chan []uint64, 1)
+	sent := l.send(func(now time.Time) {
+		e, ok := l.state.engines[name]
+		if !ok || e.gate == nil {
+			answer <- slots
+			return
+		}
+		answer <- e.gate.Renew(now, slots)
+	})
+	if !sent {
+		return slots
+	}
+	select {
+	case lost := <-answer:
+		return lost
+	case <-ctx.Done():
+		return nil
+	}
+}
--- /dev/null
+++ b/hornbeamd/daemon/daemon.go
@@ -0,0 +1,208 @@
+// Package daemon wires the parts of one router together and runs them.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"hornbeamstep.example/coord/claim"
+	"hornbeamstep.example/hornbeamd/caller"
+	"hornbeamstep.example/hornbeamd/control"
+	"hornbeamstep.example/hornbeamd/engine"
+	"hornbeamstep.example/hornbeamd/exchange"
+	"hornbeamstep.example/hornbeamd/operator"
+	"hornbeamstep.example/hornbeamd/peer"
+	"hornbeamstep.example/hornbeamd/service"
+	"hornbeamstep.example/hornbeamd/settings"
+	"hornbeamstep.example/platform/instancelist"
+	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/policy"
+	"hornbeamstep.example/policy/folder"
+	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/timeline"
+)
+
+// Daemon is one router. Its exported fields are set before Run or Open.
+type Daemon struct {
+	Settings settings.Settings
+	// Log is the log; nil for none.
+	Log *zap.Logger
+
+	registry *prometheus.Registry
+	ring     *timeline.Ring
+	store    objectapi.Store
+	history  *history.History
+	list     *instancelist.HTTP
+	inForce  *history.InForce
+	claims   *claim.Table
+	node     *peer.Node
+	loop     *control.Loop
+	server   *caller.Server
+	operator *operator.Server
+	listener net.Listener
+	// stopped is closed when an operator drains the daemon.
+	stopped  chan struct{}
+	stopOnce sync.Once
+}
+
+// Open binds the address for callers and builds the parts. Run calls it if it was not called.
+func (d *Daemon) Open() error {
+	if d.Log == nil {
+		d.Log = zap.NewNop()
+	}
+	d.Log = d.Log.With(zap.String("daemon", d.Settings.ID))
+	listener, err := net.Listen("tcp", d.Settings.Caller.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "cannot listen for callers on %s: free the port or set another", d.Settings.Caller.Listen)
+	}
+	d.listener = listener
+	d.stopped = make(chan struct{})
+	if d.Settings.Caller.Address == "" {
+		d.Settings.Caller.Address = listener.Addr().String()
+	}
+	d.registry = prometheus.NewRegistry()
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.ring = timeline.NewRing(d.Settings.ID, 0, nil)
+	d.openPlatform()
+	if err := d.openPeers(); err != nil {
+		return err
+	}
+	if err := d.openCallers(); err != nil {
+		return err
+	}
+	return d.openOperators()
+}
+
+func (d *Daemon) openPlatform() {
+	d.store = &objectapi.HTTP{Base: d.Settings.Platform.Objects, Timeout: d.Settings.Platform.Timeout}
+	d.history = &history.History{Store: d.store}
+	d.list = &instancelist.HTTP{Base: d.Settings.Platform.Instances, Timeout: d.Settings.Platform.Timeout}
+	d.inForce = &history.InForce{}
+	d.claims = &claim.Table{Store: d.store}
+}
+
+func (d *Daemon) openPeers() error {
+	s := d.Settings.Peer
+	d.node = &peer.Node{
+		ID: d.Settings.ID, Zone: d.Settings.Zone, Region: d.Settings.Region, Listen: s.Listen,
+		Caller: d.Settings.Caller.Address, Seeds: s.Seeds, Logger: d.Log, Metrics: d.registry,
+	}
+	if s.TLS.Cert != "" {
+		keys, err := peer.LoadKeys(s.TLS.Cert, s.TLS.Key, s.TLS.CA)
+		if err != nil {
+			return err
+		}
+		d.node.Keys = keys
+	}
+	peers := &peers{node: d.node, lifetime: d.Settings.Caller.Lifetime}
+	d.loop = &control.Loop{
+		Settings: d.Settings, Peers: peers, Claims: d.claims, Engine: d.engine, Ring: d.ring, Log: d.Log,
+		Registry: d.registry, InForce: d.inForce,
+	}
+	d.node.Slots = slots{loop: d.loop}
+	d.node.Loads = peers
+	d.node.Revisions = revisions{inForce: d.inForce, loader: &folder.Loader{}}
+	d.node.Notices = notices{loop: d.loop}
+	d.node.Timeline = events{ring: d.ring}
+	d.node.Operator = d
+	return nil
+}
+
+// engine returns a client for the control traffic with an engine.
+func (d *Daemon) engine(b policy.Backend) control.Engine {
+	return engine.New(b.Name+" control", b.Address, engine.Options{
+		Options: exchange.Options{Dial: d.Settings.Engine.Connect, Idle: 2},
+	})
+}
+
+func (d *Daemon) openCallers() error {
+	s := d.Settings
+	server, err := caller.New(caller.Options{
+		Dispatcher: d.loop, Registry: d.registry, Log: d.Log,
+		Body: int(s.Caller.Body), Requests: s.Caller.Connections, Connections: 2 * s.Caller.Connections,
+		Heartbeat: s.Caller.Heartbeat, Write: s.Caller.Write, Lifetime: s.Caller.Lifetime, Keep: claim.MaxAnswer,
+		Engine: engine.Options{
+			Options: exchange.Options{Dial: s.Engine.Connect}, First: s.Engine.First, Progress: s.Engine.Progress,
+		},
+		Service: service.Options{Options: exchange.Options{Dial: s.Engine.Connect}, Progress: s.Engine.First},
+	})
+	d.server = server
+	return err
+}
+
+func (d *Daemon) openOperators() error {
+	d.operator = &operator.Server{
+		Fleet: &fleet{daemon: d}, Settings: d.Settings.Operator, Log: d.Log, Metrics: d.registry,
+	}
+	return d.operator.Open()
+}
+
+// Addresses of the daemon, valid after Open; that for peers after Ready.
+func (d *Daemon) Addresses() (callers, peers, operators string) {
+	return d.Settings.Caller.Address, d.node.Address(), d.operator.Address()
+}
+
+// Ready is closed once the daemon takes part in the fleet. Valid after Open.
+func (d *Daemon) Ready() <-chan struct{} { return d.node.Ready() }
+
+// Run serves until ctx ends and the drain that follows is complete. It returns an error if a part fails, or if the drain
+// exceeds its limit.
+func (d *Daemon) Run(ctx context.Context) error {
+	if d.listener == nil {
+		if err := d.Open(); err != nil {
+			return err
+		}
+	}
+	caller.ExtendShutdown(d.drainLimit())
+	// The parts outlive ctx by the drain.
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, parts := errgroup.WithContext(parts)
+	group.Go(func() error { return d.node.Run(parts) })
+	group.Go(func() error { return d.loop.Run(parts) })
+	group.Go(func() error { return d.operator.Run(parts) })
+	group.Go(func() error { return d.server.Serve(d.listener) })
+	group.Go(func() error { return d.watchConfig(parts) })
+	group.Go(func() error { return d.readInstances(parts) })
+	group.Go(func() error { return d.assign(parts) })
+	d.Log.Info("daemon started", zap.String("callers", d.Settings.Caller.Address))
+	select {
+	case <-ctx.Done():
+	case <-d.stopped:
+	case <-parts.Done():
+		// A part failed.
+		_ = d.server.Close()
+		return group.Wait()
+	}
+	err := d.drain()
+	stop()
+	return errors.Join(err, group.Wait())
+}
+
+// requestStop begins the drain of this daemon.
+func (d *Daemon) requestStop() {
+	d.stopOnce.Do(func() { close(d.stopped) })
+}
+
+// drainLimit is the longest time from the signal to the end of the process.
+func (d *Daemon) drainLimit() time.Duration {
+	return d.Settings.Caller.Lifetime + d.Settings.Drain.Longest
+}
+
+// drain leaves the route answers, serves for their lifetime, and finishes what is in progress.
+func (d *Daemon) drain() error {
+	ctx, cancel := context.WithTimeout(context.Background(), d.drainLimit())
+	defer cancel()
+	d.loop.Drain()
+	d.node.Leave()
+	return d.server.Drain(ctx)
+}
--- /dev/null
+++ b/hornbeamd/daemon/fleet.go
@@ -0,0 +1,334 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"hornbeamstep.example/coord/member"
+	"hornbeamstep.example/hornbeamd/operator"
+	"hornbeamstep.example/hornbeamd/peer"
+	"hornbeamstep.example/policy"
+	"hornbeamstep.example/timeline"
+)
+
+// queryLimit is the longest wait for the answers of other daemons to an operator's query; parallel bounds the calls at once.
+const (
+	queryLimit = 2 * time.Second
+	parallel   = 32
+)
+
+// fleet answers operators. It implements operator.Fleet.
+type fleet struct{ daemon *Daemon }
+
+// Status implements operator.Fleet.
+func (f *fleet) Status(context.Context) (operator.Status, error) {
+	d := f.daemon
+	s := operator.Status{
+		Daemon: d.Settings.ID, Zone: d.Settings.Zone, Region: d.Settings.Region,
+		Revision: d.loop.Policy().Revision, Draining: d.loop.Draining(), Ready: true,
+	}
+	if err := d.loop.Ready(); err != nil {
+		s.Ready, s.Reason = false, err.Error()
+	}
+	for _, m := range d.node.Members().Members {
+		s.Members = append(s.Members, operator.Member{
+			ID: m.ID, Address: m.Address, Zone: m.Zone, State: memberState(m), Incarnation: uint64(m.Incarnation),
+		})
+	}
+	s.Owners = f.owners()
+	return s, nil
+}
+
+func memberState(m member.Member) string {
+	if m.Leaving {
+		return "leaving"
+	}
+	return m.Status.String()
+}
+
+func (f *fleet) owners() []operator.Owner {
+	snapshot := f.daemon.node.Owners()
+	var out []operator.Owner
+	p := f.daemon.loop.Policy()
+	for _, name := range slices.Sorted(maps.Keys(p.Backends)) {
+		if p.Backends[name].Pool != "" {
+			out = append(out, operator.Owner{Kind: "backend", Name: name, Router: snapshot.Engine(name)})
+		}
+	}
+	for _, zone := range snapshot.Zones() {
+		for _, router := range snapshot.Relays(zone) {
+			out = append(out, operator.Owner{Kind: "relay", Name: zone, Router: router})
+		}
+	}
+	for i := range snapshot.Shards() {
+		out = append(out, operator.Owner{Kind: "shard", Name: strconv.Itoa(i), Router: snapshot.Shard(i)})
+	}
+	return out
+}
+
+// Backends implements operator.Fleet. Loads are known for the engines that this daemon owns; others are asked.
+func (f *fleet) Backends(ctx context.Context) ([]operator.Backend, error) {
+	byName := map[string]operator.Backend{}
+	for _, b := range f.daemon.loop.Backends() {
+		byName[b.Name] = b
+	}
+	reports, _ := f.statuses(ctx)
+	for _, r := range reports {
+		for _, b := range r.Owned {
+			byName[b.Name] = b
+		}
+	}
+	var out []operator.Backend
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out = append(out, byName[name])
+	}
+	return out, nil
+}
+
+// report is what a daemon tells others for their operators.
+type report struct {
+	Router   string
+	Zone     string
+	Revision int64
+	Owned    []operator.Backend
+}
+
+// Status implements peer.Operator.
+func (d *Daemon) Status(context.Context) ([]byte, error) {
+	r := report{Router: d.Settings.ID, Zone: d.Settings.Zone, Revision: d.loop.Policy().Revision}
+	for _, b := range d.loop.Backends() {
+		if b.Owner == d.Settings.ID {
+			r.Owned = append(r.Owned, b)
+		}
+	}
+	return json.Marshal(r)
+}
+
+// statuses asks all daemons, and returns those that did not answer in time.
+func (f *fleet) statuses(ctx context.Context) ([]report, []member.Member) {
+	var mu sync.Mutex
+	var reports []report
+	var missing []member.Member
+	f.each(ctx, func(ctx context.Context, m member.Member) {
+		document, err := f.daemon.node.Status(ctx, m.ID)
+		var r report
+		if err == nil {
+			err = json.Unmarshal(document, &r)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			missing = append(missing, m)
+			return
+		}
+		reports = append(reports, r)
+	})
+	return reports, missing
+}
+
+// each calls all members, a bounded number at once.
+func (f *fleet) each(ctx context.Context, call func(context.Context, member.Member)) {
+	ctx, cancel := context.WithTimeout(ctx, queryLimit)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(parallel)
+	for _, m := range f.daemon.node.Members().Members {
+		group.Go(func() error {
+			call(ctx, m)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// Drain implements operator.Fleet.
+func (f *fleet) Drain(_ context.Context, target operator.Target) (operator.Drained, error) {
+	if target.Self {
+		f.daemon.requestStop()
+		return operator.Drained{Target: f.daemon.Settings.ID, State: "draining", Running: f.daemon.server.Active()}, nil
+	}
+	return f.setDrained(target, true)
+}
+
+// Undrain implements operator.Fleet.
+func (f *fleet) Undrain(_ context.Context, target operator.Target) (operator.Drained, error) {
+	if target.Self {
+		return operator.Drained{}, &operator.Error{
+			Code: operator.Conflict, Message: "a daemon that drains can't be taken back", Remedy: "start it again",
+		}
+	}
+	return f.setDrained(target, false)
+}
+
+func (f *fleet) setDrained(target operator.Target, drained bool) (operator.Drained, error) {
+	if !f.daemon.loop.SetDrained(target.Backend, drained) {
+		return operator.Drained{}, &operator.Error{
+			Code: operator.NotFound, Message: fmt.Sprintf("backend server %q is not in the configuration", target.Backend),
+			Remedy: "list the backend servers with hornbeamctl status",
+		}
+	}
+	kind := "undrain"
+	if drained {
+		kind = "drain"
+	}
+	f.daemon.node.Spread(peer.Notice{Kind: kind, Engine: target.Backend, At: time.Now()})
+	f.daemon.ring.Add(timeline.Event{Kind: timeline.Drained, Backend: target.Backend, Text: kind + ": " + target.Reason})
+	state := operator.Drained{Target: target.Backend, State: "service"}
+	if !drained {
+		return state, nil
+	}
+	state.State = "drained"
+	for _, b := range f.daemon.loop.Backends() {
+		if b.Name == target.Backend && b.Running > 0 {
+			state.State, state.Running = "draining", b.Running
+		}
+	}
+	return state, nil
+}
+
+// Where implements operator.Fleet.
+func (f *fleet) Where(_ context.Context, q operator.Query) (operator.Where, error) {
+	model, err := chooseModel(f.daemon.loop.Policy(), q.Model)
+	if err != nil {
+		return operator.Where{}, err
+	}
+	decision := f.daemon.loop.Where(q.Account, model, q.Adapter, q.Chat)
+	return operator.Where{
+		Chat: q.Chat, Model: model, Engine: decision.Engine, Home: decision.Home, Second: decision.Second,
+		Reason: decision.Reason.String(), Owner: f.daemon.node.Owners().Engine(decision.Engine),
+	}, nil
+}
+
+func chooseModel(p policy.Policy, name string) (string, error) {
+	if _, ok := p.Models[name]; ok {
+		return name, nil
+	}
+	models := slices.Sorted(maps.Keys(p.Models))
+	if name == "" && len(models) == 1 {
+		return models[0], nil
+	}
+	return "", &operator.Error{
+		Code: operator.Invalid, Message: fmt.Sprintf("model %q is not in the configuration", name),
+		Remedy: fmt.Sprintf("name one of %v", models),
+	}
+}
+
+// Top implements operator.Fleet.
+func (f *fleet) Top(ctx context.Context, limit int) (operator.Top, error) {
+	top := operator.Top{Accounts: f.daemon.loop.Accounts(limit)}
+	backends, err := f.Backends(ctx)
+	if err != nil {
+		return top, err
+	}
+	for _, b := range backends {
+		if b.Pool == "" {
+			continue
+		}
+		use := operator.EngineUse{Name: b.Name, Pool: b.Pool, Load: b.Load}
+		if b.Mean > 0 {
+			use.Ratio = b.Load / b.Mean
+		}
+		top.Engines = append(top.Engines, use)
+	}
+	slices.SortStableFunc(top.Engines, func(a, b operator.EngineUse) int { return compare(b.Load, a.Load) })
+	top.Engines = top.Engines[:min(limit, len(top.Engines))]
+	return top, nil
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Orders implements operator.Fleet.
+func (f *fleet) Orders(context.Context) ([]operator.Order, error) { return nil, nil }
+
+// Quarantine implements operator.Fleet.
+func (f *fleet) Quarantine(context.Context) ([]operator.Quarantined, error) {
+	return f.daemon.loop.Quarantine(), nil
+}
+
+// Release implements operator.Fleet.
+func (f *fleet) Release(_ context.Context, fingerprint string) error {
+	if !f.daemon.loop.ReleaseFingerprint(fingerprint) {
+		return &operator.Error{
+			Code: operator.NotFound, Message: fmt.Sprintf("fingerprint %q is not quarantined", fingerprint),
+			Remedy: "list the fingerprints with hornbeamctl quarantine list",
+		}
+	}
+	f.daemon.node.Spread(peer.Notice{Kind: "release", Fingerprint: fingerprint, At: time.Now()})
+	return nil
+}
+
+// Timeline implements operator.Fleet.
+func (f *fleet) Timeline(ctx context.Context, filter timeline.Filter) (operator.Timeline, error) {
+	var mu sync.Mutex
+	var rings [][]timeline.Event
+	var out operator.Timeline
+	query := peer.Query{Request: filter.Request, Chat: filter.Chat, Since: filter.Since, Limit: filter.Limit}
+	f.each(ctx, func(ctx context.Context, m member.Member) {
+		found, err := f.daemon.node.Events(ctx, m.ID, query)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			out.Missing = append(out.Missing, m.ID)
+			return
+		}
+		rings = append(rings, found)
+	})
+	out.Events = timeline.Merge(rings...)
+	if filter.Limit > 0 && len(out.Events) > filter.Limit {
+		out.Events = out.Events[len(out.Events)-filter.Limit:]
+	}
+	slices.Sort(out.Missing)
+	return out, nil
+}
+
+// InForce implements operator.Fleet.
+func (f *fleet) InForce(ctx context.Context, revision int64) (operator.InForce, error) {
+	if revision == 0 {
+		head, err := f.daemon.history.Head(ctx)
+		if err != nil {
+			return operator.InForce{}, &operator.Error{
+				Code: operator.Unavailable, Message: err.Error(), Remedy: "name a revision, or wait for the object API", Cause: err,
+			}
+		}
+		revision = head.Number
+	}
+	out := operator.InForce{Revision: revision, Complete: true}
+	reports, missing := f.statuses(ctx)
+	for _, r := range reports {
+		out.Routers = append(out.Routers, operator.RouterRevision{Router: r.Router, Zone: r.Zone, Revision: r.Revision, Answered: true})
+		out.Complete = out.Complete && r.Revision >= revision
+	}
+	for _, m := range missing {
+		out.Routers = append(out.Routers, operator.RouterRevision{Router: m.ID, Zone: m.Zone})
+		out.Complete = false
+	}
+	slices.SortFunc(out.Routers, func(a, b operator.RouterRevision) int {
+		if a.Router < b.Router {
+			return -1
+		}
+		return 1
+	})
+	return out, nil
+}
+
+// Doctor implements operator.Fleet.
+func (f *fleet) Doctor(ctx context.Context) ([]operator.Check, error) {
+	return f.daemon.checks(ctx), nil
+}
--- /dev/null
+++ b/hornbeamd/daemon/peers.go
@@ -0,0 +1,239 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"hornbeamstep.example/coord/loadsum"
+	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/hornbeamd/control"
+	"hornbeamstep.example/hornbeamd/peer"
+	"hornbeamstep.example/routing/admission"
+	"hornbeamstep.example/routing/outcome"
+	"hornbeamstep.example/routing/quarantine"
+	"hornbeamstep.example/timeline"
+)
+
+const (
+	// takeLimit is added to the wait in a queue for the answer to a request for a slot.
+	takeLimit = 500 * time.Millisecond
+	// isolationLimit is how long a router that is cut off goes on serving with the configuration that it has.
+	isolationLimit = 60 * time.Second
+)
+
+// peers is the control loop's view of the other daemons. It implements control.Peers and peer.Loads.
+type peers struct {
+	node     *peer.Node
+	lifetime time.Duration
+
+	mu   sync.Mutex
+	sums map[string]loadsum.Sum
+	// cut is when the router was first found cut off; zero while it is not.
+	cut time.Time
+}
+
+// Owners implements control.Peers.
+func (p *peers) Owners() *owner.Snapshot { return p.node.Owners() }
+
+// Take implements control.Peers.
+func (p *peers) Take(ctx context.Context, router, engine string, ask control.SlotAsk) (control.Answer, error) {
+	wait := time.Duration(0)
+	if !ask.NoQueue {
+		wait = time.Until(ask.Deadline)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+takeLimit)
+	defer cancel()
+	grant, err := p.node.Take(ctx, router, peer.SlotAsk{
+		Request: ask.Request, Engine: engine, Account: ask.Account, Class: int(ask.Class), Cost: ask.Cost, Weight: ask.Weight,
+		Wait: wait, Fingerprint: ask.Fingerprint, Suspect: toCrash(ask.Suspect),
+	})
+	var refused *outcome.Error
+	if errors.As(err, &refused) {
+		return control.Answer{Action: admission.Action{
+			Kind: admission.Refused, Ask: ask.Ask, Code: refused.Code, Retry: refused.Retry,
+		}}, nil
+	}
+	if err != nil {
+		return control.Answer{}, err
+	}
+	_, id, err := parseSlot(grant.Slot)
+	if err != nil {
+		return control.Answer{}, err
+	}
+	return control.Answer{
+		Action: admission.Action{Kind: admission.Granted, Ask: ask.Ask, Slot: admission.Slot{ID: id}},
+		Boot:   grant.Boot,
+	}, nil
+}
+
+// Renew implements control.Peers.
+func (p *peers) Renew(ctx context.Context, router, engine string, slots []uint64) ([]uint64, error) {
+	names := make([]string, len(slots))
+	for i, id := range slots {
+		names[i] = slotName(engine, id)
+	}
+	lost, err := p.node.Renew(ctx, router, names)
+	var ids []uint64
+	for _, name := range lost {
+		if _, id, err := parseSlot(name); err == nil {
+			ids = append(ids, id)
+		}
+	}
+	return ids, err
+}
+
+// Free implements control.Peers.
+func (p *peers) Free(router, engine string, slot uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), takeLimit)
+	defer cancel()
+	// A slot that could not be freed expires.
+	_ = p.node.Free(ctx, router, []string{slotName(engine, slot)})
+}
+
+// Load implements control.Peers.
+func (p *peers) Load(sums map[string]loadsum.Sum) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sums = sums
+}
+
+// Loads implements peer.Loads.
+func (p *peers) Loads() map[string]loadsum.Sum {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sums
+}
+
+// Mean implements control.Peers.
+func (p *peers) Mean(pool string) (loadsum.Sum, bool) { return p.node.Sum(pool) }
+
+// Addresses implements control.Peers.
+func (p *peers) Addresses() map[string]control.Address {
+	view := p.node.Members()
+	all := make(map[string]control.Address, len(view.Members))
+	for _, m := range view.Members {
+		all[m.ID] = control.Address{Caller: m.Caller, Zone: m.Zone, Leaving: m.Leaving || !m.Status.Live()}
+	}
+	return all
+}
+
+// Isolated implements control.Peers.
+func (p *peers) Isolated() bool {
+	trusted := p.node.Members().Trusted
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if trusted {
+		p.cut = time.Time{}
+		return false
+	}
+	if p.cut.IsZero() {
+		p.cut = time.Now()
+	}
+	return time.Since(p.cut) > isolationLimit
+}
+
+// Spread implements control.Peers.
+func (p *peers) Spread(kind, fingerprint string, c quarantine.Crash, at time.Time) {
+	p.node.Spread(peer.Notice{Kind: kind, Fingerprint: fingerprint, Engine: c.Engine, Boot: c.Boot, At: at})
+}
+
+func toCrash(c *quarantine.Crash) *peer.Crash {
+	if c == nil {
+		return nil
+	}
+	return &peer.Crash{Engine: c.Engine, Boot: c.Boot}
+}
+
+// slotName is the name of a slot between daemons.
+func slotName(engine string, id uint64) string { return engine + "/" + strconv.FormatUint(id, 10) }
+
+func parseSlot(name string) (engine string, id uint64, err error) {
+	engine, number, ok := strings.Cut(name, "/")
+	if !ok {
+		return "", 0, fmt.Errorf("slot %q has no engine; use the same version on all daemons", name)
+	}
+	id, err = strconv.ParseUint(number, 10, 64)
+	return engine, id, err
+}
+
+// slots answers other daemons that ask for slots. It implements peer.Slots.
+type slots struct{ loop *control.Loop }
+
+// Take implements peer.Slots.
+func (s slots) Take(ctx context.Context, from string, ask peer.SlotAsk) (peer.SlotGrant, error) {
+	in := control.SlotAsk{
+		Ask: admission.Ask{
+			Request: ask.Request, Router: from, Account: ask.Account, Class: admission.Class(ask.Class), Weight: ask.Weight,
+			Cost: ask.Cost, NoQueue: ask.Wait <= 0, Deadline: time.Now().Add(ask.Wait),
+		},
+		Fingerprint: ask.Fingerprint,
+	}
+	if ask.Suspect != nil {
+		in.Suspect = &quarantine.Crash{Engine: ask.Suspect.Engine, Boot: ask.Suspect.Boot}
+	}
+	a := s.loop.Take(ctx, ask.Engine, in)
+	if a.Kind != admission.Granted {
+		return peer.SlotGrant{}, &outcome.Error{
+			Code: a.Code, Outcome: outcome.NotRun, Status: 429, Retry: a.Retry,
+			Message: "no slot on engine " + ask.Engine, Remedy: "send the request again after the retry time",
+		}
+	}
+	return peer.SlotGrant{Slot: slotName(ask.Engine, a.Slot.ID), Lease: admission.Defaults().Lease, Boot: a.Boot}, nil
+}
+
+// Free implements peer.Slots.
+func (s slots) Free(_ context.Context, _ string, names []string) error {
+	for _, name := range names {
+		engine, id, err := parseSlot(name)
+		if err != nil {
+			return err
+		}
+		s.loop.Free(engine, id)
+	}
+	return nil
+}
+
+// Renew implements peer.Slots.
+func (s slots) Renew(ctx context.Context, _ string, names []string) ([]string, error) {
+	byEngine := map[string][]uint64{}
+	for _, name := range names {
+		engine, id, err := parseSlot(name)
+		if err != nil {
+			return nil, err
+		}
+		byEngine[engine] = append(byEngine[engine], id)
+	}
+	var lost []string
+	for engine, ids := range byEngine {
+		for _, id := range s.loop.Renew(ctx, engine, ids) {
+			lost = append(lost, slotName(engine, id))
+		}
+	}
+	return lost, nil
+}
+
+// notices hands on what other daemons spread. It implements peer.Notices.
+type notices struct{ loop *control.Loop }
+
+// Notice implements peer.Notices.
+func (n notices) Notice(in peer.Notice) {
+	switch in.Kind {
+	case "drain", "undrain":
+		n.loop.SetDrained(in.Engine, in.Kind == "drain")
+		return
+	}
+	n.loop.Notice(in.Kind, in.Fingerprint, quarantine.Crash{Engine: in.Engine, Boot: in.Boot}, in.At)
+}
+
+// events answers queries of other daemons. It implements peer.Timeline.
+type events struct{ ring *timeline.Ring }
+
+// Query implements peer.Timeline.
+func (e events) Query(_ context.Context, q peer.Query) ([]timeline.Event, error) {
+	return e.ring.Events(timeline.Filter{Request: q.Request, Chat: q.Chat, Since: q.Since, Limit: q.Limit}), nil
+}
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -23,6 +23,8 @@
 	Class int
 	// Cost is in the engine's own unit of load.
 	Cost float64
+	// Weight is the account's share in fair queueing.
+	Weight float64
 	// Wait is how long the request may be queued.
 	Wait time.Duration
 	// Fingerprint identifies the request. Suspect is set if the request was in flight on an engine that crashed.
@@ -72,6 +74,7 @@
 	Account string  `json:"account,omitempty"`
 	Class   int     `json:"class,omitempty"`
 	Cost    float64 `json:"cost,omitempty"`
+	Weight  float64 `json:"weight,omitempty"`
 	// Wait is in milliseconds.
 	Wait        int64  `json:"wait,omitempty"`
 	Fingerprint string `json:"print,omitempty"`
@@ -229,7 +232,7 @@
 
 func (w wireAsk) ask() SlotAsk {
 	return SlotAsk{
-		Request: w.Request, Engine: w.Engine, Account: w.Account, Class: w.Class, Cost: w.Cost,
+		Request: w.Request, Engine: w.Engine, Account: w.Account, Class: w.Class, Cost: w.Cost, Weight: w.Weight,
 		Wait: time.Duration(w.Wait) * time.Millisecond, Fingerprint: w.Fingerprint, Suspect: w.Suspect,
 	}
 }
@@ -325,7 +328,7 @@
 	}
 	var w wireGrant
 	params := wireAsk{
-		From: n.ID, Request: a.Request, Engine: a.Engine, Account: a.Account, Class: a.Class, Cost: a.Cost,
+		From: n.ID, Request: a.Request, Engine: a.Engine, Account: a.Account, Class: a.Class, Cost: a.Cost, Weight: a.Weight,
 		Wait: a.Wait.Milliseconds(), Fingerprint: a.Fingerprint, Suspect: a.Suspect,
 	}
 	err := n.send(ctx, router, "slot", params, &w)
--- a/hornbeamd/peer/loop.go
+++ b/hornbeamd/peer/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -120,27 +121,15 @@
 		l.reassign(now, view)
 	}
 	last := l.n.published.Load()
-	means := l.loads.Means(now)
-	if last.view != l.view || last.owners != l.owners || last.revision != l.revisions.Revision() || !equal(last.means, means) {
+	sums := l.loads.Sums(now)
+	if last.view != l.view || last.owners != l.owners || last.revision != l.revisions.Revision() || !maps.Equal(last.sums, sums) {
 		l.n.published.Store(&snapshot{
-			view: l.view, owners: l.owners, untrusted: l.owners.WithTrust(false), means: means, revision: l.revisions.Revision(),
+			view: l.view, owners: l.owners, untrusted: l.owners.WithTrust(false), sums: sums, revision: l.revisions.Revision(),
 		})
 	}
 	l.n.beat.Store(now.UnixNano())
 }
 
-func equal(a, b map[string]float64) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k, v := range a {
-		if w, ok := b[k]; !ok || w != v {
-			return false
-		}
-	}
-	return true
-}
-
 // reassign computes the ownership for a new view.
 func (l *loop) reassign(now time.Time, view *member.View) {
 	if l.dirty || l.view == nil || !sameCandidates(l.view, view) {
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -111,7 +111,7 @@
 	view      *member.View
 	owners    *owner.Snapshot
 	untrusted *owner.Snapshot
-	means     map[string]float64
+	sums      map[string]loadsum.Sum
 	revision  int64
 }
 
@@ -302,11 +302,11 @@
 	return n.Clock().Sub(time.Unix(0, n.beat.Load())) > member.DefaultGap
 }
 
-// Mean returns the mean load of a pool's engines over the fleet, if it is known from the last seconds.
-func (n *Node) Mean(pool string) (float64, bool) {
+// Sum returns the load of a pool's engines over the fleet, if it is known from the last seconds.
+func (n *Node) Sum(pool string) (loadsum.Sum, bool) {
 	n.init()
-	mean, ok := n.published.Load().means[pool]
-	return mean, ok && !n.behind()
+	sum, ok := n.published.Load().sums[pool]
+	return sum, ok && !n.behind()
 }
 
 // Revision returns the revision in force, 0 for none.
--- a/hornbeamd/peer/peer_test.go
+++ b/hornbeamd/peer/peer_test.go
@@ -216,7 +216,7 @@
 			return len(f.fakes[i].notices) == 1 && len(f.fakes[i].applied) == 1
 		})
 		c.Assert(string(f.fakes[i].contents[m.Files[0].Digest]), quicktest.Equals, "accounts: []")
-		wait(func() bool { mean, ok := x.Mean("chat"); return ok && mean == 2 })
+		wait(func() bool { sum, ok := x.Sum("chat"); return ok && sum.Mean() == 2 })
 	}
 	c.Assert(f.nodes[0].Bytes().Kinds["ping"].Sent > 0, quicktest.IsTrue)
 
--- a/hornbeamd/settings/file.go
+++ b/hornbeamd/settings/file.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"strings"
 
@@ -84,3 +85,9 @@
 	}
 	return v, nil
 }
+
+// Exit ends the process over settings that can't be used.
+func Exit(err error) {
+	fmt.Fprintln(os.Stderr, "hornbeamd:", err)
+	os.Exit(2)
+}
