--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -10,13 +10,16 @@
 
 	"hornbeamstep.example/hornbeambench/control"
 	"hornbeamstep.example/hornbeambench/fleet"
+	"hornbeamstep.example/hornbeambench/load"
 	"hornbeamstep.example/hornbeambench/replay"
 	"hornbeamstep.example/hornbeambench/report"
 	"hornbeamstep.example/hornbeambench/standin"
+	"hornbeamstep.example/hornbeambench/standin/modelengine"
 )
 
 // CLI holds all commands.
 type CLI struct {
+	Load    load.Command     `cmd:"" help:"Drive running routers as callers do and verify every answer of the stand-ins."`
 	Standin standin.Commands `cmd:"" help:"Run a stand-in as a process of its own."`
 	Replay  replay.Command   `cmd:"" help:"Replay a scenario in virtual time and judge its outcomes."`
 	List    replay.List      `cmd:"" help:"List the scenarios of replay."`
@@ -33,6 +36,7 @@
 		kong.Name("hornbeambench"),
 		kong.Description("Demonstrates and measures hornbeamstep. Exit codes: 0 every outcome held, 1 one did not or the command failed, 2 wrong usage."),
 		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(modelengine.Answer),
 	)
 	if err != nil {
 		return fail(err, 1)
--- a/hornbeambench/standin/standin.go
+++ b/hornbeambench/standin/standin.go
@@ -21,6 +21,8 @@
 // Commands are the group.
 type Commands struct {
 	Platform PlatformCommand `cmd:"" help:"Run the object API, the instance list and the weight store on one address."`
+	Engine   EngineCommand   `cmd:"" help:"Run a model engine."`
+	Service  ServiceCommand  `cmd:"" help:"Run a plain service."`
 }
 
 // PlatformCommand runs the platform.
