fix: a crash of the model engine stand-in no longer stands still

A crash closed the server while holding the mutex that the accept loop needs, and closing waits for that loop. The server is now closed without the mutex.

--- a/hornbeambench/standin/modelengine/engine.go
+++ b/hornbeambench/standin/modelengine/engine.go
@@ -167,16 +167,20 @@
 
 // Crash breaks every connection, forgets everything and stops listening. Restart begins the next life.
 func (e *Engine) Crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.crashLocked()
+	if server := e.die(); server != nil {
+		// The mutex must be free: closing waits for the accept loop, which may be in connContext.
+		_ = server.Close()
+	}
 }
 
-func (e *Engine) crashLocked() {
-	if e.server == nil {
-		return
-	}
+// die ends the life and returns its server; nil if there was none.
+func (e *Engine) die() *http.Server {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	server := e.server
+	if server == nil {
+		return nil
+	}
 	e.server = nil
 	e.boot = ""
 	for _, r := range e.runs {
@@ -184,7 +188,7 @@
 	}
 	e.running, e.queued = nil, nil
 	poke(e.wake)
-	_ = server.Close()
+	return server
 }
 
 // Restart begins a new life after a crash, on the same address.
