--- a/hornbeambench/replay/attempt.go
+++ b/hornbeambench/replay/attempt.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"fmt"
 	"time"
 
 	"hornbeamstep.example/routing/placement"
@@ -135,7 +134,7 @@
 
 // refused handles a connection that the engine did not accept: the request did not run.
 func (r *router) refused(q *call, e *engine) {
-	r.unhold(q)
+	r.unhold(q, false)
 	r.observe(e.id)
 	if q.attempts > 2*len(r.fleet.engines) {
 		r.releaseClaim(q)
@@ -158,10 +157,10 @@
 		s.measure.crossed++
 	}
 	r.first(q)
-	r.unhold(q)
+	r.unhold(q, true)
 	q.attempt = ""
 	if !q.req.Repeat {
-		if c := s.claims[fmt.Sprintf("%s/%d", q.req.Chat, q.req.Turn)]; c != nil {
+		if c := s.claims[q.fingerprint()]; c != nil {
 			c.done = true
 		}
 	}
@@ -170,7 +169,7 @@
 
 // broken handles a stream that ended early.
 func (r *router) broken(q *call, e *engine) {
-	r.unhold(q)
+	r.unhold(q, false)
 	r.observe(e.id)
 	q.run = nil
 	switch {
@@ -252,6 +251,6 @@
 			g.Abandon(q.attempt)
 		}
 	}
-	r.unhold(q)
+	r.unhold(q, false)
 	q.attempt = ""
 }
--- a/hornbeambench/replay/call.go
+++ b/hornbeambench/replay/call.go
@@ -8,6 +8,7 @@
 	"hornbeamstep.example/routing/admission"
 	"hornbeamstep.example/routing/outcome"
 	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/routing/quarantine"
 )
 
 // call is one request of the trace, from its arrival to the final answer to its caller.
@@ -46,6 +47,10 @@
 	first   time.Duration
 	end     time.Duration
 	state   result
+	// over is true if the account surges, by the router's own sample of the traffic.
+	over bool
+	// suspect is what the router knows of the request's crashes.
+	suspect quarantine.Entry
 }
 
 // result is the final answer as the caller sees it.
@@ -68,7 +73,16 @@
 
 var classes = map[string]admission.Class{"urgent": admission.Urgent, "normal": admission.Normal, "batch": admission.Batch}
 
-func (q *call) class() admission.Class { return classes[q.req.Class] }
+// class is the priority at the engine; requests of a surging account have the lowest.
+func (q *call) class() admission.Class {
+	if q.over {
+		return admission.Batch + 1
+	}
+	return classes[q.req.Class]
+}
+
+// fingerprint names the request when it is sent again.
+func (q *call) fingerprint() string { return fmt.Sprintf("%s/%d", q.req.Chat, q.req.Turn) }
 
 // size is the context after the turn.
 func (q *call) size() int {
@@ -152,7 +166,7 @@
 		return
 	}
 	q.attempt = ""
-	if res == quarantined || retry <= 0 || q.sends >= s.Sends {
+	if retry <= 0 || q.sends >= s.Sends {
 		s.after(s.Client, func() { s.end(q, res) })
 		return
 	}
@@ -176,6 +190,11 @@
 	if q.asked == 0 {
 		q.asked = s.now
 	}
+	q.over = r.surges.Request(s.wall(), q.req.Account)
+	if r.placer == nil && r.quarantine.State(s.wall(), q.fingerprint()) == quarantine.Quarantined {
+		r.refuse(q, time.Second, quarantined)
+		return
+	}
 	if q.req.Repeat {
 		r.place(q)
 		return
@@ -193,7 +212,7 @@
 	}
 	s.after(update, func() {
 		r.do(func() {
-			key := fmt.Sprintf("%s/%d", q.req.Chat, q.req.Turn)
+			key := q.fingerprint()
 			switch c := s.claims[key]; {
 			case c == nil:
 				s.claims[key] = &claimed{call: q}
@@ -211,7 +230,7 @@
 // release gives up the claim of a request that surely did not run.
 func (r *router) releaseClaim(q *call) {
 	if !q.req.Repeat {
-		delete(r.fleet.claims, fmt.Sprintf("%s/%d", q.req.Chat, q.req.Turn))
+		delete(r.fleet.claims, q.fingerprint())
 	}
 }
 
@@ -299,7 +318,7 @@
 	q.owner = owner
 	lookup := step.Engine == step.Home && !q.redirect && q.context > 0
 	a := admission.Ask{
-		Request: attempt, Router: r.name, Account: q.req.Account, Class: q.class(), Cost: 1, NoQueue: !step.Queue,
+		Request: attempt, Router: r.name, Account: q.req.Account, Class: classes[q.req.Class], Over: q.over, Cost: 1, NoQueue: !step.Queue,
 		Since: epoch.Add(q.asked),
 	}
 	if step.Queue && s.Requeue > 0 {
@@ -346,6 +365,9 @@
 // slotCall is the owner's side of a call for a slot.
 func (r *router) slotCall(from *router, q *call, step placement.Step, a admission.Ask, lookup bool) {
 	s := r.fleet
+	if q.suspect.Fingerprint != "" {
+		r.quarantine.Merge(s.wall(), []quarantine.Entry{q.suspect})
+	}
 	if lookup {
 		held, _ := r.exceptions.Find(placement.Key(q.req.Model, q.req.Adapter, q.req.Chat))
 		if held != "" && held != step.Engine {
@@ -364,7 +386,14 @@
 		r.send(from, func() { from.useShare(q, a) })
 		return
 	}
+	if !r.quarantine.Start(s.wall(), q.fingerprint(), step.Engine) {
+		r.send(from, func() { from.keptApart(q, a, step.Engine, r) })
+		return
+	}
 	got := g.Offer(s.wall(), a)
+	if got.Kind == admission.Refused {
+		r.quarantine.End(q.fingerprint(), step.Engine, false)
+	}
 	if got.Kind == admission.Queued {
 		r.deliver(step.Engine, g.Tick(s.wall()))
 		return
@@ -380,6 +409,30 @@
 	})
 }
 
+// keptApart handles a suspect that may not run on an engine now, or a request that is quarantined.
+func (r *router) keptApart(q *call, a admission.Ask, engine string, owner *router) {
+	if q.attempt != a.Request || q.state != open {
+		return
+	}
+	now := r.fleet.wall()
+	if owner.quarantine.State(now, q.fingerprint()) == quarantine.Quarantined {
+		r.releaseClaim(q)
+		r.refuse(q, time.Second, quarantined)
+		return
+	}
+	q.walk.Full(engine, time.Second)
+	r.fleet.after(10*time.Millisecond, func() {
+		if len(r.fleet.engines) <= q.walk.Asked() {
+			q.walk.Again()
+		}
+		r.do(func() {
+			if q.attempt == a.Request && q.state == open {
+				r.ask(q)
+			}
+		})
+	})
+}
+
 // useShare admits the request without the owner, at most one at a time for each engine.
 func (r *router) useShare(q *call, a admission.Ask) {
 	if q.attempt != a.Request || q.holding || q.state != open {
@@ -404,7 +457,7 @@
 		if q.attempt == a.Ask.Request && q.slot == a.Slot.ID && q.owner == owner {
 			return
 		}
-		r.free(engine, owner, a.Slot.ID)
+		r.free(engine, owner, a.Slot.ID, q.fingerprint(), false)
 	case stale:
 	case a.Kind == admission.Refused && a.Code == outcome.NoBackend:
 		r.place(q)
@@ -423,7 +476,7 @@
 	}
 }
 
-func (r *router) free(engine string, owner *router, slot uint64) {
+func (r *router) free(engine string, owner *router, slot uint64, fingerprint string, ok bool) {
 	s := r.fleet
 	if owner == nil {
 		if share := r.shares[engine]; share != nil {
@@ -432,6 +485,7 @@
 		return
 	}
 	r.send(owner, func() {
+		owner.quarantine.End(fingerprint, engine, ok)
 		if g := owner.gates[engine]; g != nil {
 			owner.deliver(engine, g.Release(s.wall(), slot))
 		}
@@ -439,11 +493,11 @@
 }
 
 // unhold frees the slot of the current attempt.
-func (r *router) unhold(q *call) {
+func (r *router) unhold(q *call, ok bool) {
 	if !q.holding {
 		return
 	}
 	q.holding = false
 	delete(r.slots, q.attempt)
-	r.free(q.engine, q.owner, q.slot)
+	r.free(q.engine, q.owner, q.slot, q.fingerprint(), ok)
 }
--- a/hornbeambench/replay/engine.go
+++ b/hornbeambench/replay/engine.go
@@ -18,6 +18,8 @@
 	step  time.Duration
 	chunk int
 	batch int
+	// boot counts the starts.
+	boot int
 	// up is false after a crash; hung engines accept work and make no progress.
 	up, hung bool
 	leaving  bool
@@ -224,6 +226,7 @@
 
 func (e *engine) restart() {
 	e.up, e.leaving = true, false
+	e.boot++
 	e.changed()
 }
 
--- a/hornbeambench/replay/faults.go
+++ b/hornbeambench/replay/faults.go
@@ -1,10 +1,13 @@
 package replay
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"hornbeamstep.example/hornbeambench/trace"
 	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/routing/quarantine"
 )
 
 // gone is how long an engine stays suspect before its chats get another home.
@@ -50,7 +53,7 @@
 	case trace.Zone:
 		s.zone(f.Target, duration)
 	case trace.Poison:
-		s.poison[f.Target] = true
+		s.poison[f.Target+"/1"] = true
 	case trace.Store:
 		s.storeUp = false
 		s.after(duration, func() { s.storeUp = true })
@@ -61,6 +64,16 @@
 	if !e.up {
 		return
 	}
+	var calls []*call
+	for _, r := range append(slices.Clone(e.running), e.waiting...) {
+		calls = append(calls, r.call)
+	}
+	for _, r := range s.routers {
+		if r.gates[e.id] != nil {
+			r.do(func() { r.crashed(quarantine.Crash{Engine: e.id, Boot: fmt.Sprint(e.boot)}, calls) })
+			break
+		}
+	}
 	e.crash()
 	s.state(e, placement.Suspect)
 	s.after(gone, func() {
@@ -199,13 +212,14 @@
 	}
 }
 
-// computed is called when an engine has computed a prompt. A poison request crashes the engine then.
+// computed is called when an engine has computed a prompt. The first request of a poison chat crashes the engine
+// then, whenever it is sent.
 func (s *fleet) computed(e *engine, r *run) {
 	q := r.call
 	if q.req.Prefix > 0 {
 		e.cache.put(cached{name: "prefix/" + q.req.Account, tokens: q.req.Prefix})
 	}
-	if s.poison[q.req.Chat] {
+	if s.poison[q.fingerprint()] {
 		s.after(0, func() {
 			if e.up {
 				s.measure.crashes++
--- a/hornbeambench/replay/router.go
+++ b/hornbeambench/replay/router.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"hornbeamstep.example/routing/admission"
+	"hornbeamstep.example/routing/limit"
 	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/routing/quarantine"
 )
 
 // router is the fake of a router: it runs the decision packages on its own view of engines and members.
@@ -34,6 +36,8 @@
 	// loads and sent are for baselines: the last report, and the requests sent since.
 	loads, sent map[string]float64
 	lastMean    admission.Mean
+	quarantine  *quarantine.Tracker
+	surges      *limit.Surges
 	// slots are those held by this router, for renewal.
 	slots map[string]*call
 }
@@ -56,6 +60,8 @@
 	r.exceptions = placement.NewExceptions(1 << 16)
 	r.loads, r.sent = map[string]float64{}, map[string]float64{}
 	r.slots = map[string]*call{}
+	r.quarantine = quarantine.New(quarantine.Defaults())
+	r.surges = limit.NewSurges(r.fleet.wall(), limit.DefaultSurge())
 	r.backlog = nil
 }
 
@@ -254,3 +260,28 @@
 		r.send(to, func() { to.answered(q, engine, a, r) })
 	}
 }
+
+// crashed is called at the owner of an engine that has crashed, with the requests in flight. The other routers learn of
+// the suspects by gossip; those that hold a suspect learn of it with the broken stream.
+func (r *router) crashed(c quarantine.Crash, calls []*call) {
+	s := r.fleet
+	var fingerprints []string
+	for _, q := range calls {
+		fingerprints = append(fingerprints, q.fingerprint())
+	}
+	entries := r.quarantine.Crashed(s.wall(), c, fingerprints)
+	for _, q := range calls {
+		for _, e := range entries {
+			if e.Fingerprint == q.fingerprint() {
+				q.suspect = e
+			}
+		}
+	}
+	for _, o := range s.routers {
+		if o != r {
+			s.after(time.Duration((0.5+0.5*s.chance("gossip", o.name))*float64(time.Second)), func() {
+				o.do(func() { o.quarantine.Merge(s.wall(), entries) })
+			})
+		}
+	}
+}
--- a/hornbeambench/replay/scenario.go
+++ b/hornbeambench/replay/scenario.go
@@ -94,7 +94,7 @@
 
 func poison() Scenario {
 	return Scenario{
-		Name: "poison", About: "each request of one chat crashes the engine that runs it; its caller sends it again",
+		Name: "poison", About: "one request crashes each engine that runs it, and its caller sends it again",
 		Fleet: Small(), Shape: trace.Umgeni(),
 		Faults:   []trace.Fault{{At: 0, Kind: trace.Poison, Target: "c1500"}},
 		Outcomes: append(sound(), twoEngines(), noneLost()),
--- a/hornbeambench/trace/trace.go
+++ b/hornbeambench/trace/trace.go
@@ -72,7 +72,7 @@
 	Lag Kind = "lag"
 	// Zone stops all engines and routers of a zone.
 	Zone Kind = "zone"
-	// Poison makes each request of a chat crash the engine that runs it. The caller sends it again.
+	// Poison makes the first request of a chat crash each engine that runs it. The caller sends it again.
 	Poison Kind = "poison"
 	// Store makes the object API unavailable.
 	Store Kind = "store"
--- a/routing/admission/admission.go
+++ b/routing/admission/admission.go
@@ -25,6 +25,8 @@
 	// Even is the multiple of the mean up to which a new request is granted a slot. A value of 1 keeps the engines level,
 	// so that a fall of the mean leaves few above the bound; below 1 the pool cannot grow. 0 turns the rule off.
 	Even float64
+	// Yield is how far below the mean the load has to be for a request of a surging account, in requests.
+	Yield float64
 	// Level is the time since the request first asked during which Even applies; after it only the bound does.
 	Level time.Duration
 	// SmallPool is the number of engines up to which a pool has an allowance of one request above the bound. In larger
@@ -54,6 +56,7 @@
 	return Settings{
 		Bound:     1.25,
 		Even:      1,
+		Yield:     0.5,
 		Level:     100 * time.Millisecond,
 		SmallPool: 16,
 		Reserve:   0.25,
@@ -84,6 +87,9 @@
 	Router  string
 	Account string
 	Class   Class
+	// Over is set while the account sends far more than usual (package limit). Its requests yield to all others: they count
+	// as one class below Batch, and are granted only where the load is below the mean by Settings.Yield.
+	Over bool
 	// Weight is the account's share in fair queueing; 1 if it is not positive.
 	Weight float64
 	// Cost is the load that the request adds, in the engine's own unit; 1 if it is not positive.
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -215,8 +215,14 @@
 	if load+ask.Cost > g.limit(now, ask.Cost, load)+1e-9 {
 		return false
 	}
-	if waited < g.settings.Level && g.settings.Even > 0 && g.mean.Engines > 1 && load > g.settings.Even*g.meanWith(ask.Cost, load)+1e-9 {
-		return false
+	if waited < g.settings.Level && g.settings.Even > 0 && g.mean.Engines > 1 {
+		most := g.settings.Even * g.meanWith(ask.Cost, load)
+		if ask.Over {
+			most -= g.settings.Yield * ask.Cost
+		}
+		if load > max(0, most)+1e-9 {
+			return false
+		}
 	}
 	return g.fair(ask, load)
 }
--- a/routing/admission/queue.go
+++ b/routing/admission/queue.go
@@ -52,10 +52,14 @@
 
 // class is the priority class with ageing.
 func (q *queue) class(now time.Time, e waiting) int {
+	class := int(e.ask.Class)
+	if e.ask.Over {
+		class = int(Batch) + 1
+	}
 	if q.settings.Age <= 0 {
-		return int(e.ask.Class)
+		return class
 	}
-	return int(e.ask.Class) - int(now.Sub(e.ask.Since)/q.settings.Age)
+	return class - int(now.Sub(e.ask.Since)/q.settings.Age)
 }
 
 // before orders the entries; it is a strict order because seq is unique.
--- a/routing/placement/walk.go
+++ b/routing/placement/walk.go
@@ -54,6 +54,9 @@
 // Again starts over after a wait at one engine, since another may have room by now.
 func (w *Walk) Again() { w.tried = w.tried[:0] }
 
+// Asked returns the number of engines that refused the request since the start or the last call of Again.
+func (w *Walk) Asked() int { return len(w.tried) }
+
 // Avoid removes an engine from the walk because it cannot be reached.
 func (w *Walk) Avoid(now time.Time, engine string) {
 	w.view = w.view.WithState(engine, Suspect)
