feat: claims go to the owner of their shard, and past it when it does not answer

Cause: with 340 routers writing the 64 shards themselves, 205 requests/s that may run at most once cost a write each for the claim and its end, above what group commit allows. A first version repeated a claim under the same token when the owner did not answer; the owner's late release of that token would have let a second request win. Change: messages claim and finish between routers; the fallback replaces the token. The test acts out the late release.

--- a/hornbeamd/control/claims.go
+++ b/hornbeamd/control/claims.go
@@ -22,8 +22,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimLimit)
 	defer cancel()
-	token := claim.NewToken()
-	stands, err := l.Claims.Claim(ctx, claimKey(key), token)
+	stands, token, err := l.Claims.Claim(ctx, claimKey(key))
 	var reused *claim.ReusedError
 	if errors.As(err, &reused) {
 		return caller.Claim{Key: key, State: string(reused.Claim.State), Fingerprint: otherFingerprint}, nil
--- a/hornbeamd/control/control.go
+++ b/hornbeamd/control/control.go
@@ -38,7 +38,8 @@
 
 // Claims is the claim log.
 type Claims interface {
-	Claim(ctx context.Context, key claim.Key, token claim.Token) (claim.Claim, error)
+	// Claim returns the claim that stands and the token to compare it with.
+	Claim(ctx context.Context, key claim.Key) (claim.Claim, claim.Token, error)
 	Finish(ctx context.Context, key claim.Key, token claim.Token, state claim.State, answer []byte) error
 }
 
--- /dev/null
+++ b/hornbeamd/daemon/claims_test.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/coord/claim"
+	"hornbeamstep.example/platform/objectapi"
+)
+
+// lostOwner records claims, or not, and never answers.
+type lostOwner struct {
+	log     claim.Log
+	records bool
+	token   claim.Token
+}
+
+func (o *lostOwner) Claim(ctx context.Context, _ string, k claim.Key, t claim.Token) (claim.Claim, error) {
+	o.token = t
+	if o.records {
+		if _, err := o.log.Claim(ctx, k, t); err != nil {
+			return claim.Claim{}, err
+		}
+	}
+	return claim.Claim{}, errors.New("connection closed")
+}
+
+func (o *lostOwner) Finish(context.Context, string, claim.Key, claim.Token, claim.State, []byte) error {
+	return errors.New("connection closed")
+}
+
+// Guards against a second run of a request: the owner of a shard, whose answer was lost, releases the token that it was sent
+// when it finds that nobody waits, while this router has already begun to run the request.
+func TestLateReleaseByTheOwnerFreesNothing(t *testing.T) {
+	tests := map[string]bool{"owner recorded the claim": true, "owner did not record it": false}
+	for name, records := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx := context.Background()
+			store := &objectapi.Memory{}
+			owners := &claim.Table{Store: store, Pace: time.Millisecond}
+			remote := &lostOwner{log: owners, records: records}
+			c := &claims{
+				owner: func(int) (string, bool) { return "r2", true }, remote: remote,
+				local: &claim.Table{Store: store, Pace: time.Millisecond},
+			}
+			k := claim.Key{Account: "gate", Name: "ticket-1", Fingerprint: "f", Deadline: time.Now().Add(time.Minute)}
+			got, token, err := c.Claim(ctx, k)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, got.Won(token, time.Now()), qt.IsTrue)
+			_ = owners.Finish(ctx, k, remote.token, claim.Released, nil)
+			again, second, err := c.Claim(ctx, k)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, again.Won(second, time.Now()), qt.IsFalse)
+			qt.Assert(t, again.State, qt.Equals, claim.Claimed)
+		})
+	}
+}
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -105,7 +105,7 @@
 	}
 	peers := &peers{node: d.node, lifetime: d.Settings.Caller.Lifetime}
 	d.loop = &control.Loop{
-		Settings: d.Settings, Peers: peers, Claims: d.claims, Engine: d.engine, Ring: d.ring, Log: d.Log,
+		Settings: d.Settings, Peers: peers, Claims: &claims{owner: d.shardOwner, remote: d.node, local: d.claims}, Engine: d.engine, Ring: d.ring, Log: d.Log,
 		Registry: d.registry, InForce: d.inForce,
 	}
 	d.node.Slots = slots{loop: d.loop}
@@ -114,9 +114,16 @@
 	d.node.Notices = notices{loop: d.loop}
 	d.node.Timeline = events{ring: d.ring}
 	d.node.Operator = d
+	d.node.Claims = d.claims
 	return nil
 }
 
+// shardOwner returns the other router that owns a shard of the claim log.
+func (d *Daemon) shardOwner(shard int) (string, bool) {
+	owner := d.node.Owners().Shard(shard)
+	return owner, owner != "" && owner != d.Settings.ID
+}
+
 // engine returns a client for the control traffic with an engine.
 func (d *Daemon) engine(b policy.Backend) control.Engine {
 	return engine.New(b.Name+" control", b.Address, engine.Options{
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -146,6 +146,13 @@
 	return true
 }
 
+// decode reads a value from JSON.
+func decode[T any](data []byte) (T, error) {
+	var v T
+	err := json.Unmarshal(data, &v)
+	return v, err
+}
+
 // params decodes the parameters of a request.
 func params[T any](r *jsonrpc2.Request) (T, error) {
 	var v T
@@ -225,6 +232,10 @@
 	case r.Method == "status" && n.Operator != nil:
 		document, err := n.Operator.Status(ctx)
 		return wireStatus{document}, err
+	case r.Method == "claim" && n.Claims != nil:
+		return with(r, func(w wireClaim) (wireClaimed, error) { return n.handleClaim(ctx, w) })
+	case r.Method == "finish" && n.Claims != nil:
+		return with(r, func(w wireFinish) (any, error) { return n.handleFinish(ctx, w) })
 	default:
 		return nil, &jsonrpc2.Error{Code: codeMethod, Message: "router " + n.ID + " does not serve " + method(r.Method)}
 	}
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -88,6 +88,7 @@
 	Notices   Notices
 	Timeline  Timeline
 	Operator  Operator
+	Claims    Claims
 
 	once    sync.Once
 	ready   chan struct{}
--- a/hornbeamd/settings/file.go
+++ b/hornbeamd/settings/file.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -29,7 +30,7 @@
 // load reads a YAML file for kong.
 func load(r io.Reader) (kong.Resolver, error) {
 	var root yaml.MapSlice
-	if err := yaml.NewDecoder(r, yaml.UseOrderedMap()).Decode(&root); err != nil && err != io.EOF {
+	if err := yaml.NewDecoder(r, yaml.UseOrderedMap()).Decode(&root); err != nil && !errors.Is(err, io.EOF) {
 		return nil, &InvalidError{Key: "config", Value: "file", Remedy: "correct the YAML: " + err.Error()}
 	}
 	f := &file{values: map[string]scalar{}}
