feat: limits of client accounts hold over all routers

Cause: each router sees a sliver of an account's traffic, so a limit kept by one router alone is not the account's. Change: message usage between routers; the owner of the claim shard with an account's number adds up its demand; each router spends its part of the limit by demand.

--- a/hornbeamd/control/limits.go
+++ b/hornbeamd/control/limits.go
@@ -113,7 +113,15 @@
 	return out
 }
 
-// usage returns the demand of heavy accounts, for their aggregators.
+// Usage returns the demand of heavy client accounts for their aggregators. Call it once in each period of the limiter.
+func (l *Loop) Usage(routers int) []limit.Demand {
+	l.init()
+	return l.limits.usage(l.Now(), routers)
+}
+
+// Totals takes the demand of heavy client accounts over all routers.
+func (l *Loop) Totals(totals []limit.Total) { l.limits.totals(l.Now(), totals) }
+
 func (l *limits) usage(now time.Time, routers int) []limit.Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -44,6 +44,7 @@
 	list     *instancelist.HTTP
 	inForce  *history.InForce
 	claims   *claim.Table
+	usages   *usages
 	node     *peer.Node
 	loop     *control.Loop
 	server   *caller.Server
@@ -115,6 +116,8 @@
 	d.node.Timeline = events{ring: d.ring}
 	d.node.Operator = d
 	d.node.Claims = d.claims
+	d.usages = newUsages()
+	d.node.Usages = d.usages
 	return nil
 }
 
@@ -181,6 +184,7 @@
 	group.Go(func() error { return d.watchConfig(parts) })
 	group.Go(func() error { return d.readInstances(parts) })
 	group.Go(func() error { return d.assign(parts) })
+	group.Go(func() error { return d.shareLimits(parts) })
 	d.Log.Info("daemon started", zap.String("callers", d.Settings.Caller.Address))
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/hornbeamd/daemon/usage.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/hornbeamd/peer"
+	"hornbeamstep.example/routing/limit"
+)
+
+// usages adds up the demand of the heavy accounts that this router is responsible for. It implements peer.Usages.
+type usages struct {
+	mu         sync.Mutex
+	aggregator *limit.Aggregator
+}
+
+func newUsages() *usages { return &usages{aggregator: limit.NewAggregator(limit.Defaults())} }
+
+// Report implements peer.Usages.
+func (u *usages) Report(router string, demands []limit.Demand) []limit.Total {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.aggregator.Report(time.Now(), router, demands)
+}
+
+func (u *usages) expire() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.aggregator.Expire(time.Now())
+}
+
+// shareLimits exchanges the demand of heavy accounts, so that limits hold over all routers.
+func (d *Daemon) shareLimits(ctx context.Context) error {
+	<-d.node.Ready()
+	period := limit.Defaults().Period
+	for pause(ctx, period); ctx.Err() == nil; pause(ctx, period) {
+		d.usages.expire()
+		members := d.node.Members().Members
+		byRouter := map[string][]limit.Demand{}
+		for _, demand := range d.loop.Usage(len(members)) {
+			router := adder(d.node.Owners(), demand.Account)
+			byRouter[router] = append(byRouter[router], demand)
+		}
+		for router, demands := range byRouter {
+			go d.reportUsage(ctx, router, demands)
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) reportUsage(ctx context.Context, router string, demands []limit.Demand) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Defaults().Period)
+	defer cancel()
+	// Without an answer the router keeps to its last total, and then to its even share.
+	if totals, err := d.node.Usage(ctx, router, demands); err == nil {
+		d.loop.Totals(totals)
+	}
+}
+
+// adder is the router that adds up an account's demand: the owner of the claim shard with the same number, since these are
+// spread evenly and every router knows them.
+func adder(owners *owner.Snapshot, account string) string {
+	return owners.Shard(int(xxhash.Sum64String(account) % uint64(owners.Shards())))
+}
+
+var _ peer.Usages = (*usages)(nil)
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -236,6 +236,8 @@
 		return with(r, func(w wireClaim) (wireClaimed, error) { return n.handleClaim(ctx, w) })
 	case r.Method == "finish" && n.Claims != nil:
 		return with(r, func(w wireFinish) (any, error) { return n.handleFinish(ctx, w) })
+	case r.Method == "usage" && n.Usages != nil:
+		return with(r, n.handleUsage)
 	default:
 		return nil, &jsonrpc2.Error{Code: codeMethod, Message: "router " + n.ID + " does not serve " + method(r.Method)}
 	}
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -89,6 +89,7 @@
 	Timeline  Timeline
 	Operator  Operator
 	Claims    Claims
+	Usages    Usages
 
 	once    sync.Once
 	ready   chan struct{}
