--- a/hornbeambench/standin/modelengine/answer.go
+++ b/hornbeambench/standin/modelengine/answer.go
@@ -66,6 +66,9 @@
 		for ; sent < produced; sent++ {
 			a.token(sent)
 			a.act(sent + 1)
+			if len(a.out) > 64<<10 {
+				a.flush()
+			}
 		}
 		a.flush()
 		if how != endNone && sent >= produced {
--- a/hornbeambench/standin/modelengine/batch.go
+++ b/hornbeambench/standin/modelengine/batch.go
@@ -25,6 +25,8 @@
 	// prefill is the number of prompt tokens still to read, and cached the number that was in the cache.
 	prefill, cached, promptTokens int
 	ending                        ending
+	// burst is true if one step yields the whole answer.
+	burst bool
 	// changed is closed and replaced when produced or ending change.
 	changed chan struct{}
 }
@@ -112,6 +114,9 @@
 			budget -= part
 		default:
 			r.produced++
+			if r.burst {
+				r.produced = r.limit
+			}
 			r.notify()
 			if r.produced == r.limit {
 				e.finishLocked(r)
--- a/hornbeambench/standin/modelengine/chat.go
+++ b/hornbeambench/standin/modelengine/chat.go
@@ -74,6 +74,7 @@
 		n.attempt = "direct-" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	}
 	f := e.takeFault(n.prompt)
+	n.burst = f.Kind == Burst
 	w.Header().Set("Attempt-Id", n.attempt)
 	switch f.Kind {
 	case Refuse:
--- a/hornbeambench/standin/modelengine/fault.go
+++ b/hornbeambench/standin/modelengine/fault.go
@@ -34,6 +34,8 @@
 	Refuse FaultKind = "refuse"
 	// Status answers 500 after the request was started.
 	Status FaultKind = "status"
+	// Burst yields the whole answer in one step.
+	Burst FaultKind = "burst"
 	// Hangup closes the connection when the request has been read, before anything starts.
 	Hangup FaultKind = "hangup"
 )
--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -59,9 +59,10 @@
 	}
 }
 
-// fail answers with an error, unless a part of another answer was sent.
+// fail answers with an error, unless a part of another answer was sent. A context that has ended is no reason to be silent:
+// it also ends when the body does not arrive in time, and an empty answer would read as a success.
 func (c *call) fail(e *outcome.Error) {
-	if c.replied || c.r.Context().Err() != nil {
+	if c.replied {
 		return
 	}
 	c.replied = true
