fix: bound numbers and probe targets that come from peers

A report with the highest boot id made a router's own boot id overflow to 0, and a probe made a router connect to any address. Such reports are refused and only known members are probed.

--- a/coord/member/member_test.go
+++ b/coord/member/member_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -253,3 +254,18 @@
 	c.Assert(actions, quicktest.HasLen, 1)
 	c.Assert(actions[0].Kind, quicktest.Equals, member.Superseded)
 }
+
+// Guards against numbers from a peer that make the router's own overflow to 0, after which nobody would believe it.
+func TestNumbersDoNotOverflow(t *testing.T) {
+	c := quicktest.New(t)
+	n, _ := started(c, 2, 12)
+	x := n.nodes[0]
+	before := x.View(n.now).Self
+	for _, u := range []member.Member{
+		{ID: "r000", Boot: math.MaxUint64, Status: member.Removed},
+		{ID: "r000", Boot: before.Boot, Incarnation: math.MaxUint32, Status: member.Removed},
+	} {
+		x.HandlePing(n.now, member.Ping{From: n.nodes[1].self, Updates: []member.Member{u}})
+		c.Assert(x.View(n.now).Self, quicktest.Equals, before)
+	}
+}
--- a/coord/member/merge.go
+++ b/coord/member/merge.go
@@ -59,7 +59,7 @@
 
 func valid(u Member) bool {
 	long := len(u.ID) > maxField || len(u.Address) > maxField || len(u.Zone) > maxField || len(u.Region) > maxField
-	return u.ID != "" && !long && u.Status <= Left && u.Incarnation < math.MaxUint32
+	return u.ID != "" && !long && u.Status <= Left && u.Incarnation < math.MaxUint32 && u.Boot < math.MaxInt64
 }
 
 // mergeSelf refutes reports that the router itself is suspect or gone.
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -225,9 +225,13 @@
 	})
 }
 
-// handleProbe pings a member for another router.
+// handleProbe pings a member for another router. Only members that this router knows are pinged, so that a peer cannot make
+// it connect anywhere.
 func (n *Node) handleProbe(ctx context.Context, w wireProbe) (wireProbed, error) {
-	target := w.Target.member()
+	target, ok := n.Members().Find(w.Target.ID)
+	if !ok || target.Boot != w.Target.Boot {
+		return wireProbed{}, nil
+	}
 	ping, err := ask(ctx, n, func(now time.Time) wirePing {
 		return fromPing(n.loop.members.Relay(now, target), n.loop.revisions.Revision())
 	})
