feat: requests walk from engine to engine, contexts away from home are remembered, caches are watched

Change: the control loop asks engines in the order of placement.Walk, the owner of a chat's home answers with the engine that holds its context, notes record contexts away from home, cache events bound their age, surging client accounts yield, and in fleets of up to 16 routers the mean load is sent every 200 ms.

--- a/hornbeamd/caller/chat.go
+++ b/hornbeamd/caller/chat.go
@@ -46,6 +46,7 @@
 		return asOutcome(err)
 	}
 	c.ask.Model, c.ask.Adapter = q.model, q.adapter
+	c.ask.Context = int(q.context)
 	c.ask.Cost = int64(len(body))/bytesPerToken + q.tokens
 	return c.claimed("", false, func() *outcome.Error {
 		if q.stream {
--- a/hornbeamd/caller/dispatcher.go
+++ b/hornbeamd/caller/dispatcher.go
@@ -46,6 +46,8 @@
 	Weight float64
 	// Cost is the estimated number of tokens; 1 for a plain service. At least 1.
 	Cost int64
+	// Context is the estimated number of tokens of the chat's earlier turns; 0 for a new chat.
+	Context int
 	// Avoid names the backend servers on which the request failed.
 	Avoid []string
 	// Deadline is when the request is given up.
--- a/hornbeamd/caller/parse.go
+++ b/hornbeamd/caller/parse.go
@@ -33,6 +33,8 @@
 	usage bool
 	// tokens is the greatest length of the answer; at least 1.
 	tokens int64
+	// context is the estimated number of tokens of the chat's earlier turns; 0 for a new chat.
+	context int64
 	// body is the request to the engine: always streamed and with usage.
 	body []byte
 }
@@ -89,6 +91,9 @@
 		return q, err
 	}
 	q.first = first
+	if len(messages) > len(first) {
+		q.context = size(messages[:len(messages)-1]) / bytesPerToken
+	}
 	q.tokens = max(total, completion)
 	if q.tokens == 0 {
 		q.tokens = defaultTokens
@@ -97,6 +102,14 @@
 	return q, err
 }
 
+func size(messages []json.RawMessage) int64 {
+	var n int64
+	for _, m := range messages {
+		n += int64(len(m))
+	}
+	return n
+}
+
 // firstMessages returns the messages up to the first of the user and checks the form of all.
 func firstMessages(messages []json.RawMessage) ([]json.RawMessage, error) {
 	end := 0
--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// placements bounds how often one request is placed anew because the chosen engine had no room or changed its owner.
-	placements = 6
+	// engines is the number of engines that a request asks before it waits at one of them.
+	engines = 4
+	// rounds bounds how often a request that finds no room asks all over again; each round includes a wait in a queue.
+	rounds = 8
 	// turnWait is the time after which a request asks again that has to wait for another one or for a new owner, and
 	// mostMoves bounds the wait for an owner to the 5 s in which a lost router is suspected.
 	turnWait  = 50 * time.Millisecond
@@ -42,105 +44,121 @@
 	return g, err
 }
 
-// admitEngine places a request until an engine grants it a slot.
+// admitEngine asks engines in the order of the placement's walk until one grants a slot.
 func (l *Loop) admitEngine(ctx context.Context, a caller.Ask) (caller.Grant, error) {
 	p := l.begin(a)
-	for p.tries < placements {
-		engine, wait := p.next()
-		if engine == "" {
+	for {
+		step := p.walk.Next(l.Now())
+		if step.Engine == "" {
 			return caller.Grant{}, noEngine(a)
 		}
-		answer := l.slot(ctx, p, engine, !wait)
+		if l.lookup(ctx, p, step) {
+			continue
+		}
+		answer := l.slot(ctx, p, step)
 		switch {
 		case answer.Kind == admission.Granted:
-			return l.admitted(p, engine, answer), nil
+			return l.admitted(p, step, answer), nil
 		case ctx.Err() != nil || answer.Code == gone:
 			return caller.Grant{}, leftQueue(ctx)
 		case answer.Code == apart || answer.Code == notOwner:
 			if !l.waitTurn(ctx, p, answer.Code) {
 				return caller.Grant{}, leftQueue(ctx)
 			}
-		case !p.refused(engine, answer):
+		case !p.refused(l.Now(), step, answer):
 			return caller.Grant{}, l.refusal(a, answer)
 		}
 	}
-	return caller.Grant{}, noEngine(a)
 }
 
 // attempt is one search for a slot.
 type attempt struct {
 	ask caller.Ask
 	// id is unique for each attempt of a request.
-	id       string
-	now      time.Time
-	request  placement.Request
-	snap     *snapshot
-	view     placement.View
-	decision placement.Decision
-	// full counts the refusals of each engine for want of room.
-	full map[string]int
-	// tries counts the refusals; moves those because ownership moved.
-	tries, moves int
+	id string
+	// asked is when the search began.
+	asked   time.Time
+	request placement.Request
+	key     uint64
+	// over is true if the client account surges.
+	over bool
+	snap *snapshot
+	walk *placement.Walk
+	// found is true once the owner of the home was asked where the context is.
+	found bool
+	// moves counts the refusals because ownership moved, and rounds the waits that ended without a slot.
+	moves, rounds int
 }
 
 func (l *Loop) begin(a caller.Ask) *attempt {
-	p := &attempt{ask: a, id: a.Request + "/" + strconv.Itoa(a.Attempt), now: l.Now(), full: map[string]int{}}
-	p.request = l.memory.request(p.now, a)
-	p.look(l.snap.Load())
+	p := &attempt{ask: a, id: a.Request + "/" + strconv.Itoa(a.Attempt), asked: l.Now()}
+	p.request, p.over = l.memory.request(p.asked, a)
+	p.key = placement.Key(a.Model, a.Adapter, a.Chat)
+	l.look(p)
 	return p
 }
 
-// look takes a snapshot, without the engines on which the request failed before.
-func (p *attempt) look(s *snapshot) {
-	p.snap, p.view = s, s.view
+// look starts the walk with the present snapshot, without the engines on which the request failed before.
+func (l *Loop) look(p *attempt) {
+	p.snap = l.snap.Load()
+	view := p.snap.view
 	for _, name := range p.ask.Avoid {
-		p.view = p.view.WithState(name, placement.Suspect)
+		view = view.WithState(name, placement.Suspect)
 	}
+	p.walk = p.snap.rule.Walk(l.Now(), p.request, view, engines)
 }
 
-// next returns the engine to ask, and whether the request should wait there if there is no room.
-func (p *attempt) next() (engine string, wait bool) {
-	p.decision = p.snap.rule.Place(p.now, p.request, p.view)
-	engine = p.decision.Engine
-	return engine, p.full[engine] > 0
+// lookup asks the owner of the home where the chat's context is, if the first engine to ask is not the home. It reports
+// whether the walk has changed. At the home itself the request for a slot brings the answer.
+func (l *Loop) lookup(ctx context.Context, p *attempt, step placement.Step) bool {
+	if p.found || p.request.Context == 0 || step.Engine == step.Home || step.Home == "" {
+		return false
+	}
+	p.found = true
+	owner := l.Peers.Owners().Engine(step.Home)
+	held, err := l.Peers.Held(ctx, owner, p.key)
+	if err != nil || held == "" {
+		return false
+	}
+	p.walk.Held(l.Now(), held)
+	return true
 }
 
 // refused takes a refusal into account and returns false if it is final.
-func (p *attempt) refused(engine string, a Answer) bool {
-	p.tries++
-	switch a.Code {
-	case outcome.Overloaded:
-		if p.full[engine] > 0 {
-			return false
-		}
-		p.full[engine]++
-		p.view = p.view.WithStatus(engine, placement.Status{Wait: max(a.Waited, minWait), Full: true})
-		return true
-	case outcome.NoBackend:
-		p.view = p.view.WithState(engine, placement.Suspect)
-		return true
+func (p *attempt) refused(now time.Time, step placement.Step, a Answer) bool {
+	switch {
+	case a.Held != "":
+		p.found = true
+		p.walk.Held(now, a.Held)
+	case a.Code == outcome.Overloaded && !step.Queue:
+		p.walk.Full(step.Engine, max(a.Wait, time.Millisecond))
+	case a.Code == outcome.Overloaded && p.rounds < rounds && now.Before(p.ask.Deadline):
+		p.rounds++
+		p.walk.Again()
+	case a.Code == outcome.NoBackend:
+		p.walk.Avoid(now, step.Engine)
 	default:
 		return false
 	}
+	return true
 }
 
-// minWait is the wait that a refusal without a figure stands for: about one request's time in a running batch.
-const minWait = 50 * time.Millisecond
-
-// slot asks the owner of an engine. With noQueue the answer comes at once.
-func (l *Loop) slot(ctx context.Context, p *attempt, engine string, noQueue bool) Answer {
+// slot asks the owner of an engine.
+func (l *Loop) slot(ctx context.Context, p *attempt, step placement.Step) Answer {
 	ask := SlotAsk{
 		Ask: admission.Ask{
-			Request: p.id, Router: l.Settings.ID, Account: p.ask.Account, Class: admission.Class(p.ask.Class),
-			Weight: p.ask.Weight, Cost: 1, Deadline: p.ask.Deadline, NoQueue: noQueue,
+			Request: p.id, Router: l.Settings.ID, Account: p.ask.Account, Class: admission.Class(p.ask.Class), Over: p.over,
+			Weight: p.ask.Weight, Cost: 1, Deadline: p.ask.Deadline, NoQueue: !step.Queue, Since: p.asked,
 		},
 		Fingerprint: p.ask.Fingerprint,
 		Suspect:     l.suspicion(p.ask.Fingerprint),
+		Chat:        p.key,
+		Home:        step.Engine == step.Home && !p.found && p.request.Context > 0,
 	}
-	if l.snap.Load().owned[engine] {
-		return l.owned(ctx, engine, ask)
+	if l.snap.Load().owned[step.Engine] {
+		return l.owned(ctx, step.Engine, ask)
 	}
-	return l.remote(ctx, engine, ask)
+	return l.remote(ctx, step.Engine, ask)
 }
 
 // waitTurn waits until a suspect, or a request whose engine changes its owner, may ask again. It returns false if the
@@ -156,26 +174,35 @@
 	case <-ctx.Done():
 		return false
 	case <-time.After(turnWait):
-		p.look(l.snap.Load())
+		l.look(p)
 		return true
 	}
 }
 
 // admitted records a grant.
-func (l *Loop) admitted(p *attempt, engine string, a Answer) caller.Grant {
+func (l *Loop) admitted(p *attempt, step placement.Step, a Answer) caller.Grant {
 	l.boots.put(p.id, a.Boot)
-	b := p.snap.policy.Backends[engine]
-	d := p.decision
-	l.memory.placed(p.now, p.ask, d)
+	b := p.snap.policy.Backends[step.Engine]
+	l.remember(p, step)
 	l.record(timeline.Event{
-		Kind: timeline.Placed, Request: p.ask.Request, Chat: p.ask.Chat, Backend: engine,
-		Text: fmt.Sprintf("%s, home %s, second %s", d.Reason, d.Home, d.Second),
+		Kind: timeline.Placed, Request: p.ask.Request, Chat: p.ask.Chat, Backend: step.Engine,
+		Text: fmt.Sprintf("%s, home %s", step.Reason, step.Home),
 	})
 	l.record(timeline.Event{
-		Kind: timeline.Admitted, Request: p.ask.Request, Chat: p.ask.Chat, Backend: engine,
-		Text: fmt.Sprintf("slot %d after %s", a.Slot.ID, a.Waited.Round(time.Millisecond)),
+		Kind: timeline.Admitted, Request: p.ask.Request, Chat: p.ask.Chat, Backend: step.Engine,
+		Text: fmt.Sprintf("slot %d after %s", a.Slot.ID, l.Now().Sub(p.asked).Round(time.Millisecond)),
 	})
-	return caller.Grant{Backend: engine, Address: b.Address, Slot: p.id, Pool: b.Pool}
+	return caller.Grant{Backend: step.Engine, Address: b.Address, Slot: p.id, Pool: b.Pool}
+}
+
+// remember tells the owner of the home where the context will be. If the engine is the home, its owner granted the slot and
+// knows already.
+func (l *Loop) remember(p *attempt, step placement.Step) {
+	if step.Engine == step.Home || step.Home == "" {
+		return
+	}
+	owner := l.Peers.Owners().Engine(step.Home)
+	go l.Peers.Note(owner, p.key, step.Engine)
 }
 
 // admissible refuses requests that no engine may get.
--- a/hornbeamd/control/alone.go
+++ b/hornbeamd/control/alone.go
@@ -48,6 +48,12 @@
 // Free implements Peers.
 func (a *Alone) Free(string, string, uint64) {}
 
+// Held implements Peers.
+func (a *Alone) Held(context.Context, string, uint64) (string, error) { return "", errAlone }
+
+// Note implements Peers.
+func (a *Alone) Note(string, uint64, string) {}
+
 // Load implements Peers.
 func (a *Alone) Load(sums map[string]loadsum.Sum) {
 	a.mu.Lock()
--- a/hornbeamd/control/control.go
+++ b/hornbeamd/control/control.go
@@ -24,7 +24,7 @@
 const (
 	// tick is the time between two runs of the state machines.
 	tick = 50 * time.Millisecond
-	// second is the time between two exchanges of slot renewals and load sums.
+	// second is the time between two renewals of slots.
 	second = time.Second
 	// commands is the number of events that may wait for the control loop before traffic waits for it.
 	commands = 1024
@@ -33,6 +33,7 @@
 // Engine is what the control loop asks of a model engine that this router owns.
 type Engine interface {
 	Load(ctx context.Context) (engine.Report, error)
+	Events(ctx context.Context, after int64) (engine.Events, error)
 	Close()
 }
 
@@ -151,9 +152,11 @@
 			l.carryOut(e, e.gate.Tick(now))
 		}
 	}
+	l.loads(now)
 	if now.Sub(l.state.exchanged) >= second {
 		l.state.exchanged = now
-		l.exchange(now)
+		l.renew(now)
+		l.measure()
 	}
 	l.publish(now)
 }
--- a/hornbeamd/control/engines.go
+++ b/hornbeamd/control/engines.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"hornbeamstep.example/coord/loadsum"
 	"hornbeamstep.example/hornbeamd/engine"
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/routing/admission"
@@ -19,6 +20,10 @@
 	suspectAfter = 2
 	// pollLimit is the longest time for one poll.
 	pollLimit = time.Second
+	// eventsEvery is the number of load reports for each read of cache events, and mostStored bounds the chats remembered of
+	// one engine.
+	eventsEvery = 5
+	mostStored  = 1 << 15
 	// hearsay is how long a router that does not own an engine keeps requests away from it after a failure.
 	hearsay = 2 * time.Second
 )
@@ -46,6 +51,7 @@
 // own begins the admission of an engine. Its load is unknown, so the gate starts from the engine's own report.
 func (l *Loop) own(e *engineState, now time.Time) {
 	e.gate = admission.Takeover(now, gateSettings(e.pool))
+	e.mean = loadsum.Sum{}
 	e.failures = 0
 	e.share = nil
 	l.record(timeline.Event{Kind: timeline.Owner, Backend: e.backend.Name, Text: "this router owns the engine"})
@@ -65,39 +71,107 @@
 	l.record(timeline.Event{Kind: timeline.Owner, Backend: e.backend.Name, Text: why})
 }
 
-// empty answers the requests that wait, so that they are placed anew, and forgets the slots.
-func (l *Loop) empty(e *engineState) {
+// turnAway answers the requests that wait, so that they are placed anew.
+func (l *Loop) turnAway(e *engineState) {
 	for request, w := range e.waiters {
 		delete(e.waiters, request)
+		if e.gate != nil {
+			e.gate.Abandon(request)
+		}
 		l.answer(e, w, admission.Action{Kind: admission.Refused, Ask: w.ask.Ask, Code: outcome.NoBackend})
 	}
+}
+
+// empty ends everything that the gate of an engine had granted or queued.
+func (l *Loop) empty(e *engineState) {
+	l.turnAway(e)
 	for slot := range e.granted {
 		l.forget(e, slot)
 	}
 }
 
-// startPoll reads the engine's load report until it is stopped.
+// startPoll reads the engine's load report and cache events until it is stopped.
 func (l *Loop) startPoll(ctx context.Context, e *engineState) {
 	ctx, e.stopPoll = context.WithCancel(ctx)
-	name, client := e.backend.Name, l.Engine(e.backend)
-	go func() {
-		defer client.Close()
-		for ctx.Err() == nil {
-			call, cancel := context.WithTimeout(ctx, pollLimit)
-			asked := l.Now()
-			report, err := client.Load(call)
-			cancel()
-			l.send(func(now time.Time) {
-				if ctx.Err() == nil {
-					l.reported(name, report, err, asked, now)
-				}
-			})
-			select {
-			case <-ctx.Done():
-			case <-time.After(l.Settings.Engine.Poll):
+	p := &poll{loop: l, name: e.backend.Name, client: l.Engine(e.backend)}
+	go p.run(ctx)
+}
+
+// poll reads from one engine. It belongs to its own goroutine.
+type poll struct {
+	loop   *Loop
+	name   string
+	client Engine
+	// boot and after say up to where the cache events of the engine's present life were read.
+	boot  string
+	after int64
+}
+
+func (p *poll) run(ctx context.Context) {
+	defer p.client.Close()
+	for turn := 0; ctx.Err() == nil; turn++ {
+		p.load(ctx)
+		if turn%eventsEvery == 0 {
+			p.events(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(p.loop.Settings.Engine.Poll):
+		}
+	}
+}
+
+func (p *poll) load(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, pollLimit)
+	defer cancel()
+	asked := p.loop.Now()
+	report, err := p.client.Load(call)
+	p.loop.send(func(now time.Time) {
+		if ctx.Err() == nil {
+			p.loop.reported(p.name, report, err, asked, now)
+		}
+	})
+}
+
+// events reads cache events. A failure is left to the load report to find.
+func (p *poll) events(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, pollLimit)
+	defer cancel()
+	got, err := p.client.Events(call, p.after)
+	if err != nil {
+		return
+	}
+	if got.Boot != p.boot {
+		p.boot, p.after = got.Boot, 0
+	} else {
+		p.after = got.Next
+	}
+	p.loop.send(func(now time.Time) { p.loop.cached(p.name, got.Events, now) })
+}
+
+// cached takes cache events. They tell which contexts the engine has surely evicted: those last used before one that it did
+// evict, since the cache drops the longest unused first.
+func (l *Loop) cached(name string, events []engine.Event, now time.Time) {
+	e, ok := l.state.engines[name]
+	if !ok || e.gate == nil {
+		return
+	}
+	for _, event := range events {
+		if event.Chat == "" {
+			continue
+		}
+		switch event.Kind {
+		case "stored":
+			if len(e.stored) < mostStored {
+				e.stored[event.Chat] = now.Unix()
 			}
+		case "evicted":
+			if used := time.Unix(e.stored[event.Chat], 0); used.After(e.evicted) {
+				e.evicted = used
+			}
+			delete(e.stored, event.Chat)
 		}
-	}()
+	}
 }
 
 func (l *Loop) stopPolls() {
@@ -137,6 +211,9 @@
 // restarted begins anew with an engine that lost its requests and its cache: the gate ramps up, which is the slow start.
 func (l *Loop) restarted(e *engineState, now time.Time) {
 	l.empty(e)
+	clear(e.stored)
+	e.evicted = time.Time{}
+	e.mean = loadsum.Sum{}
 	e.gate = admission.Takeover(now, gateSettings(e.pool))
 	l.memory.drop(e.backend.Name)
 	l.record(timeline.Event{Kind: timeline.Member, Backend: e.backend.Name, Text: "engine restarted"})
@@ -148,6 +225,9 @@
 	}
 	e.health = health
 	l.state.dirty = true
+	if health == placement.Suspect {
+		l.turnAway(e)
+	}
 	text := "in service: " + why
 	if health == placement.Suspect {
 		text = "suspect: " + why
--- a/hornbeamd/control/peers.go
+++ b/hornbeamd/control/peers.go
@@ -21,6 +21,9 @@
 	Renew(ctx context.Context, router, engine string, slots []uint64) ([]uint64, error)
 	// Free returns a slot. A message that is lost is made up for by the slot's expiry.
 	Free(router, engine string, slot uint64)
+	// Held asks the owner of a chat's home which engine holds the context; empty for the home. Note tells it.
+	Held(ctx context.Context, router string, key uint64) (string, error)
+	Note(router string, key uint64, engine string)
 	// Load sends the sums over the engines that this router owns, by pool.
 	Load(sums map[string]loadsum.Sum)
 	// Mean returns the sum over all engines of a pool, false if none is recent.
@@ -113,44 +116,41 @@
 	}
 }
 
-// exchange renews slots and exchanges load sums.
-func (l *Loop) exchange(now time.Time) {
+// loads exchanges the load of the owned engines for the mean of their pools.
+func (l *Loop) loads(now time.Time) {
 	sums := map[string]loadsum.Sum{}
 	for _, name := range l.state.order {
 		e := l.state.engines[name]
-		if e.gate == nil {
-			continue
-		}
-		if !l.takesWork(e) {
+		if e.gate == nil || !l.takesWork(e) {
 			continue
 		}
 		sum := sums[e.backend.Pool]
 		sums[e.backend.Pool] = loadsum.Sum{Load: sum.Load + e.gate.Load(), Count: sum.Count + 1}
 	}
-	for _, s := range l.state.local {
-		if e, ok := l.state.engines[s.engine]; ok && e.gate != nil {
-			e.gate.Renew(now, []uint64{s.slot})
-		}
-	}
 	l.Peers.Load(sums)
-	l.means(now)
-	l.renewRemote()
-	l.measure()
-}
-
-// means gives the gates the mean load of their pool.
-func (l *Loop) means(now time.Time) {
 	for _, name := range l.state.order {
 		e := l.state.engines[name]
 		if e.gate == nil {
 			continue
 		}
-		if sum, ok := l.Peers.Mean(e.backend.Pool); ok && sum.Count > 0 {
+		// A gate follows its own load since the last new mean, so the same one is not given twice.
+		if sum, ok := l.Peers.Mean(e.backend.Pool); ok && sum.Count > 0 && sum != e.mean {
+			e.mean = sum
 			l.carryOut(e, e.gate.Mean(now, admission.Mean{Load: sum.Mean(), Engines: sum.Count}))
 		}
 	}
 }
 
+// renew extends the slots of this router's requests.
+func (l *Loop) renew(now time.Time) {
+	for _, s := range l.state.local {
+		if e, ok := l.state.engines[s.engine]; ok && e.gate != nil {
+			e.gate.Renew(now, []uint64{s.slot})
+		}
+	}
+	l.renewRemote()
+}
+
 // renewRemote extends the slots that other routers granted, in one call for each engine.
 func (l *Loop) renewRemote() {
 	type target struct{ router, engine string }
--- a/hornbeamd/control/slots.go
+++ b/hornbeamd/control/slots.go
@@ -12,6 +12,9 @@
 // notOwner is the code with which a router refuses a slot of an engine that another one owns. It never reaches a caller.
 const notOwner outcome.Code = "not_owner"
 
+// elsewhere is the code with which the owner of a chat's home names the engine that holds the context.
+const elsewhere outcome.Code = "elsewhere"
+
 // gone is the code for a request whose caller left while it waited.
 const gone outcome.Code = "gone"
 
@@ -21,6 +24,10 @@
 	// Fingerprint identifies the request. Suspect is set if it was in flight on an engine that crashed.
 	Fingerprint string
 	Suspect     *quarantine.Crash
+	// Chat is the hash of what decides the chat's home. With Home the engine is that home, and the owner answers with the
+	// engine that holds the chat's context in place of a slot when that is another one.
+	Chat uint64
+	Home bool
 }
 
 // Answer is an owner's answer to a SlotAsk.
@@ -28,6 +35,10 @@
 	admission.Action
 	// Boot is the engine's present life; empty while the owner has no report.
 	Boot string
+	// Wait is the expected wait at an engine that refused for want of room.
+	Wait time.Duration
+	// Held is set in place of a slot: the engine that holds the chat's context.
+	Held string
 }
 
 // refuse returns a refusal that the gate did not make.
@@ -60,6 +71,14 @@
 		answer <- refuse(ask, outcome.NoBackend)
 		return
 	}
+	if ask.Home {
+		if held := l.Held(ask.Chat); held != "" && held != name {
+			a := refuse(ask, elsewhere)
+			a.Held = held
+			answer <- a
+			return
+		}
+	}
 	if code := l.mayStart(now, name, ask); code != "" {
 		answer <- refuse(ask, code)
 		return
@@ -84,10 +103,17 @@
 func (l *Loop) answer(e *engineState, w waiter, a admission.Action) {
 	if a.Kind == admission.Granted {
 		e.granted[a.Slot.ID] = w.ask
+		if w.ask.Home {
+			l.Note(w.ask.Chat, "")
+		}
 	} else {
 		l.over(w.ask.Fingerprint, e.backend.Name, false)
 	}
-	w.answer <- Answer{Action: a, Boot: e.boot}
+	reply := Answer{Action: a, Boot: e.boot}
+	if a.Kind == admission.Refused && e.gate != nil {
+		reply.Wait = e.gate.Expected(l.Now())
+	}
+	w.answer <- reply
 }
 
 // abandon takes a request out of the queue. If it was granted meanwhile, its slot is freed.
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"hornbeamstep.example/coord/loadsum"
 	"hornbeamstep.example/hornbeamd/engine"
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/routing/admission"
@@ -51,6 +52,12 @@
 	// share is used while the owner cannot be reached.
 	share    *admission.Share
 	stopPoll context.CancelFunc
+	// mean is the last sum over the pool that the gate was given.
+	mean loadsum.Sum
+	// stored holds when each chat's context was last used, in seconds, as cache events tell; evicted is the latest such time
+	// of a context that is gone.
+	stored  map[string]int64
+	evicted time.Time
 	// granted holds the requests that have a slot of gate, by slot.
 	granted map[uint64]SlotAsk
 }
@@ -95,7 +102,7 @@
 func (s *state) update(name string, b policy.Backend, pool policy.Pool) {
 	e, ok := s.engines[name]
 	if !ok {
-		e = &engineState{waiters: map[string]waiter{}, granted: map[uint64]SlotAsk{}}
+		e = &engineState{waiters: map[string]waiter{}, granted: map[uint64]SlotAsk{}, stored: map[string]int64{}}
 		s.engines[name] = e
 	}
 	if ok && e.backend.Address != b.Address && e.stopPoll != nil {
@@ -143,7 +150,7 @@
 		}
 		owned[name] = true
 		wait := e.gate.Expected(now)
-		status[name] = placement.Status{Load: e.gate.Load(), Wait: wait, Full: wait > 0}
+		status[name] = placement.Status{Load: e.gate.Load(), Wait: wait, Full: wait > 0, Evicted: e.evicted}
 	}
 	l.state.view = l.state.view.WithStatuses(status)
 	old := l.snap.Load()
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -118,6 +118,7 @@
 	d.node.Claims = d.claims
 	d.usages = newUsages()
 	d.node.Usages = d.usages
+	d.node.Contexts = d.loop
 	return nil
 }
 
--- a/hornbeamd/daemon/peers.go
+++ b/hornbeamd/daemon/peers.go
@@ -51,16 +51,20 @@
 	grant, err := p.node.Take(ctx, router, peer.SlotAsk{
 		Request: ask.Request, Engine: engine, Account: ask.Account, Class: int(ask.Class), Cost: ask.Cost, Weight: ask.Weight,
 		Wait: wait, Fingerprint: ask.Fingerprint, Suspect: toCrash(ask.Suspect),
+		Chat: ask.Chat, Home: ask.Home, Over: ask.Over, Age: time.Since(ask.Since),
 	})
 	var refused *outcome.Error
 	if errors.As(err, &refused) {
 		return control.Answer{Action: admission.Action{
 			Kind: admission.Refused, Ask: ask.Ask, Code: refused.Code, Retry: refused.Retry,
-		}}, nil
+		}, Wait: refused.Retry}, nil
 	}
 	if err != nil {
 		return control.Answer{}, err
 	}
+	if grant.Held != "" {
+		return control.Answer{Action: admission.Action{Kind: admission.Refused, Ask: ask.Ask}, Held: grant.Held}, nil
+	}
 	_, id, err := parseSlot(grant.Slot)
 	if err != nil {
 		return control.Answer{}, err
@@ -95,6 +99,21 @@
 	_ = p.node.Free(ctx, router, []string{slotName(engine, slot)})
 }
 
+// Held implements control.Peers.
+func (p *peers) Held(ctx context.Context, router string, key uint64) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, takeLimit)
+	defer cancel()
+	return p.node.Held(ctx, router, key)
+}
+
+// Note implements control.Peers.
+func (p *peers) Note(router string, key uint64, engine string) {
+	ctx, cancel := context.WithTimeout(context.Background(), takeLimit)
+	defer cancel()
+	// A note that is lost costs a cache miss.
+	_ = p.node.Note(ctx, router, key, engine)
+}
+
 // Load implements control.Peers.
 func (p *peers) Load(sums map[string]loadsum.Sum) {
 	p.mu.Lock()
@@ -169,17 +188,26 @@
 	in := control.SlotAsk{
 		Ask: admission.Ask{
 			Request: ask.Request, Router: from, Account: ask.Account, Class: admission.Class(ask.Class), Weight: ask.Weight,
-			Cost: ask.Cost, NoQueue: ask.Wait <= 0, Deadline: time.Now().Add(ask.Wait),
+			Cost: ask.Cost, NoQueue: ask.Wait <= 0, Deadline: time.Now().Add(ask.Wait), Over: ask.Over,
+			Since: time.Now().Add(-ask.Age),
 		},
-		Fingerprint: ask.Fingerprint,
+		Fingerprint: ask.Fingerprint, Chat: ask.Chat, Home: ask.Home,
 	}
 	if ask.Suspect != nil {
 		in.Suspect = &quarantine.Crash{Engine: ask.Suspect.Engine, Boot: ask.Suspect.Boot}
 	}
 	a := s.loop.Take(ctx, ask.Engine, in)
+	if a.Held != "" {
+		return peer.SlotGrant{Held: a.Held}, nil
+	}
 	if a.Kind != admission.Granted {
+		retry := a.Retry
+		if ask.Wait <= 0 && a.Wait > 0 {
+			// The asking router compares the wait with that at other engines.
+			retry = a.Wait
+		}
 		return peer.SlotGrant{}, &outcome.Error{
-			Code: a.Code, Outcome: outcome.NotRun, Status: 429, Retry: a.Retry,
+			Code: a.Code, Outcome: outcome.NotRun, Status: 429, Retry: retry,
 			Message: "no slot on engine " + ask.Engine, Remedy: "send the request again after the retry time",
 		}
 	}
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -30,6 +30,13 @@
 	// Fingerprint identifies the request. Suspect is set if the request was in flight on an engine that crashed.
 	Fingerprint string
 	Suspect     *Crash
+	// Chat is the hash of what decides the chat's home (placement.Key). If Home is the engine, the owner answers with the
+	// engine that holds the context in place of a slot when that is another one.
+	Chat uint64
+	Home bool
+	// Over is set while the client account surges, and Age is the time since the request first asked an engine.
+	Over bool
+	Age  time.Duration
 }
 
 // Crash names one life of an engine that ended in a crash.
@@ -46,6 +53,8 @@
 	Lease time.Duration
 	// Boot is the engine's present life; empty while the owner has no report.
 	Boot string
+	// Held is set in place of a slot: the engine that holds the chat's context.
+	Held string
 }
 
 // Notice is something that every router should know soon.
@@ -79,6 +88,11 @@
 	Wait        int64  `json:"wait,omitempty"`
 	Fingerprint string `json:"print,omitempty"`
 	Suspect     *Crash `json:"suspect,omitempty"`
+	Chat        uint64 `json:"chat,omitempty"`
+	Home        bool   `json:"home,omitempty"`
+	Over        bool   `json:"over,omitempty"`
+	// Age is in milliseconds.
+	Age int64 `json:"age,omitempty"`
 }
 
 type wireGrant struct {
@@ -86,6 +100,7 @@
 	// Lease is in milliseconds.
 	Lease int64  `json:"lease"`
 	Boot  string `json:"boot,omitempty"`
+	Held  string `json:"held,omitempty"`
 }
 
 type wireSlots struct {
@@ -215,7 +230,7 @@
 	case r.Method == "slot" && n.Slots != nil:
 		return with(r, func(w wireAsk) (wireGrant, error) {
 			g, err := n.Slots.Take(ctx, w.From, w.ask())
-			return wireGrant{g.Slot, g.Lease.Milliseconds(), g.Boot}, err
+			return wireGrant{g.Slot, g.Lease.Milliseconds(), g.Boot, g.Held}, err
 		})
 	case r.Method == "free" && n.Slots != nil:
 		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Free(ctx, w.From, w.Slots) })
@@ -236,6 +251,10 @@
 		return with(r, func(w wireClaim) (wireClaimed, error) { return n.handleClaim(ctx, w) })
 	case r.Method == "finish" && n.Claims != nil:
 		return with(r, func(w wireFinish) (any, error) { return n.handleFinish(ctx, w) })
+	case r.Method == "held" && n.Contexts != nil:
+		return with(r, n.handleHeld)
+	case r.Method == "note" && n.Contexts != nil:
+		return with(r, n.handleNote)
 	case r.Method == "usage" && n.Usages != nil:
 		return with(r, n.handleUsage)
 	default:
@@ -247,6 +266,7 @@
 	return SlotAsk{
 		Request: w.Request, Engine: w.Engine, Account: w.Account, Class: w.Class, Cost: w.Cost, Weight: w.Weight,
 		Wait: time.Duration(w.Wait) * time.Millisecond, Fingerprint: w.Fingerprint, Suspect: w.Suspect,
+		Chat: w.Chat, Home: w.Home, Over: w.Over, Age: time.Duration(w.Age) * time.Millisecond,
 	}
 }
 
@@ -347,9 +367,10 @@
 	params := wireAsk{
 		From: n.ID, Request: a.Request, Engine: a.Engine, Account: a.Account, Class: a.Class, Cost: a.Cost, Weight: a.Weight,
 		Wait: a.Wait.Milliseconds(), Fingerprint: a.Fingerprint, Suspect: a.Suspect,
+		Chat: a.Chat, Home: a.Home, Over: a.Over, Age: a.Age.Milliseconds(),
 	}
 	err := n.send(ctx, router, "slot", params, &w)
-	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond, w.Boot}, err
+	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond, w.Boot, w.Held}, err
 }
 
 // Free returns slots to the owner that granted them.
--- a/hornbeamd/peer/loop.go
+++ b/hornbeamd/peer/loop.go
@@ -16,9 +16,13 @@
 const (
 	// tickEvery is short against the time for the answer to a ping.
 	tickEvery = 100 * time.Millisecond
-	// loadEvery is the period of load reports, tidyEvery that of the look for idle and silent connections.
-	loadEvery = time.Second
-	tidyEvery = time.Second
+	// loadEvery is the period of load reports, tidyEvery that of the look for idle and silent connections. In a fleet of up to
+	// smallFleet routers loads go every loadOften: a mean that is a second old admits requests above the bound, and the
+	// messages of so few routers fit the budget for control traffic.
+	loadEvery  = time.Second
+	loadOften  = 200 * time.Millisecond
+	smallFleet = 16
+	tidyEvery  = time.Second
 	// directLimit is the time for the answer to a ping, exchangeLimit that for other control messages.
 	directLimit   = member.DefaultDirect
 	exchangeLimit = 2 * time.Second
@@ -92,7 +96,7 @@
 	l.do(now, l.members.Tick(now))
 	l.spread(now, l.revisions.Tick(now))
 	if !now.Before(l.nextLoad) {
-		l.nextLoad = now.Add(loadEvery)
+		l.nextLoad = now.Add(l.loadPeriod())
 		l.reportLoads(now)
 	}
 	if !now.Before(l.nextTidy) {
@@ -102,6 +106,13 @@
 	}
 }
 
+func (l *loop) loadPeriod() time.Duration {
+	if len(l.view.Members) <= smallFleet {
+		return loadOften
+	}
+	return loadEvery
+}
+
 func (l *loop) gauge() {
 	counts := map[member.Status]int{}
 	for _, m := range l.n.published.Load().view.Members {
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -90,6 +90,7 @@
 	Operator  Operator
 	Claims    Claims
 	Usages    Usages
+	Contexts  Contexts
 
 	once    sync.Once
 	ready   chan struct{}
