--- a/coord/claim/linear_test.go
+++ b/coord/claim/linear_test.go
@@ -115,7 +115,7 @@
 	m.Inject(objectapi.Random(seed, objectapi.Chances{
 		Down: 0.03, Lost: 0.15, Late: 0.1, Slow: 30 * time.Millisecond, Delay: 900 * time.Millisecond,
 	}))
-	tables := []*claim.Table{{Store: m, Seal: 400}, {Store: m, Seal: 400}}
+	tables := []*claim.Table{{Store: m, Seal: 1}, {Store: m, Seal: 400}}
 	r := &recorder{start: time.Now()}
 	var wg sync.WaitGroup
 	for client := range 6 {
@@ -210,7 +210,7 @@
 	m.Inject(objectapi.Random(seed, objectapi.Chances{
 		Down: 0.1, Lost: 0.2, Late: 0.2, Behind: 0.1, Slow: 50 * time.Millisecond, Delay: 3 * time.Second,
 	}))
-	routers := []*claim.Table{{Store: m, Seal: 300}, {Store: m, Seal: 300}, {Store: m, Seal: 300}}
+	routers := []*claim.Table{{Store: m, Seal: 1}, {Store: m, Seal: 1}, {Store: m, Seal: 300}}
 	var wg sync.WaitGroup
 	for _, s := range program {
 		time.Sleep(s.gap)
--- a/coord/claim/rebuild_test.go
+++ b/coord/claim/rebuild_test.go
@@ -15,19 +15,23 @@
 	"hornbeamstep.example/platform/objectapi"
 )
 
-// Guards against a takeover of a shard that takes so long, or so many reads, that its claims are refused. One shard holds the claims
+// Guards against a takeover of a shard that takes so long that its claims are refused, and against merged segments that lose or
+// revert claims. One shard holds the claims
 // of 30 minutes at its share of 205 requests a second, with answers of 100 and of 512 bytes.
 func TestRebuildOfAFullShard(t *testing.T) {
 	for _, answer := range []int{100, claim.MaxAnswer} {
 		synctest.Test(t, func(t *testing.T) {
 			m := &objectapi.Memory{}
 			m.Inject(objectapi.Random(1, objectapi.Chances{Slow: 6 * time.Millisecond}))
-			fill(t, &claim.Table{Store: m}, answer)
+			n := fill(t, &claim.Table{Store: m}, answer)
 			next := &claim.Table{Store: m}
 			reads, start := m.Counts().Get, time.Now()
-			_, won := get(t, next, inShard(0))
-			qt.Assert(t, won, qt.IsFalse)
-			t.Logf("answers of %d bytes: %d reads, %s", answer, m.Counts().Get-reads, time.Since(start))
+			_, _ = get(t, next, inShard(0))
+			t.Logf("%d claims with answers of %d bytes: %d reads, %s", n, answer, m.Counts().Get-reads, time.Since(start))
+			for i := range n {
+				c, _ := get(t, next, inShard(i))
+				qt.Assert(t, c.State, qt.Equals, claim.Done)
+			}
 		})
 	}
 }
@@ -42,12 +46,12 @@
 	}
 }
 
-func fill(t *testing.T, table *claim.Table, answer int) {
+func fill(t *testing.T, table *claim.Table, answer int) (n int) {
 	random := rand.New(rand.NewPCG(1, 0))
 	var wg sync.WaitGroup
-	for i, start := 0, time.Now(); time.Since(start) < claim.Retention-time.Minute; i++ {
+	for start := time.Now(); time.Since(start) < claim.Retention-time.Minute; n++ {
+		k := inShard(n)
 		wg.Go(func() {
-			k := inShard(i)
 			c, _ := get(t, table, k)
 			time.Sleep(service)
 			qt.Check(t, table.Finish(context.Background(), k, c.Token, claim.Done, make([]byte, answer)), qt.IsNil)
@@ -55,4 +59,5 @@
 		time.Sleep(time.Duration(random.ExpFloat64() / rate * claim.Shards * float64(time.Second)))
 	}
 	wg.Wait()
+	return n
 }
--- a/coord/claim/record.go
+++ b/coord/claim/record.go
@@ -1,9 +1,6 @@
 package claim
 
 import (
-	"crypto/sha256"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"time"
 )
@@ -37,6 +34,9 @@
 type wirePointer struct {
 	Name  string `json:"name,omitempty"`
 	Until int64  `json:"until,omitempty"`
+	// Level counts how often the claims were merged, and Run how many segments of this level follow each other, this one included.
+	Level int `json:"level,omitempty"`
+	Run   int `json:"run,omitempty"`
 }
 
 // wireHead is the head record of a shard.
@@ -70,18 +70,6 @@
 	return out
 }
 
-// seal returns the segment that holds the head's claims and the pointer to it. Equal heads give equal names, so a repeated seal
-// writes nothing new. The time in the name lets Sweep delete old segments without reading them.
-func (h wireHead) seal(shard int) (wirePointer, []byte, error) {
-	value, err := json.Marshal(wireSegment{Previous: h.Segment, Claims: h.Claims})
-	if err != nil {
-		return wirePointer{}, nil, err
-	}
-	sum := sha256.Sum256(value)
-	name := fmt.Sprintf("segment-%02d-%d-%s", shard, h.At, base64.RawURLEncoding.EncodeToString(sum[:12]))
-	return wirePointer{Name: name, Until: h.At}, value, nil
-}
-
 // sealedAt returns the time in the name of a segment.
 func sealedAt(name string) (int64, bool) {
 	var shard int
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -311,7 +311,7 @@
 		return err
 	}
 	if len(value) > t.sealSize() && len(s.head.Claims) > 0 {
-		pointer, err := t.seal(s)
+		pointer, err := t.seal(s, p.now)
 		if err != nil {
 			return err
 		}
@@ -330,29 +330,3 @@
 	s.install(version, head, p.changes, p.now)
 	return nil
 }
-
-// seal writes the claims of the head record into a segment. The head record is not changed yet.
-func (t *Table) seal(s *shard) (wirePointer, error) {
-	if s.sealedVersion == s.version && s.sealed.Name != "" {
-		return s.sealed, nil
-	}
-	pointer, value, err := s.head.seal(s.number)
-	if err != nil {
-		return wirePointer{}, err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	_, err = t.Store.Put(ctx, objectapi.Object{Kind: Kind, Name: pointer.Name, Value: value})
-	var conflict *objectapi.ConflictError
-	var ambiguous *objectapi.AmbiguousError
-	if errors.As(err, &ambiguous) {
-		_, err = t.get(pointer.Name)
-	}
-	if err != nil && !errors.As(err, &conflict) {
-		// Nothing refers to the segment yet, so the batch surely had no effect whether the segment exists or not.
-		return wirePointer{}, &objectapi.UnavailableError{Retry: time.Second, Cause: err}
-	}
-	t.count(func(st *Stats) { st.Seals++ })
-	s.sealed, s.sealedVersion = pointer, s.version
-	return pointer, nil
-}
