--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -8,18 +8,23 @@
 
 	"github.com/alecthomas/kong"
 
+	"hornbeamstep.example/hornbeambench/control"
 	"hornbeamstep.example/hornbeambench/fleet"
+	"hornbeamstep.example/hornbeambench/load"
 	"hornbeamstep.example/hornbeambench/replay"
 	"hornbeamstep.example/hornbeambench/report"
 	"hornbeamstep.example/hornbeambench/standin"
+	"hornbeamstep.example/hornbeambench/standin/modelengine"
 )
 
 // CLI holds all commands.
 type CLI struct {
+	Load    load.Command     `cmd:"" help:"Drive running routers as callers do and verify every answer of the stand-ins."`
 	Standin standin.Commands `cmd:"" help:"Run a stand-in as a process of its own."`
 	Replay  replay.Command   `cmd:"" help:"Replay a scenario in virtual time and judge its outcomes."`
 	List    replay.List      `cmd:"" help:"List the scenarios of replay."`
 	Report  report.Command   `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
+	Control control.Command  `cmd:"" help:"Measure the control traffic between real nodes in this process."`
 	Fleet   fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
 }
 
@@ -31,6 +36,7 @@
 		kong.Name("hornbeambench"),
 		kong.Description("Demonstrates and measures hornbeamstep. Exit codes: 0 every outcome held, 1 one did not or the command failed, 2 wrong usage."),
 		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(modelengine.Answer),
 	)
 	if err != nil {
 		return fail(err, 1)
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -23,8 +23,19 @@
 	Class int
 	// Cost is in the engine's own unit of load.
 	Cost float64
+	// Weight is the account's share in fair queueing.
+	Weight float64
 	// Wait is how long the request may be queued.
 	Wait time.Duration
+	// Fingerprint identifies the request. Suspect is set if the request was in flight on an engine that crashed.
+	Fingerprint string
+	Suspect     *Crash
+}
+
+// Crash names one life of an engine that ended in a crash.
+type Crash struct {
+	Engine string `json:"engine"`
+	Boot   string `json:"boot"`
 }
 
 // SlotGrant is permission to run one request.
@@ -33,6 +44,8 @@
 	Slot string
 	// Lease is how long it lasts unless it is renewed, by the owner's clock.
 	Lease time.Duration
+	// Boot is the engine's present life; empty while the owner has no report.
+	Boot string
 }
 
 // Notice is something that every router should know soon.
@@ -40,9 +53,9 @@
 	// Kind is "suspect", "quarantine" or "release".
 	Kind        string
 	Fingerprint string
-	// Engine is the one that crashed, for suspects.
-	Engine string
-	At     time.Time
+	// Engine is the one that crashed and Boot its life, for suspects and quarantine.
+	Engine, Boot string
+	At           time.Time
 }
 
 // Query selects events of the time line.
@@ -61,14 +74,18 @@
 	Account string  `json:"account,omitempty"`
 	Class   int     `json:"class,omitempty"`
 	Cost    float64 `json:"cost,omitempty"`
+	Weight  float64 `json:"weight,omitempty"`
 	// Wait is in milliseconds.
-	Wait int64 `json:"wait,omitempty"`
+	Wait        int64  `json:"wait,omitempty"`
+	Fingerprint string `json:"print,omitempty"`
+	Suspect     *Crash `json:"suspect,omitempty"`
 }
 
 type wireGrant struct {
 	Slot string `json:"slot"`
 	// Lease is in milliseconds.
-	Lease int64 `json:"lease"`
+	Lease int64  `json:"lease"`
+	Boot  string `json:"boot,omitempty"`
 }
 
 type wireSlots struct {
@@ -84,6 +101,7 @@
 	Kind        string    `json:"kind"`
 	Fingerprint string    `json:"print"`
 	Engine      string    `json:"engine,omitempty"`
+	Boot        string    `json:"boot,omitempty"`
 	At          time.Time `json:"time"`
 }
 
@@ -128,6 +146,13 @@
 	return true
 }
 
+// decode reads a value from JSON.
+func decode[T any](data []byte) (T, error) {
+	var v T
+	err := json.Unmarshal(data, &v)
+	return v, err
+}
+
 // params decodes the parameters of a request.
 func params[T any](r *jsonrpc2.Request) (T, error) {
 	var v T
@@ -190,7 +215,7 @@
 	case r.Method == "slot" && n.Slots != nil:
 		return with(r, func(w wireAsk) (wireGrant, error) {
 			g, err := n.Slots.Take(ctx, w.From, w.ask())
-			return wireGrant{g.Slot, g.Lease.Milliseconds()}, err
+			return wireGrant{g.Slot, g.Lease.Milliseconds(), g.Boot}, err
 		})
 	case r.Method == "free" && n.Slots != nil:
 		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Free(ctx, w.From, w.Slots) })
@@ -207,13 +232,22 @@
 	case r.Method == "status" && n.Operator != nil:
 		document, err := n.Operator.Status(ctx)
 		return wireStatus{document}, err
+	case r.Method == "claim" && n.Claims != nil:
+		return with(r, func(w wireClaim) (wireClaimed, error) { return n.handleClaim(ctx, w) })
+	case r.Method == "finish" && n.Claims != nil:
+		return with(r, func(w wireFinish) (any, error) { return n.handleFinish(ctx, w) })
+	case r.Method == "usage" && n.Usages != nil:
+		return with(r, n.handleUsage)
 	default:
 		return nil, &jsonrpc2.Error{Code: codeMethod, Message: "router " + n.ID + " does not serve " + method(r.Method)}
 	}
 }
 
 func (w wireAsk) ask() SlotAsk {
-	return SlotAsk{w.Request, w.Engine, w.Account, w.Class, w.Cost, time.Duration(w.Wait) * time.Millisecond}
+	return SlotAsk{
+		Request: w.Request, Engine: w.Engine, Account: w.Account, Class: w.Class, Cost: w.Cost, Weight: w.Weight,
+		Wait: time.Duration(w.Wait) * time.Millisecond, Fingerprint: w.Fingerprint, Suspect: w.Suspect,
+	}
 }
 
 func (n *Node) handlePing(ctx context.Context, w wirePing) (wireAck, error) {
@@ -225,9 +259,13 @@
 	})
 }
 
-// handleProbe pings a member for another router.
+// handleProbe pings a member for another router. Only members that this router knows are pinged, so that a peer cannot make
+// it connect anywhere.
 func (n *Node) handleProbe(ctx context.Context, w wireProbe) (wireProbed, error) {
-	target := w.Target.member()
+	target, ok := n.Members().Find(w.Target.ID)
+	if !ok || target.Boot != w.Target.Boot {
+		return wireProbed{}, nil
+	}
 	ping, err := ask(ctx, n, func(now time.Time) wirePing {
 		return fromPing(n.loop.members.Relay(now, target), n.loop.revisions.Revision())
 	})
@@ -306,9 +344,12 @@
 		return n.Slots.Take(ctx, n.ID, a)
 	}
 	var w wireGrant
-	params := wireAsk{n.ID, a.Request, a.Engine, a.Account, a.Class, a.Cost, a.Wait.Milliseconds()}
+	params := wireAsk{
+		From: n.ID, Request: a.Request, Engine: a.Engine, Account: a.Account, Class: a.Class, Cost: a.Cost, Weight: a.Weight,
+		Wait: a.Wait.Milliseconds(), Fingerprint: a.Fingerprint, Suspect: a.Suspect,
+	}
 	err := n.send(ctx, router, "slot", params, &w)
-	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond}, err
+	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond, w.Boot}, err
 }
 
 // Free returns slots to the owner that granted them.
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -64,6 +64,8 @@
 	Zone, Region string
 	// Listen is ip:port; port 0 takes a free one. Advertise is what other routers are told, by default the same.
 	Listen, Advertise string
+	// Caller is the address for callers that other routers are told, as ip:port.
+	Caller string
 	// Keys turn on mutual TLS. They may be nil on a loopback address only.
 	Keys *Keys
 	// Seeds are addresses of routers to contact first. Listed replaces them.
@@ -86,6 +88,8 @@
 	Notices   Notices
 	Timeline  Timeline
 	Operator  Operator
+	Claims    Claims
+	Usages    Usages
 
 	once    sync.Once
 	ready   chan struct{}
@@ -109,7 +113,7 @@
 	view      *member.View
 	owners    *owner.Snapshot
 	untrusted *owner.Snapshot
-	means     map[string]float64
+	sums      map[string]loadsum.Sum
 	revision  int64
 }
 
@@ -300,11 +304,11 @@
 	return n.Clock().Sub(time.Unix(0, n.beat.Load())) > member.DefaultGap
 }
 
-// Mean returns the mean load of a pool's engines over the fleet, if it is known from the last seconds.
-func (n *Node) Mean(pool string) (float64, bool) {
+// Sum returns the load of a pool's engines over the fleet, if it is known from the last seconds.
+func (n *Node) Sum(pool string) (loadsum.Sum, bool) {
 	n.init()
-	mean, ok := n.published.Load().means[pool]
-	return mean, ok && !n.behind()
+	sum, ok := n.published.Load().sums[pool]
+	return sum, ok && !n.behind()
 }
 
 // Revision returns the revision in force, 0 for none.
