feat: metrics of object API calls, and a claim table that can be flushed

Each call on the object API counts, so operators need the calls by kind and result; Metered wraps any store and passes the conformance test. A process that ends can wait for claims that are still being released.

--- a/coord/claim/claim_test.go
+++ b/coord/claim/claim_test.go
@@ -132,7 +132,8 @@
 				var down *claim.DownError
 				qt.Assert(t, errors.As(err, &down), qt.IsTrue)
 				m.Inject(nil)
-				time.Sleep(20 * time.Second)
+				qt.Assert(t, table.Flush(context.Background()), qt.IsNil)
+				time.Sleep(7 * time.Second)
 				_, won := get(t, &claim.Table{Store: m}, key("k"))
 				qt.Assert(t, won, qt.IsTrue)
 			})
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -102,6 +102,34 @@
 	}
 }
 
+// Flush waits until all writes in progress have ended, such as the release of claims whose callers have gone. A process calls it after
+// its last request and before it exits.
+func (t *Table) Flush(ctx context.Context) error {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for t.busy() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (t *Table) busy() bool {
+	for n := range Shards {
+		s := t.shard(n)
+		s.mu.Lock()
+		running := s.running
+		s.mu.Unlock()
+		if running {
+			return true
+		}
+	}
+	return false
+}
+
 // Sweep deletes up to limit segments whose claims no router reads any more, and returns their number. It is called now and then by
 // one router, such as the owner of shard 0.
 func (t *Table) Sweep(ctx context.Context, limit int) (int, error) {
--- a/hornbeambench/standin/platformapi/conformance_test.go
+++ b/hornbeambench/standin/platformapi/conformance_test.go
@@ -19,6 +19,11 @@
 		m := &objectapi.Memory{WatchLimit: 20 * time.Millisecond}
 		return m, m
 	},
+	"metered": func(*testing.T) (objectapi.Store, *objectapi.Memory) {
+		m := &objectapi.Memory{WatchLimit: 20 * time.Millisecond}
+		metered, _ := objectapi.NewMetered(m)
+		return metered, m
+	},
 	"http": func(t *testing.T) (objectapi.Store, *objectapi.Memory) {
 		s := platformapi.New()
 		s.Store.WatchLimit = 20 * time.Millisecond
