fix(order): raise the fencing number of an engine after each takeover

An engine refuses the orders of the previous router only after it has seen a higher number. A new router that found nothing to order sent none, so a stale order of a paused router was still accepted. The first order after a takeover is now sent even if nothing differs; TestFenceIsRaisedWithoutDifference holds a router right before its order.

--- a/coord/order/keeper.go
+++ b/coord/order/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"sync"
 	"time"
 
@@ -52,6 +53,8 @@
 	turn int64
 	// taken is when this process knew that it had taken an engine over, by engine; zero while that is not known.
 	taken map[string]time.Time
+	// unraised are the engines taken over that have not seen a fencing number of this process yet.
+	unraised map[string]bool
 }
 
 // Limiter paces loads over the whole fleet.
@@ -124,7 +127,7 @@
 		return nil, err
 	}
 	var sent []Order
-	for _, step := range Steps(w.State, actual) {
+	for _, step := range k.steps(t.Name, w.State, actual) {
 		order, err := k.send(ctx, t, &o, &w, step)
 		if order.Fence > 0 {
 			sent = append(sent, order)
@@ -132,10 +135,29 @@
 		if err != nil {
 			return sent, err
 		}
+		k.raised(t.Name)
 	}
 	return sent, nil
 }
 
+// steps returns what differs. The first order after a takeover is sent even if nothing does: an engine refuses the orders of the
+// previous router only after it has seen a higher fencing number.
+func (k *Keeper) steps(engine string, desired, actual State) []Step {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	steps := Steps(desired, actual)
+	if len(steps) == 0 && k.unraised[engine] {
+		return []Step{{Drain, strconv.FormatBool(desired.Drain)}}
+	}
+	return steps
+}
+
+func (k *Keeper) raised(engine string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.unraised, engine)
+}
+
 // allowed reports whether this router may give orders to an engine now.
 func (k *Keeper) allowed(t Target) error {
 	if err := k.Lease.Valid(); err != nil {
@@ -154,11 +176,12 @@
 	}
 	k.mu.Lock()
 	if k.taken == nil {
-		k.taken = map[string]time.Time{}
+		k.taken, k.unraised = map[string]time.Time{}, map[string]bool{}
 	}
 	if w.Router != "" {
 		// Set before the write, which may take effect although it seems to fail.
 		k.taken[t.Name] = time.Time{}
+		k.unraised[t.Name] = t.Fence
 	}
 	k.mu.Unlock()
 	w.Router, w.Boot = k.Router, k.Boot
--- a/coord/order/order.go
+++ b/coord/order/order.go
@@ -4,7 +4,7 @@
 // over is a conditional update of that object, after the lease of the previous router was released or ended. A disruptive order
 // (unload, role, drain) needs a fresh conditional update of the object right before it; the version of the latest update is the
 // fencing number of the order. So a router that was paused or replaced fails at the update, and an engine that refuses old fencing
-// numbers refuses what it sent before.
+// numbers refuses what it sent before, once the new router has sent its first order. That one is sent even if nothing differs.
 //
 // For engines that ignore fencing numbers, a new router waits longer than the longest order after it took the engine over, in
 // addition to the lease that it has seen expire. Orders state the desired state, carry an expiry, and are read back and repaired.
--- a/coord/order/order_test.go
+++ b/coord/order/order_test.go
@@ -232,6 +232,31 @@
 	return p.where, stale, e.state
 }
 
+// Guards against a stale order that an engine accepts because the new router had nothing to order, and so sent no higher number.
+func TestFenceIsRaisedWithoutDifference(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &objectapi.Memory{}
+		e := &engine{fenced: true, state: before}
+		p := &pause{at: 2, resume: make(chan struct{})}
+		a := newRouter(t, "a", m, pausedEngine{e, p}, true)
+		qt.Assert(t, a.keeper.Set(ctx, "e-1", want), qt.IsNil)
+		done := make(chan error)
+		go func() {
+			_, err := a.keeper.Repair(ctx, a.target)
+			done <- err
+		}()
+		time.Sleep(time.Second)
+		b := newRouter(t, "b", m, e, true)
+		qt.Assert(t, b.keeper.Set(ctx, "e-1", before), qt.IsNil)
+		qt.Assert(t, b.settle(t), qt.Equals, 1)
+		close(p.resume)
+		var stale *order.StaleError
+		qt.Assert(t, errors.As(<-done, &stale), qt.IsTrue)
+		qt.Assert(t, p.where, qt.Equals, "before an order")
+		qt.Assert(t, e.state, qt.DeepEquals, before)
+	})
+}
+
 // Guards against orders that follow the previous router's last one too soon, which an engine that ignores fencing numbers would mix.
 func TestWaitsForEarlierOrders(t *testing.T) {
 	for _, fenced := range []bool{true, false} {
