--- a/routing/limit/limit.go
+++ b/routing/limit/limit.go
@@ -119,7 +119,8 @@
 		l.rate(now, a, limits.Tokens, a.reported.Tokens, a.total.Tokens)
 }
 
-// rate leaves to each router that did not report at most its light share, so that the sum stays within the limit.
+// rate gives every router its light share, which those that did not report may use, and the rest by demand. The sum over
+// the routers is the limit.
 func (l *Limiter) rate(now time.Time, a *account, limit, own, total float64) float64 {
 	if limit <= 0 {
 		return math.Inf(1)
@@ -128,8 +129,7 @@
 	if !now.Before(a.expires) || total <= 0 {
 		return limit / n
 	}
-	silent := max(0, n-float64(a.total.Routers))
-	return max(l.settings.Light*limit/n, limit*(1-l.settings.Light*silent/n)*own/total)
+	return l.settings.Light*limit/n + (1-l.settings.Light)*limit*min(1, own/total)
 }
 
 // Usage returns the demand of the heavy accounts, in order of their names, for their aggregators. Call it once a Period.
--- a/routing/placement/rule.go
+++ b/routing/placement/rule.go
@@ -65,7 +65,7 @@
 	}
 	at := first.index
 	switch held, ok := v.index[r.Held]; {
-	case ok && v.engines[held].State != Gone:
+	case ok && v.engines[held].State != Gone && serves(v.engines[held], pair{model: r.Model}):
 		at = held
 	case len(s.leaving) > 0:
 		// The home before the departure is the better of the best leaving engine and the present home.
--- a/routing/quarantine/quarantine.go
+++ b/routing/quarantine/quarantine.go
@@ -117,14 +117,11 @@
 }
 
 // Crashed records that an engine crashed while the fingerprints were in flight on it, and returns the entries to tell the
-// other routers. If a suspect ran there, it is guilty, because suspects run apart; the others are innocent of this crash.
+// other routers. At most one of them is a suspect of an earlier crash, because suspects run apart; the others become
+// suspects. None of them is cleared by the suspect's guilt: two guilty requests may have met.
 func (t *Tracker) Crashed(now time.Time, c Crash, inFlight []string) []Entry {
-	suspect, apart := t.running[c.Engine]
 	delete(t.running, c.Engine)
 	list := slices.Compact(slices.Sorted(slices.Values(inFlight)))
-	if apart && slices.Contains(list, suspect) {
-		list = []string{suspect}
-	}
 	var changed []Entry
 	for _, f := range list {
 		e := t.entry(now, f)
