feat: demo of a fleet in one process

Starts the platform, nine engines, three services and six routers in three availability zones, lets a chat return, crashes a busy engine, drains another and changes the policy under load, and judges the outcomes.

--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kong"
 
 	"hornbeamstep.example/hornbeambench/control"
+	"hornbeamstep.example/hornbeambench/demo"
 	"hornbeamstep.example/hornbeambench/fleet"
 	"hornbeamstep.example/hornbeambench/load"
 	"hornbeamstep.example/hornbeambench/replay"
@@ -19,6 +20,7 @@
 
 // CLI holds all commands.
 type CLI struct {
+	Demo    demo.Command     `cmd:"" help:"Run a small fleet in this process, disturb it and judge the outcomes."`
 	Load    load.Command     `cmd:"" help:"Drive running routers as callers do and verify every answer of the stand-ins."`
 	Standin standin.Commands `cmd:"" help:"Run a stand-in as a process of its own."`
 	Replay  replay.Command   `cmd:"" help:"Replay a scenario in virtual time and judge its outcomes."`
--- /dev/null
+++ b/hornbeambench/demo/demo_test.go
@@ -0,0 +1,25 @@
+package demo
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/policy/folder"
+)
+
+// Guards against a sample configuration that a push would refuse, or that lacks what the demo uses.
+func TestSampleConfiguration(t *testing.T) {
+	files, err := sampleFiles()
+	qt.Assert(t, err, qt.IsNil)
+	loaded, err := folder.Load(files)
+	qt.Assert(t, err, qt.IsNil)
+	p := loaded.Policy()
+	qt.Assert(t, p.Backends, qt.HasLen, engines+services)
+	qt.Assert(t, p.Models[model].Pool, qt.Equals, p.Backends[drained].Pool)
+	qt.Assert(t, p.Services[service].Repeat, qt.IsFalse)
+	for _, key := range []string{"demo-coordinators", "demo-trainees"} {
+		_, known := p.AccountByKey(key)
+		qt.Assert(t, known, qt.IsTrue, qt.Commentf(key))
+	}
+}
