--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -44,6 +44,7 @@
 	list     *instancelist.HTTP
 	inForce  *history.InForce
 	claims   *claim.Table
+	usages   *usages
 	node     *peer.Node
 	loop     *control.Loop
 	server   *caller.Server
@@ -105,7 +106,7 @@
 	}
 	peers := &peers{node: d.node, lifetime: d.Settings.Caller.Lifetime}
 	d.loop = &control.Loop{
-		Settings: d.Settings, Peers: peers, Claims: d.claims, Engine: d.engine, Ring: d.ring, Log: d.Log,
+		Settings: d.Settings, Peers: peers, Claims: &claims{owner: d.shardOwner, remote: d.node, local: d.claims}, Engine: d.engine, Ring: d.ring, Log: d.Log,
 		Registry: d.registry, InForce: d.inForce,
 	}
 	d.node.Slots = slots{loop: d.loop}
@@ -114,9 +115,18 @@
 	d.node.Notices = notices{loop: d.loop}
 	d.node.Timeline = events{ring: d.ring}
 	d.node.Operator = d
+	d.node.Claims = d.claims
+	d.usages = newUsages()
+	d.node.Usages = d.usages
 	return nil
 }
 
+// shardOwner returns the other router that owns a shard of the claim log.
+func (d *Daemon) shardOwner(shard int) (string, bool) {
+	owner := d.node.Owners().Shard(shard)
+	return owner, owner != "" && owner != d.Settings.ID
+}
+
 // engine returns a client for the control traffic with an engine.
 func (d *Daemon) engine(b policy.Backend) control.Engine {
 	return engine.New(b.Name+" control", b.Address, engine.Options{
@@ -174,6 +184,7 @@
 	group.Go(func() error { return d.watchConfig(parts) })
 	group.Go(func() error { return d.readInstances(parts) })
 	group.Go(func() error { return d.assign(parts) })
+	group.Go(func() error { return d.shareLimits(parts) })
 	d.Log.Info("daemon started", zap.String("callers", d.Settings.Caller.Address))
 	select {
 	case <-ctx.Done():
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -146,6 +146,13 @@
 	return true
 }
 
+// decode reads a value from JSON.
+func decode[T any](data []byte) (T, error) {
+	var v T
+	err := json.Unmarshal(data, &v)
+	return v, err
+}
+
 // params decodes the parameters of a request.
 func params[T any](r *jsonrpc2.Request) (T, error) {
 	var v T
@@ -225,6 +232,12 @@
 	case r.Method == "status" && n.Operator != nil:
 		document, err := n.Operator.Status(ctx)
 		return wireStatus{document}, err
+	case r.Method == "claim" && n.Claims != nil:
+		return with(r, func(w wireClaim) (wireClaimed, error) { return n.handleClaim(ctx, w) })
+	case r.Method == "finish" && n.Claims != nil:
+		return with(r, func(w wireFinish) (any, error) { return n.handleFinish(ctx, w) })
+	case r.Method == "usage" && n.Usages != nil:
+		return with(r, n.handleUsage)
 	default:
 		return nil, &jsonrpc2.Error{Code: codeMethod, Message: "router " + n.ID + " does not serve " + method(r.Method)}
 	}
@@ -246,9 +259,13 @@
 	})
 }
 
-// handleProbe pings a member for another router.
+// handleProbe pings a member for another router. Only members that this router knows are pinged, so that a peer cannot make
+// it connect anywhere.
 func (n *Node) handleProbe(ctx context.Context, w wireProbe) (wireProbed, error) {
-	target := w.Target.member()
+	target, ok := n.Members().Find(w.Target.ID)
+	if !ok || target.Boot != w.Target.Boot {
+		return wireProbed{}, nil
+	}
 	ping, err := ask(ctx, n, func(now time.Time) wirePing {
 		return fromPing(n.loop.members.Relay(now, target), n.loop.revisions.Revision())
 	})
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -88,6 +88,8 @@
 	Notices   Notices
 	Timeline  Timeline
 	Operator  Operator
+	Claims    Claims
+	Usages    Usages
 
 	once    sync.Once
 	ready   chan struct{}
