--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kong"
 
 	"hornbeamstep.example/hornbeambench/control"
+	"hornbeamstep.example/hornbeambench/demo"
 	"hornbeamstep.example/hornbeambench/fleet"
 	"hornbeamstep.example/hornbeambench/load"
 	"hornbeamstep.example/hornbeambench/replay"
@@ -28,6 +29,7 @@
 	Control  control.Command  `cmd:"" help:"Measure the control traffic between real nodes in this process."`
 	Fleet    fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
 	Variants variants.Command `cmd:"" help:"Compare three designs of admission in a model in virtual time."`
+	Demo     demo.Command     `cmd:"" help:"Run a small fleet in this process, disturb it and judge the outcomes."`
 }
 
 // Main runs one command line and returns the exit code: 0 if every outcome held, 1 if one did not or the command failed, and 2
