feat(platformapi): connections that go silent for good

Connections can go silent while new ones work. The stand-in can now silence all open connections, over the Go API and POST /fault; the test holds the adapter to an ambiguous write and a new connection for the next call.

--- a/hornbeambench/standin/platformapi/platformapi.go
+++ b/hornbeambench/standin/platformapi/platformapi.go
@@ -39,6 +39,8 @@
 	Late   float64 `json:"late,omitempty"`
 	Behind float64 `json:"behind,omitempty"`
 	Delay  string  `json:"delay,omitempty"`
+	// Silent makes the connections that are open now, to any part, silent for good. New ones work.
+	Silent bool `json:"silent,omitempty"`
 	// Seed is the seed of the probabilities.
 	Seed uint64 `json:"seed,omitempty"`
 }
@@ -58,6 +60,8 @@
 	tokens   float64
 	refilled time.Time
 	loads    []weightstore.Artifact
+	// open are the remote addresses of connections, true for silent ones.
+	open map[string]bool
 }
 
 type fault struct {
@@ -70,6 +74,7 @@
 	return &Server{
 		Store:     &objectapi.Memory{},
 		faults:    map[Target]fault{},
+		open:      map[string]bool{},
 		catalogue: weightstore.Catalogue{Rate: 1, Burst: 1},
 		tokens:    1,
 	}
@@ -107,6 +112,9 @@
 	if err != nil {
 		return err
 	}
+	if f.Silent {
+		s.silence()
+	}
 	switch f.Target {
 	case Objects:
 		s.Store.Inject(objectRule(f, slow, delay))
@@ -120,6 +128,60 @@
 	return fmt.Errorf("target %q is unknown; use %q, %q or %q", f.Target, Objects, Instances, Weights)
 }
 
+func (s *Server) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for remote := range s.open {
+		s.open[remote] = true
+	}
+}
+
+// silent notes a connection and reports whether it has gone silent.
+func (s *Server) silent(remote string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silent := s.open[remote]
+	s.open[remote] = silent
+	return silent
+}
+
+// hush answers nothing on a silent connection until the caller closes it. A call in progress takes effect without its answer.
+func (s *Server) hush(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.silent(r.RemoteAddr) {
+			// The server notices a closed connection only after it has read the body.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		next.ServeHTTP(&hushed{ResponseWriter: w, server: s, request: r}, r)
+	})
+}
+
+// hushed holds back the answer to a call whose connection went silent meanwhile.
+type hushed struct {
+	http.ResponseWriter
+	server  *Server
+	request *http.Request
+}
+
+func (h *hushed) WriteHeader(status int) {
+	h.hold()
+	h.ResponseWriter.WriteHeader(status)
+}
+
+func (h *hushed) Write(b []byte) (int, error) {
+	h.hold()
+	return h.ResponseWriter.Write(b)
+}
+
+func (h *hushed) hold() {
+	if h.server.silent(h.request.RemoteAddr) {
+		<-h.request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func objectRule(f Fault, slow, delay time.Duration) objectapi.Rule {
 	chances := objectapi.Chances{Lost: f.Lost, Late: f.Late, Behind: f.Behind, Delay: delay}
 	random := objectapi.Random(f.Seed, chances)
@@ -149,8 +211,10 @@
 	mux.HandleFunc("GET /v1/instances", s.guard(Instances, s.listInstances))
 	mux.HandleFunc("GET /v1/weights", s.guard(Weights, s.readCatalogue))
 	mux.HandleFunc("POST /v1/loads", s.guard(Weights, s.startLoad))
-	mux.HandleFunc("POST /fault", s.postFault)
-	return mux
+	outer := http.NewServeMux()
+	outer.HandleFunc("POST /fault", s.postFault)
+	outer.Handle("/", s.hush(mux))
+	return outer
 }
 
 // guard applies the faults of a target before a handler.
--- a/hornbeambench/standin/platformapi/platformapi_test.go
+++ b/hornbeambench/standin/platformapi/platformapi_test.go
@@ -12,6 +12,7 @@
 
 	"hornbeamstep.example/hornbeambench/standin/platformapi"
 	"hornbeamstep.example/platform/instancelist"
+	"hornbeamstep.example/platform/objectapi"
 	"hornbeamstep.example/platform/weightstore"
 )
 
@@ -49,6 +50,21 @@
 	}
 }
 
+// Guards against a silent connection that the adapter keeps for later calls, and against one that the stand-in still answers.
+func TestSilentConnections(t *testing.T) {
+	c := qt.New(t)
+	s := platformapi.New()
+	srv := httptest.NewServer(s.Handler())
+	defer srv.Close()
+	h := &objectapi.HTTP{Base: srv.URL, Timeout: 100 * time.Millisecond}
+	v := put(c, h, "a", 0, "one")
+	c.Assert(s.SetFault(platformapi.Fault{Target: platformapi.Objects, Silent: true}), qt.IsNil)
+	_, err := h.Put(context.Background(), objectapi.Object{Kind: "k", Name: "a", Version: v, Value: []byte("two")})
+	is[*objectapi.AmbiguousError](c, err)
+	h = &objectapi.HTTP{Base: srv.URL, Client: h.Client}
+	c.Assert(value(c, h, "a"), qt.Equals, "one")
+}
+
 // Guards against a stand-in that serves loads above its rate, which would hide fleets that exceed the limit.
 func TestWeightStoreRate(t *testing.T) {
 	c := qt.New(t)
