--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -15,17 +15,19 @@
 	"hornbeamstep.example/hornbeambench/report"
 	"hornbeamstep.example/hornbeambench/standin"
 	"hornbeamstep.example/hornbeambench/standin/modelengine"
+	"hornbeamstep.example/hornbeambench/variants"
 )
 
 // CLI holds all commands.
 type CLI struct {
-	Load    load.Command     `cmd:"" help:"Drive running routers as callers do and verify every answer of the stand-ins."`
-	Standin standin.Commands `cmd:"" help:"Run a stand-in as a process of its own."`
-	Replay  replay.Command   `cmd:"" help:"Replay a scenario in virtual time and judge its outcomes."`
-	List    replay.List      `cmd:"" help:"List the scenarios of replay."`
-	Report  report.Command   `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
-	Control control.Command  `cmd:"" help:"Measure the control traffic between real nodes in this process."`
-	Fleet   fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
+	Load     load.Command     `cmd:"" help:"Drive running routers as callers do and verify every answer of the stand-ins."`
+	Standin  standin.Commands `cmd:"" help:"Run a stand-in as a process of its own."`
+	Replay   replay.Command   `cmd:"" help:"Replay a scenario in virtual time and judge its outcomes."`
+	List     replay.List      `cmd:"" help:"List the scenarios of replay."`
+	Report   report.Command   `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
+	Control  control.Command  `cmd:"" help:"Measure the control traffic between real nodes in this process."`
+	Fleet    fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
+	Variants variants.Command `cmd:"" help:"Compare three designs of admission in a model in virtual time."`
 }
 
 // Main runs one command line and returns the exit code: 0 if every outcome held, 1 if one did not or the command failed, and 2
