--- a/coord/claim/claim_test.go
+++ b/coord/claim/claim_test.go
@@ -35,15 +35,22 @@
 		ctx := context.Background()
 		m := &objectapi.Memory{}
 		a, b := &claim.Table{Store: m}, &claim.Table{Store: m}
+		_, stands, err := a.Standing(ctx, key("k"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, stands, qt.IsFalse)
 		first, won := get(t, a, key("k"))
 		qt.Assert(t, won, qt.IsTrue)
+		standing, stands, err := b.Standing(ctx, key("k"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, stands, qt.IsTrue)
+		qt.Assert(t, standing.Token, qt.Equals, first.Token)
 		again, won := get(t, b, key("k"))
 		qt.Assert(t, won, qt.IsFalse)
 		qt.Assert(t, again.State, qt.Equals, claim.Claimed)
 
 		other := key("k")
 		other.Fingerprint = "g"
-		_, err := b.Claim(ctx, other, claim.NewToken())
+		_, err = b.Claim(ctx, other, claim.NewToken())
 		var reused *claim.ReusedError
 		qt.Assert(t, errors.As(err, &reused), qt.IsTrue)
 		var notHolder *claim.NotHolderError
--- a/coord/claim/experiment_test.go
+++ b/coord/claim/experiment_test.go
@@ -46,7 +46,12 @@
 func TestVariants(t *testing.T) {
 	results := map[string]figures{}
 	variants := map[string]func(*objectapi.Memory) writer{
-		"sharded log":   newSharded,
+		"sharded log": newSharded,
+		"no owners": func(m *objectapi.Memory) writer {
+			s := newSharded(m).(*sharded)
+			s.scattered = true
+			return s
+		},
 		"claim per key": func(m *objectapi.Memory) writer { return &perKey{store: m} },
 		"pinned key":    func(*objectapi.Memory) writer { return &pinned{taken: map[string]bool{}} },
 	}
@@ -58,6 +63,7 @@
 	}
 	qt.Assert(t, results["sharded log"].double, qt.Equals, 0)
 	qt.Assert(t, results["sharded log"].writes <= 256, qt.IsTrue)
+	qt.Assert(t, results["no owners"].double, qt.Equals, 0)
 	qt.Assert(t, results["claim per key"].double, qt.Equals, 0)
 	qt.Assert(t, results["pinned key"].double > 0, qt.IsTrue)
 }
@@ -120,6 +126,8 @@
 	tables [routers]*claim.Table
 	start  time.Time
 	tokens sync.Map
+	// scattered lets each router write the claims of its own requests to every shard.
+	scattered bool
 }
 
 func newSharded(m *objectapi.Memory) writer {
@@ -130,7 +138,10 @@
 	return s
 }
 
-func (s *sharded) table(k claim.Key) *claim.Table {
+func (s *sharded) table(router int, k claim.Key) *claim.Table {
+	if s.scattered {
+		return s.tables[router]
+	}
 	owner := k.Shard() % routers
 	if owner == dead && time.Since(s.start) >= deathAt {
 		owner++
@@ -138,17 +149,17 @@
 	return s.tables[owner]
 }
 
-func (s *sharded) begin(_ int, name string) bool {
+func (s *sharded) begin(router int, name string) bool {
 	k, token := claim.Key{Account: "a", Name: name}, claim.NewToken()
-	c, err := s.table(k).Claim(context.Background(), k, token)
+	c, err := s.table(router, k).Claim(context.Background(), k, token)
 	s.tokens.Store(name, token)
 	return err == nil && c.Won(token, time.Now())
 }
 
-func (s *sharded) end(_ int, name string) {
+func (s *sharded) end(router int, name string) {
 	k := claim.Key{Account: "a", Name: name}
 	token, _ := s.tokens.Load(name)
-	_ = s.table(k).Finish(context.Background(), k, token.(claim.Token), claim.Done, make([]byte, 100))
+	_ = s.table(router, k).Finish(context.Background(), k, token.(claim.Token), claim.Done, make([]byte, 100))
 }
 
 // perKey writes one object for each key, and again when the request ends.
--- a/coord/claim/shard.go
+++ b/coord/claim/shard.go
@@ -12,7 +12,7 @@
 	"hornbeamstep.example/platform/objectapi"
 )
 
-// op is a queued claim or finish.
+// op is a queued claim, finish or, with an empty state, read.
 type op struct {
 	key    Key
 	id     string
@@ -30,7 +30,9 @@
 
 type result struct {
 	claim Claim
-	err   error
+	// stands is true if there is a claim that has not been released.
+	stands bool
+	err    error
 }
 
 func newOp(k Key, t Token, s State, answer []byte) *op {
@@ -201,6 +203,9 @@
 
 // evaluate returns the changed claim, nil if nothing changes, and the result.
 func (o *op) evaluate(old wireClaim, exists bool, now int64) (*wireClaim, result) {
+	if o.state == "" {
+		return nil, result{claim: old.read(now), stands: exists && old.State != Released}
+	}
 	if o.state == Claimed {
 		return o.evaluateClaim(old, exists, now)
 	}
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -69,7 +69,8 @@
 	if k.Deadline.IsZero() || k.Deadline.After(latest) {
 		k.Deadline = latest
 	}
-	return t.submit(ctx, k.Shard(), newOp(k, token, Claimed, nil))
+	r := t.submit(ctx, k.Shard(), newOp(k, token, Claimed, nil))
+	return r.claim, r.err
 }
 
 // Finish implements Log.
@@ -80,8 +81,13 @@
 	if len(answer) > MaxAnswer || s != Done {
 		answer = nil
 	}
-	_, err := t.submit(ctx, k.Shard(), newOp(k, token, s, answer))
-	return err
+	return t.submit(ctx, k.Shard(), newOp(k, token, s, answer)).err
+}
+
+// Standing returns the claim that stands for a key, false if there is none or it was released. The error is *DownError.
+func (t *Table) Standing(ctx context.Context, k Key) (Claim, bool, error) {
+	r := t.submit(ctx, k.Shard(), newOp(k, "", "", nil))
+	return r.claim, r.stands, r.err
 }
 
 // Stats returns the counters.
@@ -200,22 +206,21 @@
 }
 
 // submit queues an operation and waits for its result. A claim whose caller goes is released once it is found recorded.
-func (t *Table) submit(ctx context.Context, n int, o *op) (Claim, error) {
+func (t *Table) submit(ctx context.Context, n int, o *op) result {
 	ctx, cancel := context.WithTimeout(ctx, t.limit())
 	defer cancel()
 	if !t.enqueue(t.shard(n), o) {
-		return Claim{}, &DownError{Retry: time.Second, Cause: errBusy}
+		return result{err: &DownError{Retry: time.Second, Cause: errBusy}}
 	}
 	select {
 	case r := <-o.done:
-		return r.claim, r.err
+		return r
 	case <-ctx.Done():
 	}
 	if o.abandon() {
-		return Claim{}, &DownError{Retry: time.Second, Cause: ctx.Err()}
+		return result{err: &DownError{Retry: time.Second, Cause: ctx.Err()}}
 	}
-	r := <-o.done
-	return r.claim, r.err
+	return <-o.done
 }
 
 // enqueue starts the shard's writer if none runs. There is one writer for each shard, and it ends when the queue is empty.
--- a/policy/history/history.go
+++ b/policy/history/history.go
@@ -110,12 +110,21 @@
 }
 
 // Watch waits until the head changes after a version of the object API or its wait limit passes. It returns the number of the
-// new head, 0 if it did not change, and the version to continue from.
+// new head, 0 if it did not change, and the version to continue from; begin with 0. It reads the head first: a watch from an old
+// version would return every file and revision since.
 func (h *History) Watch(ctx context.Context, after int64) (number, next int64, err error) {
+	number, version, err := h.head(ctx)
+	if err != nil {
+		return 0, after, err
+	}
+	if version > after {
+		return number, version, nil
+	}
 	objects, next, err := h.Store.Watch(ctx, Kind, after)
 	if err != nil {
 		return 0, after, err
 	}
+	number = 0
 	for _, o := range objects {
 		if o.Name == headName {
 			number, err = parseHead(o)
--- a/policy/history/history_test.go
+++ b/policy/history/history_test.go
@@ -84,6 +84,32 @@
 	c.Assert(errors.As(err, &faults), qt.IsTrue)
 }
 
+// Guards against a router that starts and is sent every file and revision ever pushed, which grows without bound.
+func TestWatchBeginsAtTheHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		m := &objectapi.Memory{}
+		h := &history.History{Store: m}
+		number, next, err := h.Watch(ctx, 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, number, qt.Equals, int64(0))
+		for i := range 3 {
+			_, err := h.Push(ctx, change(int64(i), fmt.Sprint(i), fmt.Sprint(i+2)))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		before := m.Counts().Watch
+		number, next, err = h.Watch(ctx, next)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, number, qt.Equals, int64(3))
+		qt.Assert(t, m.Counts().Watch, qt.Equals, before)
+		go func() { _, _ = h.Push(ctx, change(3, "four", "9")) }()
+		for number != 4 {
+			number, next, err = h.Watch(ctx, next)
+			qt.Assert(t, err, qt.IsNil)
+		}
+	})
+}
+
 type peer struct{ data string }
 
 func (p peer) Blob(context.Context, history.Ref) ([]byte, error) { return []byte(p.data), nil }
