perf: bound the news of a common start; count control bytes in virtual time

A count at 340 routers in virtual time showed 1901 bytes/s of heartbeats a minute after a common start: each of 340 updates was piggybacked 27 times. The queue now holds 64 updates, each sent 12 times, and sync carries the rest.

--- a/coord/member/queue.go
+++ b/coord/member/queue.go
@@ -20,8 +20,22 @@
 	m.Damped = false
 	q.items = slices.DeleteFunc(q.items, func(i queued) bool { return i.update.ID == m.ID })
 	q.items = append(q.items, queued{update: m})
+	if len(q.items) <= queueLimit {
+		return
+	}
+	most := 0
+	for i, item := range q.items {
+		if item.sent > q.items[most].sent {
+			most = i
+		}
+	}
+	q.items = slices.Delete(q.items, most, most+1)
 }
 
+// queueLimit bounds the queue: when more changes at once, such as at a common start, sync spreads it in fewer bytes. Without the
+// limit, 340 members that started together sent old news for minutes.
+const queueLimit = 64
+
 // take returns up to limit updates for a fleet of n members and drops those that were sent often enough to reach everyone.
 func (q *queue) take(limit, n int) []Member {
 	if len(q.items) == 0 || limit <= 0 {
@@ -34,8 +48,9 @@
 		out[i] = q.items[i].update
 		q.items[i].sent++
 	}
-	// Three times the logarithm of the fleet's size reaches every member with high probability; sync covers the rest.
-	enough := 3 * bits.Len(uint(n))
+	// Each member passes an update on a few times more often than the fleet's size can be halved, so that about one in e^12
+	// misses it at 340 members; sync covers the rest.
+	enough := bits.Len(uint(n)) + 3
 	q.items = slices.DeleteFunc(q.items, func(i queued) bool { return i.sent >= enough })
 	return out
 }
--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -23,6 +23,7 @@
 	List     replay.List      `cmd:"" help:"List the scenarios of replay."`
 	Report   report.Command   `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
 	Control  control.Command  `cmd:"" help:"Measure the control traffic between real nodes in this process."`
+	Virtual  control.Virtual  `cmd:"" help:"Count the encoded bytes between routers in virtual time."`
 	Variants variants.Command `cmd:"" help:"Compare three designs of admission in a model in virtual time."`
 	Fleet    fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
 }
--- a/hornbeambench/control/control_test.go
+++ b/hornbeambench/control/control_test.go
@@ -40,3 +40,17 @@
 	c.Assert(r.Sizes[0].Steady.Kinds["ping"] > 0, quicktest.IsTrue)
 	c.Assert(r.Sizes[0].Whole > r.Sizes[0].Change, quicktest.IsTrue)
 }
+
+// Guards against a count that differs from run to run with the same seed, or that counts a fleet that does not form.
+func TestVirtualCountIsStable(t *testing.T) {
+	c := quicktest.New(t)
+	count := func() string {
+		var out bytes.Buffer
+		v := &control.Virtual{Routers: 12, Settle: 20 * time.Second, Window: 10 * time.Second, Seed: 1}
+		c.Assert(v.Write(&out), quicktest.IsNil)
+		return out.String()
+	}
+	first := count()
+	c.Assert(first, quicktest.Contains, "12 of 12 routers know all others")
+	c.Assert(first, quicktest.Equals, count())
+}
--- /dev/null
+++ b/hornbeambench/control/virtual.go
@@ -0,0 +1,246 @@
+package control
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"hornbeamstep.example/coord/loadsum"
+	"hornbeamstep.example/coord/member"
+	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/hornbeamd/peer"
+)
+
+// Virtual counts the encoded bytes of the heartbeats, syncs and load reports of a fleet in virtual time, without connections.
+type Virtual struct {
+	Routers int           `help:"Number of routers." default:"340"`
+	Settle  time.Duration `help:"Virtual time between the start and the count." default:"60s"`
+	Window  time.Duration `help:"Virtual time that is counted." default:"60s"`
+	Restart int           `help:"Number of routers that restart in the counted time." default:"0"`
+	Seed    uint64        `help:"Seed of the fleet." default:"1"`
+}
+
+// Run counts and prints.
+func (v *Virtual) Run(context.Context) error { return v.Write(os.Stdout) }
+
+// Write counts and prints the bytes by method.
+func (v *Virtual) Write(out io.Writer) error {
+	w := newWorld(v)
+	w.run(v.Settle)
+	w.bytes = map[string]int{}
+	for i := range v.Restart {
+		w.later(time.Duration(i)*v.Window/time.Duration(v.Restart), func() { w.restart(i) })
+	}
+	w.run(v.Window)
+	if w.err != nil {
+		return w.err
+	}
+	total := 0
+	for _, kind := range slices.Sorted(maps.Keys(w.bytes)) {
+		total += w.bytes[kind]
+		// Each message is sent by one router and received by another.
+		_, _ = fmt.Fprintf(out, "%s: %.0f bytes/s sent and as much received by each router\n", kind, w.rate(w.bytes[kind]))
+	}
+	complete := 0
+	for _, n := range w.nodes {
+		if view := n.members.View(w.now); view.Trusted && len(view.Members) == v.Routers {
+			complete++
+		}
+	}
+	_, err := fmt.Fprintf(out, "all: %.0f bytes/s sent, without TLS; %d of %d routers know all others\n", w.rate(total), complete, v.Routers)
+	return err
+}
+
+// world is a fleet in virtual time.
+type world struct {
+	*Virtual
+	now, start time.Time
+	rnd        *rand.Rand
+	nodes      []*virtualNode
+	byAddress  map[string]*virtualNode
+	queue      deliveries
+	count      int
+	bytes      map[string]int
+	engines    []owner.Engine
+	pools      []string
+	err        error
+}
+
+type virtualNode struct {
+	self    member.Member
+	members *member.State
+	loads   *loadsum.State
+	view    *member.View
+	owners  *owner.Snapshot
+	next    time.Time
+}
+
+type delivery struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	return d[i].at.Before(d[j].at) || (d[i].at.Equal(d[j].at) && d[i].order < d[j].order)
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+func newWorld(v *Virtual) *world {
+	start := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	w := &world{
+		Virtual: v, now: start, start: start, rnd: rand.New(rand.NewPCG(v.Seed, 3)), byAddress: map[string]*virtualNode{},
+		bytes: map[string]int{},
+	}
+	for i := range max(1, engines*v.Routers/designSize) {
+		w.engines = append(w.engines, owner.Engine{ID: fmt.Sprintf("engine-%03d", i), Zone: zoneName(i), Region: regionName(i)})
+	}
+	for i := range pools {
+		w.pools = append(w.pools, fmt.Sprintf("pool-%d", i))
+	}
+	for i := range v.Routers {
+		n := &virtualNode{self: member.Member{
+			ID: fmt.Sprintf("router-%03d", i), Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250),
+			Zone: zoneName(i), Region: regionName(i),
+		}}
+		w.nodes = append(w.nodes, n)
+		w.byAddress[n.self.Address] = n
+		w.restart(i)
+		w.tick(n)
+	}
+	return w
+}
+
+// restart gives a router a new process.
+func (w *world) restart(i int) {
+	n := w.nodes[i]
+	n.self.Boot = uint64(w.now.UnixMilli())
+	n.members = member.New(member.Config{Self: n.self}, w.now, rand.New(rand.NewPCG(w.Seed, w.rnd.Uint64())))
+	var seeds []member.Instance
+	for j := range min(5, len(w.nodes)) {
+		seeds = append(seeds, member.Instance{Address: w.nodes[j].self.Address})
+	}
+	n.members.Listed(w.now, seeds)
+	n.loads = loadsum.New()
+	n.view, n.next = nil, w.now
+}
+
+func (w *world) later(d time.Duration, run func()) {
+	w.count++
+	heap.Push(&w.queue, delivery{w.now.Add(d), w.count, run})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		next := heap.Pop(&w.queue).(delivery)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+func (w *world) rate(bytes int) float64 {
+	return float64(bytes) / w.Window.Seconds() / float64(w.Routers)
+}
+
+// send counts a message and delivers it after 1 to 5 ms.
+func (w *world) send(message any, deliver func()) {
+	kind, size, err := peer.EncodedSize(message)
+	if err != nil {
+		w.err = err
+		return
+	}
+	w.bytes[kind] += size
+	w.later(time.Millisecond+time.Duration(w.rnd.Int64N(int64(4*time.Millisecond))), deliver)
+}
+
+func (w *world) tick(n *virtualNode) {
+	w.do(n, n.members.Tick(w.now))
+	w.assign(n)
+	if !w.now.Before(n.next) {
+		n.next = w.now.Add(time.Second)
+		w.report(n)
+	}
+	w.later(100*time.Millisecond, func() { w.tick(n) })
+}
+
+// assign computes the ownership of a router for a new view.
+func (w *world) assign(n *virtualNode) {
+	view := n.members.View(w.now)
+	if view == n.view {
+		return
+	}
+	n.view = view
+	in := owner.Input{Self: n.self.ID, Engines: w.engines, Pools: w.pools}
+	for _, m := range view.Members {
+		if m.Eligible() {
+			in.Routers = append(in.Routers, owner.Router{ID: m.ID, Zone: m.Zone, Region: m.Region})
+		}
+	}
+	n.owners = owner.Compute(in).WithTrust(view.Trusted)
+	n.loads.SetRoles(loadsum.Roles{Self: n.self.ID, Zone: n.self.Zone, Aggregator: n.owners.Aggregator, Zones: n.owners.Zones()})
+}
+
+func (w *world) report(n *virtualNode) {
+	sums := map[string]loadsum.Sum{}
+	for _, id := range n.owners.Owned() {
+		pool := w.pools[slices.IndexFunc(w.engines, func(e owner.Engine) bool { return e.ID == id })%pools]
+		s := sums[pool]
+		sums[pool] = loadsum.Sum{Load: s.Load + float64(w.rnd.IntN(40)), Count: s.Count + 1}
+	}
+	n.loads.Own(w.now, sums)
+	for _, send := range n.loads.Tick(w.now) {
+		m, ok := n.view.Find(send.To)
+		if !ok {
+			continue
+		}
+		to := w.byAddress[m.Address]
+		w.send(send.Report, func() {
+			reply := to.loads.Handle(w.now, send.Report)
+			if send.Report.Zone == "" {
+				w.send(reply, func() { n.loads.Answered(w.now, reply) })
+			}
+		})
+	}
+}
+
+func (w *world) do(n *virtualNode, actions []member.Action) {
+	for _, a := range actions {
+		to := w.byAddress[a.To.Address]
+		switch {
+		case to == nil:
+		case a.Kind == member.SendPing:
+			w.send(a.Ping, func() {
+				ack, more := to.members.HandlePing(w.now, a.Ping)
+				w.do(to, more)
+				w.send(ack, func() { w.do(n, n.members.Acked(w.now, a.Seq, ack)) })
+			})
+		case a.Kind == member.SendSync:
+			w.send(a.Sync, func() {
+				reply, more := to.members.HandleSync(w.now, a.Sync)
+				w.do(to, more)
+				w.send(reply, func() {
+					if len(a.Sync.Digests) > 0 {
+						w.do(n, n.members.Synced(w.now, a.To, reply))
+					}
+				})
+			})
+		}
+	}
+}
