--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -50,6 +50,9 @@
 	server   *caller.Server
 	operator *operator.Server
 	listener net.Listener
+	// orders are the latest that this daemon gave, oldest first; at most keptOrders.
+	ordersMu sync.Mutex
+	orders   []operator.Order
 	// stopped is closed when an operator drains the daemon.
 	stopped  chan struct{}
 	stopOnce sync.Once
@@ -186,6 +189,9 @@
 	group.Go(func() error { return d.readInstances(parts) })
 	group.Go(func() error { return d.assign(parts) })
 	group.Go(func() error { return d.shareLimits(parts) })
+	if d.Settings.Orders.Enable {
+		group.Go(func() error { return d.keepEngines(parts) })
+	}
 	d.Log.Info("daemon started", zap.String("callers", d.Settings.Caller.Address))
 	select {
 	case <-ctx.Done():
--- a/hornbeamd/daemon/fleet.go
+++ b/hornbeamd/daemon/fleet.go
@@ -99,11 +99,12 @@
 	Zone     string
 	Revision int64
 	Owned    []operator.Backend
+	Orders   []operator.Order
 }
 
 // Status implements peer.Operator.
 func (d *Daemon) Status(context.Context) ([]byte, error) {
-	r := report{Router: d.Settings.ID, Zone: d.Settings.Zone, Revision: d.loop.Policy().Revision}
+	r := report{Router: d.Settings.ID, Zone: d.Settings.Zone, Revision: d.loop.Policy().Revision, Orders: d.latestOrders()}
 	for _, b := range d.loop.Backends() {
 		if b.Owner == d.Settings.ID {
 			r.Owned = append(r.Owned, b)
@@ -255,7 +256,15 @@
 }
 
 // Orders implements operator.Fleet.
-func (f *fleet) Orders(context.Context) ([]operator.Order, error) { return nil, nil }
+func (f *fleet) Orders(ctx context.Context) ([]operator.Order, error) {
+	reports, _ := f.statuses(ctx)
+	var all []operator.Order
+	for _, r := range reports {
+		all = append(all, r.Orders...)
+	}
+	slices.SortFunc(all, func(a, b operator.Order) int { return int(min(1, max(-1, a.Fence-b.Fence))) })
+	return all, nil
+}
 
 // Quarantine implements operator.Fleet.
 func (f *fleet) Quarantine(context.Context) ([]operator.Quarantined, error) {
--- a/hornbeamd/settings/settings.go
+++ b/hornbeamd/settings/settings.go
@@ -24,6 +24,7 @@
 	Operator Operator `embed:"" prefix:"operator-"`
 	Platform Platform `embed:"" prefix:"platform-"`
 	Engine   Engine   `embed:"" prefix:"engine-"`
+	Orders   Orders   `embed:"" prefix:"orders-"`
 	Drain    Drain    `embed:"" prefix:"drain-"`
 	Log      Log      `embed:"" prefix:"log-"`
 }
@@ -76,6 +77,11 @@
 	Poll     time.Duration `help:"Time between load reports read from an owned engine." default:"200ms"`
 }
 
+// Orders holds the settings of the orders to model engines.
+type Orders struct {
+	Enable bool `help:"Give orders to the engines that this daemon owns: load models and adapters, drain." default:"true" negatable:""`
+}
+
 // Drain holds the times of a graceful shutdown.
 type Drain struct {
 	Longest time.Duration `help:"Longest time that requests in progress are waited for after the route answers' lifetime." default:"10m"`
