fix: a crashing request takes down at most two engines, and innocent requests wait out the crash

Innocent requests were refused while engines were suspect by hearsay. Change: a crash is told to every router that can be reached before the answer goes out; failed and malformed answers probe the engine too; a stream that ends with an error may be retried; a request waits up to 3 s for an engine to come back.

--- /dev/null
+++ b/hornbeambench/endtoend/doc.go
@@ -0,0 +1,2 @@
+// Package endtoend tests whole daemons against the stand-ins in one process.
+package endtoend
--- /dev/null
+++ b/hornbeambench/endtoend/fleet_test.go
@@ -0,0 +1,189 @@
+package endtoend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/hornbeambench/standin/modelengine"
+	"hornbeamstep.example/hornbeambench/standin/plainservice"
+	"hornbeamstep.example/hornbeambench/standin/platformapi"
+	"hornbeamstep.example/hornbeamd/daemon"
+	"hornbeamstep.example/hornbeamd/settings"
+	"hornbeamstep.example/platform/instancelist"
+	"hornbeamstep.example/policy"
+	"hornbeamstep.example/policy/folder"
+	"hornbeamstep.example/policy/history"
+)
+
+const (
+	model  = "letters"
+	key    = "a-key"
+	answer = 8
+	// patience ends a test that hangs; no test passes or fails by it otherwise.
+	patience = 60 * time.Second
+)
+
+// world is a platform, engines, one service and routers.
+type world struct {
+	t        *testing.T
+	ctx      context.Context
+	platform *platformapi.Server
+	address  string
+	engines  []*modelengine.Engine
+	service  *plainservice.Service
+	routers  []*daemon.Daemon
+	listed   []instancelist.Instance
+}
+
+func newWorld(t *testing.T, engines, routers int, config modelengine.Config) *world {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	w := &world{t: t, ctx: ctx, platform: platformapi.New()}
+	t.Cleanup(cancel)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	w.address = "http://" + listener.Addr().String()
+	server := &http.Server{Handler: w.platform.Handler()}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	for i := range engines {
+		c := config
+		c.Name = fmt.Sprintf("e%d", i+1)
+		e, err := modelengine.Start(c)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(e.Close)
+		w.engines = append(w.engines, e)
+	}
+	w.service, err = plainservice.Start("127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(w.service.Close)
+	w.push("")
+	for i := range routers {
+		w.start(fmt.Sprintf("r%d", i+1))
+	}
+	for _, d := range w.routers {
+		w.ready(d)
+	}
+	return w
+}
+
+// push makes a configuration with an extra file the head.
+func (w *world) push(extra string) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "pools:\n  p: {wait: 20s}\nmodels:\n  %s: {pool: p}\nservices:\n  intake: {repeat: false, timeout: 10s}\n", model)
+	fmt.Fprintf(&b, "accounts:\n  gate: {keys: [%s], models: [\"*\"], services: [\"*\"]}\nbackends:\n", policy.Digest(key))
+	for i, e := range w.engines {
+		fmt.Fprintf(&b, "  e%d: {pool: p, address: %q, zone: z, fence: true}\n", i+1, e.Address())
+	}
+	fmt.Fprintf(&b, "  s1: {service: intake, address: %q, zone: z}\n", w.service.Address())
+	files := []folder.File{{Name: "10.yaml", Data: []byte(b.String())}}
+	if extra != "" {
+		files = append(files, folder.File{Name: "20.yaml", Data: []byte(extra)})
+	}
+	h := &history.History{Store: w.platform.Store}
+	_, err := h.Push(w.ctx, history.Change{Base: history.Any, Author: "test", Files: files, Push: extra + "push"})
+	qt.Assert(w.t, err, qt.IsNil)
+}
+
+func (w *world) start(id string) *daemon.Daemon {
+	s, err := settings.Default(id, "z")
+	qt.Assert(w.t, err, qt.IsNil)
+	s.Caller.Listen, s.Peer.Listen, s.Operator.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Caller.Lifetime = 100 * time.Millisecond
+	s.Platform.Objects, s.Platform.Instances = w.address, w.address
+	d := &daemon.Daemon{Settings: s}
+	qt.Assert(w.t, d.Open(), qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	w.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	<-d.Ready()
+	_, peers, _ := d.Addresses()
+	w.listed = append(w.listed, instancelist.Instance{ID: id, Address: peers, Zone: "z", Role: "router", State: instancelist.Live})
+	w.platform.SetInstances(w.listed)
+	w.routers = append(w.routers, d)
+	return d
+}
+
+func (w *world) caller(d *daemon.Daemon) string {
+	callers, _, _ := d.Addresses()
+	return "http://" + callers
+}
+
+// until waits for a condition; the test fails if it never comes.
+func (w *world) until(what string, done func() bool) {
+	w.t.Helper()
+	for !done() {
+		if w.ctx.Err() != nil {
+			w.t.Fatalf("gave up waiting: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (w *world) ready(d *daemon.Daemon) {
+	w.until("router ready", func() bool {
+		r, err := http.Get(w.caller(d) + "/readyz")
+		if err != nil {
+			return false
+		}
+		r.Body.Close()
+		return r.StatusCode == http.StatusOK
+	})
+}
+
+// reply is what a caller sees.
+type reply struct {
+	Status int
+	Text   string
+	Error  struct {
+		Code    string `json:"code"`
+		Outcome string `json:"outcome"`
+	} `json:"error"`
+	Choices []struct {
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+	} `json:"choices"`
+}
+
+func (w *world) post(d *daemon.Daemon, path, body string, header ...string) reply {
+	r, err := http.NewRequestWithContext(w.ctx, http.MethodPost, w.caller(d)+path, bytes.NewReader([]byte(body)))
+	qt.Assert(w.t, err, qt.IsNil)
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Content-Type", "application/json")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{Text: err.Error()}
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	out := reply{Status: resp.StatusCode, Text: string(data)}
+	_ = json.Unmarshal(data, &out)
+	return out
+}
+
+func (w *world) chat(d *daemon.Daemon, prompt string, header ...string) reply {
+	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%q}],"max_tokens":%d}`, model, prompt, answer)
+	return w.post(d, "/v1/chat/completions", body, header...)
+}
+
+// right is true if the answer is the whole one to the prompt.
+func right(r reply, prompt string) bool {
+	return len(r.Choices) == 1 && r.Choices[0].Message.Content == modelengine.Answer("user:"+prompt+"\n", answer)
+}
--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -171,7 +171,8 @@
 		return false
 	case f.Kind == exchange.Cancelled:
 		return false
-	case f.Kind == exchange.Rejected && f.Status < http.StatusInternalServerError:
+	case f.Kind == exchange.Rejected && f.Status >= http.StatusBadRequest && f.Status < http.StatusInternalServerError:
+		// The request is at fault. A stream that the engine ended with an error has status 200.
 		return false
 	case c.once && f.Outcome() != outcome.NotRun:
 		return false
--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -23,6 +23,8 @@
 	// mostMoves bounds the wait for an owner to the 5 s in which a lost router is suspected.
 	turnWait  = 50 * time.Millisecond
 	mostMoves = 100
+	// outageWait is how long a request waits while no engine takes work; suspicion by hearsay ends sooner.
+	outageWait = 3 * time.Second
 	// comeBack is the time after which a caller is asked to repeat a request that met no engine in service.
 	comeBack = 2 * time.Second
 )
@@ -50,7 +52,10 @@
 	for {
 		step := p.walk.Next(l.Now())
 		if step.Engine == "" {
-			return caller.Grant{}, noEngine(a)
+			if !l.waitEngine(ctx, p) {
+				return caller.Grant{}, noEngine(a)
+			}
+			continue
 		}
 		if l.lookup(ctx, p, step) {
 			continue
@@ -179,6 +184,15 @@
 	}
 }
 
+// waitEngine waits for an engine to come back into service: after a crash several may be suspect until their next report.
+// It returns false if the request has to give up.
+func (l *Loop) waitEngine(ctx context.Context, p *attempt) bool {
+	if l.Now().Sub(p.asked) > outageWait {
+		return false
+	}
+	return l.waitTurn(ctx, p, outcome.NoBackend)
+}
+
 // admitted records a grant.
 func (l *Loop) admitted(p *attempt, step placement.Step, a Answer) caller.Grant {
 	l.boots.put(p.id, a.Boot)
@@ -226,7 +240,9 @@
 		return
 	}
 	boot := l.boots.take(g.Slot)
-	if r.Ending == caller.EndedCrashed {
+	switch r.Ending {
+	case caller.EndedCrashed, caller.EndedFailed, caller.EndedMalformed:
+		// An engine that crashes may still end its streams with an error.
 		l.broke(g, r, boot)
 	}
 	if r.Ending == caller.EndedOK {
--- a/hornbeamd/control/crashes.go
+++ b/hornbeamd/control/crashes.go
@@ -81,7 +81,7 @@
 
 // broke finds out whether an engine crashed when a connection to it broke, and makes the request a suspect if it did.
 func (l *Loop) broke(g caller.Grant, r caller.Result, boot string) {
-	if boot == "" || r.Fingerprint == "" || !l.crashed(g.Backend, boot) {
+	if r.Fingerprint == "" || !l.crashed(g.Backend, boot) {
 		return
 	}
 	l.send(func(now time.Time) { l.failed(g.Backend, now) })
@@ -91,7 +91,8 @@
 	l.spread(entries)
 }
 
-// crashed reports whether an engine's life with a boot identifier has ended.
+// crashed reports whether an engine's life with a boot identifier has ended. A slot that was granted before the engine's first
+// report has none; then only an engine that does not answer counts.
 func (l *Loop) crashed(name, boot string) bool {
 	b, ok := l.snap.Load().policy.Backends[name]
 	if !ok {
@@ -102,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
 	defer cancel()
 	report, err := client.Load(ctx)
-	return err != nil || report.Boot != boot
+	return err != nil || (boot != "" && report.Boot != boot)
 }
 
 // spread tells the other routers of suspects and quarantined requests.
--- a/hornbeamd/control/peers.go
+++ b/hornbeamd/control/peers.go
@@ -32,7 +32,8 @@
 	Addresses() map[string]Address
 	// Isolated is true if neither peers nor the platform have been heard for longer than the limit that the design states.
 	Isolated() bool
-	// Spread tells all routers of a crash suspect, a quarantined request, or a release, as kind says.
+	// Spread tells all routers of a crash suspect, a quarantined request, or a release, as kind says. It returns when those
+	// that can be reached know: the caller may send the request again through any of them as soon as it has its answer.
 	Spread(kind, fingerprint string, c quarantine.Crash, at time.Time)
 }
 
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -224,3 +224,6 @@
 	d.node.Leave()
 	return d.server.Drain(ctx)
 }
+
+// Revision returns the revision in force, 0 for none.
+func (d *Daemon) Revision() int64 { return d.loop.Policy().Revision }
--- a/hornbeamd/daemon/peers.go
+++ b/hornbeamd/daemon/peers.go
@@ -158,7 +158,9 @@
 
 // Spread implements control.Peers.
 func (p *peers) Spread(kind, fingerprint string, c quarantine.Crash, at time.Time) {
-	p.node.Spread(peer.Notice{Kind: kind, Fingerprint: fingerprint, Engine: c.Engine, Boot: c.Boot, At: at})
+	ctx, cancel := context.WithTimeout(context.Background(), takeLimit)
+	defer cancel()
+	p.node.Tell(ctx, peer.Notice{Kind: kind, Fingerprint: fingerprint, Engine: c.Engine, Boot: c.Boot, At: at})
 }
 
 func toCrash(c *quarantine.Crash) *peer.Crash {
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -219,6 +220,14 @@
 			n.post(func(time.Time) { n.loop.notice(w) })
 			return nil, nil
 		})
+	case "crash":
+		return with(r, func(w wireNotice) (any, error) {
+			if n.Notices != nil {
+				n.Notices.Notice(Notice(w))
+			}
+			n.post(func(time.Time) { n.loop.notice(w) })
+			return nil, nil
+		})
 	default:
 		return n.handleTraffic(ctx, r)
 	}
@@ -418,6 +427,26 @@
 	n.post(func(time.Time) { n.loop.notice(wireNotice(s)) })
 }
 
+// directRouters bounds the routers that Tell calls; the others learn by Spread.
+const directRouters = 64
+
+// Tell spreads a notice and returns when the routers that can be reached know it, or ctx ends. In fleets of more than 64
+// routers this holds for 64 of them.
+func (n *Node) Tell(ctx context.Context, s Notice) {
+	n.Spread(s)
+	s.At = s.At.Round(0)
+	var group sync.WaitGroup
+	told := 0
+	for _, m := range n.Members().Members {
+		if m.ID == n.ID || told == directRouters {
+			continue
+		}
+		told++
+		group.Go(func() { _ = n.send(ctx, m.ID, "crash", wireNotice(s), nil) })
+	}
+	group.Wait()
+}
+
 // Missing returns the files of a manifest that the router has to read from the object API before Announce.
 func (n *Node) Missing(ctx context.Context, m revision.Manifest) ([]revision.File, error) {
 	return ask(ctx, n, func(time.Time) []revision.File { return n.loop.revisions.Missing(m) })
