--- a/hornbeamd/caller/auth.go
+++ b/hornbeamd/caller/auth.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/routing/outcome"
@@ -17,6 +18,13 @@
 		return policy.Account{}, refuse(outcome.BadKey, http.StatusUnauthorized,
 			"the request has no key", "send the key as Authorization: Bearer KEY")
 	}
+	// A router that has just started knows no key. Refusing a right key for good would be wrong.
+	if p.Revision == 0 && len(p.Accounts) == 0 {
+		e := refuse(outcome.Isolated, http.StatusServiceUnavailable,
+			"the router has no configuration yet", "send the request again, or to another router")
+		e.Retry = time.Second
+		return policy.Account{}, e
+	}
 	account, ok := p.AccountByKey(key)
 	if !ok {
 		return policy.Account{}, refuse(outcome.BadKey, http.StatusUnauthorized,
