fix(admission): the mean is not below the engine's own share of it

A mean is older than the own load at its arrival. In a pool of one engine the gate then took the mean for lower than the own load could be, and refused or queued requests on an engine with 2 of 64 places in use. The mean is now at least the own load over the number of engines.

--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -234,12 +234,14 @@
 }
 
 // meanWith is the mean load with a further request. The mean includes the engine itself, so it moves by 1/Engines of the
-// engine's own change since the mean was taken.
+// engine's own change since the mean was taken. The mean that arrives is older than the own load at its arrival; the own
+// load alone sets a lower limit, without which a pool of one engine refuses requests after an idle second.
 func (g *Gate) meanWith(cost, load float64) float64 {
 	if g.mean.Engines < 1 {
 		return 0
 	}
-	return g.mean.Load + (load+cost-g.atMean)/float64(g.mean.Engines)
+	n := float64(g.mean.Engines)
+	return max(g.mean.Load+(load+cost-g.atMean)/n, (load+cost)/n)
 }
 
 // limit is the greatest load with a further request of the given cost.
--- a/routing/admission/gate_test.go
+++ b/routing/admission/gate_test.go
@@ -48,6 +48,17 @@
 	qt.Assert(t, g.Release(after(time.Second), 1), qt.HasLen, 0)
 }
 
+// Guards against a pool of one engine that refuses requests because the mean is older than the engine's own load.
+func TestSingleEngineIsItsOwnMean(t *testing.T) {
+	g := admission.New(start, admission.Defaults())
+	g.Mean(start, admission.Mean{Load: 0, Engines: 1})
+	for i := range 3 {
+		qt.Assert(t, g.Offer(after(time.Second), ask("a", i)).Kind, qt.Equals, admission.Granted)
+	}
+	g.Mean(after(time.Second), admission.Mean{Load: 0, Engines: 1})
+	qt.Assert(t, g.Offer(after(2*time.Second), ask("a", 3)).Kind, qt.Equals, admission.Granted)
+}
+
 // Guards against a queue that lets one account or class starve another.
 func TestOrderOfGrants(t *testing.T) {
 	urgent := ask("u", 0)
