--- a/coord/owner/owner.go
+++ b/coord/owner/owner.go
@@ -91,6 +91,7 @@
 	aggregators map[string]string
 	zones       []string
 	zone        string
+	all         []candidate
 }
 
 // Compute returns the assignment over the given routers. It is not trusted until WithTrust.
@@ -109,6 +110,7 @@
 		relays:      make(map[string][]string, len(c.zones)),
 		aggregators: make(map[string]string, len(c.zones)*len(in.Pools)),
 		zones:       c.zones,
+		all:         c.all,
 	}
 	for _, r := range in.Routers {
 		if r.ID == in.Self {
@@ -187,6 +189,10 @@
 // Aggregator returns the router that sums the load of a pool over the owners in an availability zone.
 func (s *Snapshot) Aggregator(pool, zone string) string { return s.aggregators[aggregator(pool, zone)] }
 
+// Account returns the router that adds up the use of a client account. It is worked out on each call, since only heavy
+// accounts are asked for.
+func (s *Snapshot) Account(name string) string { return best(s.all, key("account", name)) }
+
 // Changes returns what differs between two snapshots, in a fixed order. Either may be nil.
 func Changes(from, to *Snapshot) []Change {
 	if from == nil {
--- a/hornbeambench/control/control.go
+++ b/hornbeambench/control/control.go
@@ -89,11 +89,19 @@
 			return eris.Wrapf(err, "%d routers", n)
 		}
 		report.Sizes = append(report.Sizes, s)
+		if err := c.save(report); err != nil {
+			return err
+		}
 	}
 	report.Fits = fits(report.Sizes)
 	if err := write(w, report); err != nil {
 		return err
 	}
+	return c.save(report)
+}
+
+// save writes what is measured so far, since a run over many sizes takes long.
+func (c *Command) save(report Report) error {
 	if c.JSON == "" {
 		return nil
 	}
--- a/hornbeamd/peer/fuzz_test.go
+++ b/hornbeamd/peer/fuzz_test.go
@@ -55,6 +55,7 @@
 		"fetch":    wireFetch{Revision: 1, Base: 1, Digests: []string{"x"}},
 		"announce": wireAnnounce{"b", 9, "x"},
 		"load":     wireLoad{From: "b", Items: []wireItem{{Pool: "p", Load: 1, Count: 1}}},
+		"usage":    wireUsage{From: "b", Items: []wireUse{{Account: "x", Requests: 1}}},
 		"suspect":  wireNotice{Kind: "suspect", Fingerprint: "f"},
 		"slot":     wireAsk{Engine: "e"},
 		"hello":    wireHello{ID: "b"},
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -13,6 +13,7 @@
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/owner"
 	"hornbeamstep.example/coord/revision"
+	"hornbeamstep.example/coord/usage"
 	"hornbeamstep.example/timeline"
 )
 
@@ -174,6 +175,8 @@
 		return with(r, func(w wireFetch) (wireReply, error) { return n.handleFetch(ctx, w) })
 	case "load":
 		return with(r, func(w wireLoad) (wireLoad, error) { return n.handleLoad(ctx, w) })
+	case "usage":
+		return with(r, func(w wireUsage) (wireUsage, error) { return n.handleUsage(ctx, w) })
 	case "suspect":
 		return with(r, func(w wireNotice) (any, error) {
 			n.post(func(time.Time) { n.loop.notice(w) })
@@ -270,6 +273,12 @@
 	return wireLoad{Items: fromItems(reply.Items)}, err
 }
 
+func (n *Node) handleUsage(ctx context.Context, w wireUsage) (wireUsage, error) {
+	return ask(ctx, n, func(now time.Time) wireUsage {
+		return fromUsage("", n.loop.usage.Handle(now, usage.Report{From: w.From, Items: w.items()}))
+	})
+}
+
 // notice takes a notice and passes it on to the peers once.
 func (l *loop) notice(w wireNotice) {
 	if !l.notices.add(w) {
--- a/hornbeamd/peer/loop.go
+++ b/hornbeamd/peer/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +11,7 @@
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/owner"
 	"hornbeamstep.example/coord/revision"
+	"hornbeamstep.example/coord/usage"
 )
 
 const (
@@ -29,13 +31,16 @@
 	members   *member.State
 	revisions *revision.State
 	loads     *loadsum.State
+	usage     *usage.State
 
 	engines []owner.Engine
 	pools   []string
 	dirty   bool
-	view    *member.View
-	owners  *owner.Snapshot
-	notices notices
+	// totalsChanged is set when the use of client accounts has to be published.
+	totalsChanged bool
+	view          *member.View
+	owners        *owner.Snapshot
+	notices       notices
 
 	nextLoad time.Time
 	nextTidy time.Time
@@ -49,6 +54,7 @@
 	l.members = member.New(member.Config{Self: self, Uniform: n.Uniform}, now, n.Rand)
 	l.revisions = revision.New(revision.Config{}, now, n.Rand)
 	l.loads = loadsum.New()
+	l.usage = usage.New(n.ID)
 	l.dirty = true
 	if len(n.Seeds) > 0 {
 		var seeds []member.Instance
@@ -93,6 +99,7 @@
 	if !now.Before(l.nextLoad) {
 		l.nextLoad = now.Add(loadEvery)
 		l.reportLoads(now)
+		l.reportUsage(now)
 	}
 	if !now.Before(l.nextTidy) {
 		l.nextTidy = now.Add(tidyEvery)
@@ -121,26 +128,17 @@
 	}
 	last := l.n.published.Load()
 	means := l.loads.Means(now)
-	if last.view != l.view || last.owners != l.owners || last.revision != l.revisions.Revision() || !equal(last.means, means) {
+	if last.view != l.view || last.owners != l.owners || last.revision != l.revisions.Revision() || !maps.Equal(last.means, means) ||
+		l.totalsChanged {
+		l.totalsChanged = false
 		l.n.published.Store(&snapshot{
-			view: l.view, owners: l.owners, untrusted: l.owners.WithTrust(false), means: means, revision: l.revisions.Revision(),
+			view: l.view, owners: l.owners, untrusted: l.owners.WithTrust(false), means: means,
+			totals: l.usage.Totals(now), revision: l.revisions.Revision(),
 		})
 	}
 	l.n.beat.Store(now.UnixNano())
 }
 
-func equal(a, b map[string]float64) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for k, v := range a {
-		if w, ok := b[k]; !ok || w != v {
-			return false
-		}
-	}
-	return true
-}
-
 // reassign computes the ownership for a new view.
 func (l *loop) reassign(now time.Time, view *member.View) {
 	if l.dirty || l.view == nil || !sameCandidates(l.view, view) {
@@ -159,6 +157,7 @@
 	l.owners = l.owners.WithTrust(view.Trusted)
 	owners := l.owners
 	l.loads.SetRoles(loadsum.Roles{Self: l.n.ID, Zone: l.n.Zone, Aggregator: owners.Aggregator, Zones: owners.Zones()})
+	l.usage.SetAggregator(owners.Account)
 	l.spread(now, l.revisions.Place(l.place()))
 }
 
@@ -385,3 +384,24 @@
 		})
 	}
 }
+
+func (l *loop) reportUsage(now time.Time) {
+	if l.n.Usage == nil {
+		return
+	}
+	l.usage.Own(l.n.Usage.Usage())
+	l.totalsChanged = true
+	for _, send := range l.usage.Tick(now) {
+		m, ok := l.view.Find(send.To)
+		if !ok {
+			continue
+		}
+		reply := new(wireUsage)
+		l.exchange(m, exchangeLimit, "usage", fromUsage(l.n.ID, send.Report.Items), reply, func(now time.Time, err error) {
+			if err == nil {
+				l.usage.Answered(now, reply.items())
+				l.totalsChanged = true
+			}
+		})
+	}
+}
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -17,6 +17,7 @@
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/owner"
 	"hornbeamstep.example/coord/revision"
+	"hornbeamstep.example/coord/usage"
 	"hornbeamstep.example/timeline"
 )
 
@@ -33,6 +34,11 @@
 	Loads() map[string]loadsum.Sum
 }
 
+// Usage returns what the router lets through by client account. It is called each second and must not block.
+type Usage interface {
+	Usage() map[string]usage.Amount
+}
+
 // Revisions takes revisions in force, in growing order.
 type Revisions interface {
 	// Apply gets the content of each file by its digest.
@@ -82,6 +88,7 @@
 	// The handlers may be nil; requests for them are then refused.
 	Slots     Slots
 	Loads     Loads
+	Usage     Usage
 	Revisions Revisions
 	Notices   Notices
 	Timeline  Timeline
@@ -110,6 +117,7 @@
 	owners    *owner.Snapshot
 	untrusted *owner.Snapshot
 	means     map[string]float64
+	totals    map[string]usage.Item
 	revision  int64
 }
 
@@ -307,6 +315,13 @@
 	return mean, ok && !n.behind()
 }
 
+// Total returns what a client account uses over all routers for which it is heavy, if it is known from the last seconds.
+func (n *Node) Total(account string) (usage.Item, bool) {
+	n.init()
+	item, ok := n.published.Load().totals[account]
+	return item, ok && !n.behind()
+}
+
 // Revision returns the revision in force, 0 for none.
 func (n *Node) Revision() int64 {
 	n.init()
--- /dev/null
+++ b/hornbeamd/peer/pause_test.go
@@ -0,0 +1,30 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"hornbeamstep.example/coord/member"
+	"hornbeamstep.example/coord/owner"
+)
+
+// Guards against a request that relies on the ownership from before a pause of the process, before the control loop has turned.
+func TestOwnershipIsNotTrustedAfterAPause(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	n := &Node{ID: "a", Clock: func() time.Time { return now }}
+	n.init()
+	owners := owner.Compute(owner.Input{Self: "a", Routers: []owner.Router{{ID: "a"}}, Engines: []owner.Engine{{ID: "e"}}})
+	n.published.Store(&snapshot{
+		view: &member.View{Trusted: true}, owners: owners.WithTrust(true), untrusted: owners, means: map[string]float64{"chat": 2},
+	})
+	n.beat.Store(now.UnixNano())
+	c.Assert(n.Owners().Owns("e"), quicktest.IsTrue)
+	now = now.Add(member.DefaultGap + time.Millisecond)
+	c.Assert(n.Owners().Owns("e"), quicktest.IsFalse)
+	c.Assert(n.Members().Trusted, quicktest.IsFalse)
+	_, known := n.Mean("chat")
+	c.Assert(known, quicktest.IsFalse)
+}
--- a/hornbeamd/peer/peer_test.go
+++ b/hornbeamd/peer/peer_test.go
@@ -23,6 +23,7 @@
 	"hornbeamstep.example/coord/loadsum"
 	"hornbeamstep.example/coord/owner"
 	"hornbeamstep.example/coord/revision"
+	"hornbeamstep.example/coord/usage"
 	"hornbeamstep.example/hornbeamd/peer"
 	"hornbeamstep.example/routing/outcome"
 )
@@ -102,6 +103,10 @@
 	return map[string]loadsum.Sum{"chat": {Load: 4, Count: 2}}
 }
 
+func (f *fake) Usage() map[string]usage.Amount {
+	return map[string]usage.Amount{"co-op": {Requests: 1}}
+}
+
 func (f *fake) Notice(n peer.Notice) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -142,7 +147,7 @@
 	h := &fake{}
 	x := &peer.Node{
 		ID: fmt.Sprint("r", len(f.nodes)), Zone: fmt.Sprint("z", i%2), Region: "g", Listen: "127.0.0.1:0", Keys: keys, Seeds: seeds,
-		Slots: h, Loads: h, Notices: h, Revisions: h,
+		Slots: h, Loads: h, Usage: h, Notices: h, Revisions: h,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -217,6 +222,7 @@
 		})
 		c.Assert(string(f.fakes[i].contents[m.Files[0].Digest]), quicktest.Equals, "accounts: []")
 		wait(func() bool { mean, ok := x.Mean("chat"); return ok && mean == 2 })
+		wait(func() bool { total, ok := x.Total("co-op"); return ok && total.Requests == 4 })
 	}
 	c.Assert(f.nodes[0].Bytes().Kinds["ping"].Sent > 0, quicktest.IsTrue)
 
--- a/hornbeamd/peer/wire.go
+++ b/hornbeamd/peer/wire.go
@@ -16,13 +16,14 @@
 	"hornbeamstep.example/coord/loadsum"
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/revision"
+	"hornbeamstep.example/coord/usage"
 	"hornbeamstep.example/routing/outcome"
 )
 
 // methods are the methods between routers. Others are counted as "unknown", so that a peer cannot grow the metrics.
 var methods = map[string]bool{
 	"hello": true, "echo": true, "ping": true, "probe": true, "sync": true, "announce": true, "fetch": true,
-	"slot": true, "free": true, "renew": true, "load": true, "suspect": true, "events": true, "status": true,
+	"slot": true, "free": true, "renew": true, "load": true, "usage": true, "suspect": true, "events": true, "status": true,
 }
 
 func method(name string) string {
@@ -298,6 +299,36 @@
 	return out
 }
 
+type wireUse struct {
+	Account  string  `json:"account"`
+	Requests float64 `json:"requests,omitempty"`
+	Tokens   float64 `json:"tokens,omitempty"`
+	Routers  int     `json:"n,omitempty"`
+}
+
+type wireUsage struct {
+	From  string    `json:"from,omitempty"`
+	Items []wireUse `json:"items,omitempty"`
+}
+
+func fromUsage(from string, in []usage.Item) wireUsage {
+	w := wireUsage{From: from}
+	for _, i := range in {
+		w.Items = append(w.Items, wireUse{i.Account, i.Requests, i.Tokens, i.Routers})
+	}
+	return w
+}
+
+func (w wireUsage) items() []usage.Item {
+	var out []usage.Item
+	for _, i := range w.Items {
+		out = append(out, usage.Item{
+			Account: i.Account, Amount: usage.Amount{Requests: i.Requests, Tokens: i.Tokens}, Routers: i.Routers,
+		})
+	}
+	return out
+}
+
 // Codes of errors between routers, in the range that JSON-RPC leaves to applications.
 const (
 	codeRefused = 1
