--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -97,6 +97,7 @@
 	once    sync.Once
 	ready   chan struct{}
 	address string
+	bound   string
 	links   *links
 	meter   *meter
 	gauges  gauges
@@ -194,9 +195,10 @@
 		return eris.Wrapf(err, "cannot listen for peers on %s: free the port or set another", n.Listen)
 	}
 	defer func() { _ = listener.Close() }()
+	n.bound = listener.Addr().String()
 	n.address = n.Advertise
 	if n.address == "" {
-		n.address = listener.Addr().String()
+		n.address = n.bound
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -271,6 +273,9 @@
 // Address returns what other routers are told to connect to. Wait for Ready.
 func (n *Node) Address() string { return n.address }
 
+// Bound returns the address that the router listens on. Wait for Ready.
+func (n *Node) Bound() string { return n.bound }
+
 // SupersededError says that a newer process uses the router's ID.
 type SupersededError struct {
 	ID      string
