--- a/routing/admission/fuzz_test.go
+++ b/routing/admission/fuzz_test.go
@@ -26,6 +26,8 @@
 	slots   map[uint64]admission.Action
 	used    map[uint64]bool
 	granted map[string]bool
+	// reported is true once the engine has reported a load.
+	reported bool
 }
 
 func newOracle(t *rapid.T) *oracle {
@@ -153,6 +155,13 @@
 	if o.g.Waiting() != len(o.waiting) || o.g.Waiting() > o.s.Queue {
 		o.t.Fatalf("%d requests wait, %d expected, %d allowed", o.g.Waiting(), len(o.waiting), o.s.Queue)
 	}
+	own := 0.0
+	for _, a := range o.slots {
+		own += a.Ask.Cost
+	}
+	if !o.reported && o.g.Load() != own {
+		o.t.Fatalf("load %v without a report, own slots %v", o.g.Load(), own)
+	}
 	if o.g.Slots() != len(o.slots) {
 		o.t.Fatalf("%d slots in use, %d expected", o.g.Slots(), len(o.slots))
 	}
@@ -200,6 +209,7 @@
 				o.take(o.g.Mean(o.now, o.mean))
 			},
 			"report": func(t *rapid.T) {
+				o.reported = true
 				o.take(o.g.Report(o.now, admission.Report{At: o.now, Load: rapid.Float64Range(0, 10).Draw(t, "load")}))
 			},
 			"tick": func(t *rapid.T) { o.tick(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond) },
