--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -277,14 +277,13 @@
 	if c <= 0 || g.settings.Reserve <= 0 || load+ask.Cost <= c*(1-g.settings.Reserve) {
 		return true
 	}
-	used, weights := ask.Cost, g.weights
-	if u, ok := g.users[ask.Account]; ok {
-		used += u.cost
-	} else {
-		weights += ask.Weight
+	u, ok := g.users[ask.Account]
+	if !ok {
+		// An account that uses nothing is not over its share, however small the capacity.
+		return true
 	}
 	// With one account in use there is nobody to compare with; it still leaves the reserve to newcomers.
-	return used <= c*(1-g.settings.Reserve)*ask.Weight/max(weights, 2*ask.Weight)
+	return u.cost+ask.Cost <= c*(1-g.settings.Reserve)*ask.Weight/max(g.weights, 2*ask.Weight)
 }
 
 // blocked is true if a waiting request goes before a new one. Requests that wait for their own account's share do not.
--- a/routing/admission/gate_test.go
+++ b/routing/admission/gate_test.go
@@ -123,7 +123,7 @@
 	qt.Assert(t, actions[0].Ask.Request, qt.Equals, "a-3")
 }
 
-// Guards against a reserve that one account can use up.
+// Guards against a reserve that one account can use up, and against one that leaves a small engine unused.
 func TestReserve(t *testing.T) {
 	s := admission.Defaults()
 	s.Capacity = 8
@@ -134,6 +134,9 @@
 	}
 	qt.Assert(t, g.Slots(), qt.Equals, 6)
 	qt.Assert(t, g.Offer(start, ask("b", 1)).Kind, qt.Equals, admission.Granted)
+	s.Capacity = 1
+	g = admission.New(start, s)
+	qt.Assert(t, g.Offer(start, ask("a", 1)).Kind, qt.Equals, admission.Granted)
 }
 
 // Guards against a new owner that grants the whole bound while slots of the former owner are still in use.
--- /dev/null
+++ b/routing/limit/example_test.go
@@ -0,0 +1,30 @@
+package limit_test
+
+import (
+	"fmt"
+	"time"
+
+	"hornbeamstep.example/routing/limit"
+)
+
+func Example() {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	limiter := limit.New(limit.Defaults(), 2)
+	limiter.SetLimits(map[string]limit.Limits{"a": {Requests: 1}})
+	aggregator := limit.NewAggregator(limit.Defaults())
+
+	fmt.Println(limiter.Allow(now, "a", 0).OK)
+	refused := limiter.Allow(now, "a", 0)
+	fmt.Println(refused.OK, refused.Retry)
+
+	// Once a second, heavy accounts are exchanged.
+	now = now.Add(time.Second)
+	for _, t := range aggregator.Report(now, "router-1", limiter.Usage(now)) {
+		fmt.Println(t.Account, t.Requests, t.Routers)
+		limiter.Totals(now, []limit.Total{t})
+	}
+	// Output:
+	// true
+	// false 2s
+	// a 1 1
+}
--- /dev/null
+++ b/routing/placement/example_test.go
@@ -0,0 +1,40 @@
+package placement_test
+
+import (
+	"fmt"
+	"time"
+
+	"hornbeamstep.example/routing/placement"
+)
+
+func Example() {
+	view := placement.NewView([]placement.Engine{{ID: "e1"}, {ID: "e2"}, {ID: "e3"}})
+	rule := placement.New(placement.Defaults())
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	request := placement.Request{Chat: "chat-1", Model: "m", Context: 2000}
+
+	d := rule.Place(now, request, view)
+	fmt.Println(d.Engine == d.Home, d.Reason)
+
+	busy := view.WithStatus(d.Home, placement.Status{Wait: time.Second})
+	spilled := rule.Place(now, request, busy)
+	fmt.Println(spilled.Engine == d.Second, spilled.Reason, spilled.From == d.Home)
+	// Output:
+	// true home
+	// true spilled true
+}
+
+func ExampleWalk() {
+	view := placement.NewView([]placement.Engine{{ID: "e1"}, {ID: "e2"}})
+	rule := placement.New(placement.Defaults())
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+	walk := rule.Walk(now, placement.Request{Chat: "chat-1", Model: "m"}, view, 2)
+	first := walk.Next(now)
+	walk.Full(first.Engine, time.Second)
+	second := walk.Next(now)
+	walk.Full(second.Engine, 2*time.Second)
+	last := walk.Next(now)
+	fmt.Println(first.Queue, second.Queue, last.Queue, last.Engine == first.Engine)
+	// Output: false false true true
+}
