--- a/hornbeambench/replay/call.go
+++ b/hornbeambench/replay/call.go
@@ -24,8 +24,10 @@
 	// attempt names the current attempt; events of other attempts are ignored.
 	attempt  string
 	attempts int
-	router   *router
-	walk     *placement.Walk
+	// asks counts the questions to gates, so that one without an answer is noticed.
+	asks   int
+	router *router
+	walk   *placement.Walk
 	// redirect is true once the owner of the home was asked where the context is.
 	redirect bool
 	engine   string
@@ -316,6 +318,8 @@
 		return
 	}
 	q.owner = owner
+	q.asks++
+	r.awaitAnswer(q, attempt, q.asks)
 	lookup := step.Engine == step.Home && !q.redirect && q.context > 0
 	a := admission.Ask{
 		Request: attempt, Router: r.name, Account: q.req.Account, Class: classes[q.req.Class], Over: q.over, Cost: 1, NoQueue: !step.Queue,
@@ -338,6 +342,18 @@
 	}
 }
 
+// awaitAnswer asks again if the answer of a gate does not come, because its owner was lost with the queue.
+func (r *router) awaitAnswer(q *call, attempt string, asks int) {
+	r.fleet.after(r.fleet.Requeue+500*time.Millisecond, func() {
+		r.do(func() {
+			if q.attempt == attempt && q.asks == asks && !q.holding && q.state == open && q.run == nil {
+				q.walk.Again()
+				r.ask(q)
+			}
+		})
+	})
+}
+
 // lookup asks the owner of the home where the context is, when the first engine to ask is not the home.
 func (r *router) lookup(q *call, owner *router) {
 	s, attempt, reached := r.fleet, q.attempt, false
--- a/hornbeambench/replay/router.go
+++ b/hornbeambench/replay/router.go
@@ -253,7 +253,13 @@
 func (r *router) deliver(engine string, actions []admission.Action) {
 	for _, a := range actions {
 		q := r.fleet.calls[a.Ask.Request]
-		if q == nil || a.Kind == admission.Expired {
+		if q == nil {
+			continue
+		}
+		if a.Kind == admission.Refused || a.Kind == admission.Expired {
+			r.quarantine.End(q.fingerprint(), engine, false)
+		}
+		if a.Kind == admission.Expired {
 			continue
 		}
 		to := r.fleet.router(a.Ask.Router)
--- a/routing/quarantine/quarantine.go
+++ b/routing/quarantine/quarantine.go
@@ -84,7 +84,8 @@
 	return Suspect
 }
 
-// Start is called by the engine's owner before a request starts there. It is false for a quarantined fingerprint, and for
+// Start is called by the engine's owner before a request starts there; End has to follow in every case, also when the
+// request gets no slot or its slot expires. It is false for a quarantined fingerprint, and for
 // a suspect while another suspect runs on the engine: that would hide which of them is guilty. A suspect that already
 // runs elsewhere may not start either, since it could take both engines down.
 func (t *Tracker) Start(now time.Time, fingerprint, engine string) bool {
