--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -222,7 +222,7 @@
 	}
 	level := waited < g.settings.Level && g.settings.Even > 0 && g.mean.Engines > 1
 	if level && (ask.Over || now.Sub(g.surged) > g.settings.Surge) {
-		most := g.settings.Even * g.meanWith(ask.Cost, load)
+		most := g.settings.Even * g.meanWith(0, load)
 		if ask.Over {
 			most -= g.settings.Yield * ask.Cost
 		}
@@ -233,7 +233,7 @@
 	return g.fair(ask, load)
 }
 
-// meanWith is the mean load with a further request. The mean includes the engine itself, so it moves by 1/Engines of the
+// meanWith is the mean load with a further request of the given cost. The mean includes the engine itself, so it moves by 1/Engines of the
 // engine's own change since the mean was taken.
 func (g *Gate) meanWith(cost, load float64) float64 {
 	if g.mean.Engines < 1 {
--- a/routing/admission/gate_test.go
+++ b/routing/admission/gate_test.go
@@ -39,7 +39,7 @@
 			granted++
 		}
 	}
-	// Even: with L requests the mean is 4+(L+1)/9 with a further one, and L may be at most that.
+	// Even: with L requests the mean is 4+L/9, and a further one is granted while L is at most that.
 	qt.Assert(t, granted, qt.Equals, 5)
 	// After Level, the bound: L may be 1.25 times 4+L/9 plus 1, which is 6.97.
 	qt.Assert(t, g.Tick(after(time.Second)), qt.HasLen, 1)
