--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -69,7 +69,8 @@
 	if k.Deadline.IsZero() || k.Deadline.After(latest) {
 		k.Deadline = latest
 	}
-	return t.submit(ctx, k.Shard(), newOp(k, token, Claimed, nil))
+	r := t.submit(ctx, k.Shard(), newOp(k, token, Claimed, nil))
+	return r.claim, r.err
 }
 
 // Finish implements Log.
@@ -80,8 +81,13 @@
 	if len(answer) > MaxAnswer || s != Done {
 		answer = nil
 	}
-	_, err := t.submit(ctx, k.Shard(), newOp(k, token, s, answer))
-	return err
+	return t.submit(ctx, k.Shard(), newOp(k, token, s, answer)).err
+}
+
+// Standing returns the claim that stands for a key, false if there is none or it was released. The error is *DownError.
+func (t *Table) Standing(ctx context.Context, k Key) (Claim, bool, error) {
+	r := t.submit(ctx, k.Shard(), newOp(k, "", "", nil))
+	return r.claim, r.stands, r.err
 }
 
 // Stats returns the counters.
@@ -102,6 +108,34 @@
 	}
 }
 
+// Flush waits until all writes in progress have ended, such as the release of claims whose callers have gone. A process calls it after
+// its last request and before it exits.
+func (t *Table) Flush(ctx context.Context) error {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for t.busy() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (t *Table) busy() bool {
+	for n := range Shards {
+		s := t.shard(n)
+		s.mu.Lock()
+		running := s.running
+		s.mu.Unlock()
+		if running {
+			return true
+		}
+	}
+	return false
+}
+
 // Sweep deletes up to limit segments whose claims no router reads any more, and returns their number. It is called now and then by
 // one router, such as the owner of shard 0.
 func (t *Table) Sweep(ctx context.Context, limit int) (int, error) {
@@ -172,22 +206,21 @@
 }
 
 // submit queues an operation and waits for its result. A claim whose caller goes is released once it is found recorded.
-func (t *Table) submit(ctx context.Context, n int, o *op) (Claim, error) {
+func (t *Table) submit(ctx context.Context, n int, o *op) result {
 	ctx, cancel := context.WithTimeout(ctx, t.limit())
 	defer cancel()
 	if !t.enqueue(t.shard(n), o) {
-		return Claim{}, &DownError{Retry: time.Second, Cause: errBusy}
+		return result{err: &DownError{Retry: time.Second, Cause: errBusy}}
 	}
 	select {
 	case r := <-o.done:
-		return r.claim, r.err
+		return r
 	case <-ctx.Done():
 	}
 	if o.abandon() {
-		return Claim{}, &DownError{Retry: time.Second, Cause: ctx.Err()}
+		return result{err: &DownError{Retry: time.Second, Cause: ctx.Err()}}
 	}
-	r := <-o.done
-	return r.claim, r.err
+	return <-o.done
 }
 
 // enqueue starts the shard's writer if none runs. There is one writer for each shard, and it ends when the queue is empty.
@@ -311,7 +344,7 @@
 		return err
 	}
 	if len(value) > t.sealSize() && len(s.head.Claims) > 0 {
-		pointer, err := t.seal(s)
+		pointer, err := t.seal(s, p.now)
 		if err != nil {
 			return err
 		}
@@ -330,29 +363,3 @@
 	s.install(version, head, p.changes, p.now)
 	return nil
 }
-
-// seal writes the claims of the head record into a segment. The head record is not changed yet.
-func (t *Table) seal(s *shard) (wirePointer, error) {
-	if s.sealedVersion == s.version && s.sealed.Name != "" {
-		return s.sealed, nil
-	}
-	pointer, value, err := s.head.seal(s.number)
-	if err != nil {
-		return wirePointer{}, err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	_, err = t.Store.Put(ctx, objectapi.Object{Kind: Kind, Name: pointer.Name, Value: value})
-	var conflict *objectapi.ConflictError
-	var ambiguous *objectapi.AmbiguousError
-	if errors.As(err, &ambiguous) {
-		_, err = t.get(pointer.Name)
-	}
-	if err != nil && !errors.As(err, &conflict) {
-		// Nothing refers to the segment yet, so the batch surely had no effect whether the segment exists or not.
-		return wirePointer{}, &objectapi.UnavailableError{Retry: time.Second, Cause: err}
-	}
-	t.count(func(st *Stats) { st.Seals++ })
-	s.sealed, s.sealedVersion = pointer, s.version
-	return pointer, nil
-}
--- /dev/null
+++ b/hornbeamd/control/admit.go
@@ -0,0 +1,270 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hornbeamstep.example/hornbeamd/caller"
+	"hornbeamstep.example/routing/admission"
+	"hornbeamstep.example/routing/outcome"
+	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/timeline"
+)
+
+const (
+	// engines is the number of engines that a request asks before it waits at one of them.
+	engines = 4
+	// rounds bounds how often a request that finds no room asks all over again; each round includes a wait in a queue.
+	rounds = 8
+	// turnWait is the time after which a request asks again that has to wait for another one or for a new owner, and
+	// mostMoves bounds the wait for an owner to the 5 s in which a lost router is suspected.
+	turnWait  = 50 * time.Millisecond
+	mostMoves = 100
+	// comeBack is the time after which a caller is asked to repeat a request that met no engine in service.
+	comeBack = 2 * time.Second
+)
+
+// Admit implements caller.Dispatcher.
+func (l *Loop) Admit(ctx context.Context, a caller.Ask) (caller.Grant, error) {
+	if e := l.admissible(a); e != nil {
+		return caller.Grant{}, e
+	}
+	l.retries.request(a)
+	admit := l.admitEngine
+	if a.Service != "" {
+		admit = l.admitService
+	}
+	g, err := admit(ctx, a)
+	if err != nil {
+		l.limits.finished(l.Now(), a.Request, 0)
+	}
+	return g, err
+}
+
+// admitEngine asks engines in the order of the placement's walk until one grants a slot.
+func (l *Loop) admitEngine(ctx context.Context, a caller.Ask) (caller.Grant, error) {
+	p := l.begin(a)
+	for {
+		step := p.walk.Next(l.Now())
+		if step.Engine == "" {
+			return caller.Grant{}, noEngine(a)
+		}
+		if l.lookup(ctx, p, step) {
+			continue
+		}
+		answer := l.slot(ctx, p, step)
+		switch {
+		case answer.Kind == admission.Granted:
+			return l.admitted(p, step, answer), nil
+		case ctx.Err() != nil || answer.Code == gone:
+			return caller.Grant{}, leftQueue(ctx)
+		case answer.Code == apart || answer.Code == notOwner:
+			if !l.waitTurn(ctx, p, answer.Code) {
+				return caller.Grant{}, leftQueue(ctx)
+			}
+		case !p.refused(l.Now(), step, answer):
+			return caller.Grant{}, l.refusal(a, answer)
+		}
+	}
+}
+
+// attempt is one search for a slot.
+type attempt struct {
+	ask caller.Ask
+	// id is unique for each attempt of a request.
+	id string
+	// asked is when the search began.
+	asked   time.Time
+	request placement.Request
+	key     uint64
+	// over is true if the client account surges.
+	over bool
+	snap *snapshot
+	walk *placement.Walk
+	// found is true once the owner of the home was asked where the context is.
+	found bool
+	// moves counts the refusals because ownership moved, and rounds the waits that ended without a slot.
+	moves, rounds int
+}
+
+func (l *Loop) begin(a caller.Ask) *attempt {
+	p := &attempt{ask: a, id: a.Request + "/" + strconv.Itoa(a.Attempt), asked: l.Now()}
+	p.request, p.over = l.memory.request(p.asked, a)
+	p.key = placement.Key(a.Model, a.Adapter, a.Chat)
+	l.look(p)
+	return p
+}
+
+// look starts the walk with the present snapshot, without the engines on which the request failed before.
+func (l *Loop) look(p *attempt) {
+	p.snap = l.snap.Load()
+	view := p.snap.view
+	for _, name := range p.ask.Avoid {
+		view = view.WithState(name, placement.Suspect)
+	}
+	p.walk = p.snap.rule.Walk(l.Now(), p.request, view, engines)
+}
+
+// lookup asks the owner of the home where the chat's context is, if the first engine to ask is not the home. It reports
+// whether the walk has changed. At the home itself the request for a slot brings the answer.
+func (l *Loop) lookup(ctx context.Context, p *attempt, step placement.Step) bool {
+	if p.found || p.request.Context == 0 || step.Engine == step.Home || step.Home == "" {
+		return false
+	}
+	p.found = true
+	owner := l.Peers.Owners().Engine(step.Home)
+	held, err := l.Peers.Held(ctx, owner, p.key)
+	if err != nil || held == "" {
+		return false
+	}
+	p.walk.Held(l.Now(), held)
+	return true
+}
+
+// refused takes a refusal into account and returns false if it is final.
+func (p *attempt) refused(now time.Time, step placement.Step, a Answer) bool {
+	switch {
+	case a.Held != "":
+		p.found = true
+		p.walk.Held(now, a.Held)
+	case a.Code == outcome.Overloaded && !step.Queue:
+		p.walk.Full(step.Engine, max(a.Wait, time.Millisecond))
+	case a.Code == outcome.Overloaded && p.rounds < rounds && now.Before(p.ask.Deadline):
+		p.rounds++
+		p.walk.Again()
+	case a.Code == outcome.NoBackend:
+		p.walk.Avoid(now, step.Engine)
+	default:
+		return false
+	}
+	return true
+}
+
+// slot asks the owner of an engine.
+func (l *Loop) slot(ctx context.Context, p *attempt, step placement.Step) Answer {
+	ask := SlotAsk{
+		Ask: admission.Ask{
+			Request: p.id, Router: l.Settings.ID, Account: p.ask.Account, Class: admission.Class(p.ask.Class), Over: p.over,
+			Weight: p.ask.Weight, Cost: 1, Deadline: p.ask.Deadline, NoQueue: !step.Queue, Since: p.asked,
+		},
+		Fingerprint: p.ask.Fingerprint,
+		Suspect:     l.suspicion(p.ask.Fingerprint),
+		Chat:        p.key,
+		Home:        step.Engine == step.Home && !p.found && p.request.Context > 0,
+	}
+	if l.snap.Load().owned[step.Engine] {
+		return l.owned(ctx, step.Engine, ask)
+	}
+	return l.remote(ctx, step.Engine, ask)
+}
+
+// waitTurn waits until a suspect, or a request whose engine changes its owner, may ask again. It returns false if the
+// request has to give up.
+func (l *Loop) waitTurn(ctx context.Context, p *attempt, code outcome.Code) bool {
+	if code == notOwner {
+		p.moves++
+		if p.moves > mostMoves {
+			return false
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(turnWait):
+		l.look(p)
+		return true
+	}
+}
+
+// admitted records a grant.
+func (l *Loop) admitted(p *attempt, step placement.Step, a Answer) caller.Grant {
+	l.boots.put(p.id, a.Boot)
+	b := p.snap.policy.Backends[step.Engine]
+	l.remember(p, step)
+	l.record(timeline.Event{
+		Kind: timeline.Placed, Request: p.ask.Request, Chat: p.ask.Chat, Backend: step.Engine,
+		Text: fmt.Sprintf("%s, home %s", step.Reason, step.Home),
+	})
+	l.record(timeline.Event{
+		Kind: timeline.Admitted, Request: p.ask.Request, Chat: p.ask.Chat, Backend: step.Engine,
+		Text: fmt.Sprintf("slot %d after %s", a.Slot.ID, l.Now().Sub(p.asked).Round(time.Millisecond)),
+	})
+	return caller.Grant{Backend: step.Engine, Address: b.Address, Slot: p.id, Pool: b.Pool}
+}
+
+// remember tells the owner of the home where the context will be. If the engine is the home, its owner granted the slot and
+// knows already.
+func (l *Loop) remember(p *attempt, step placement.Step) {
+	if step.Engine == step.Home || step.Home == "" {
+		return
+	}
+	owner := l.Peers.Owners().Engine(step.Home)
+	go l.Peers.Note(owner, p.key, step.Engine)
+}
+
+// admissible refuses requests that no engine may get.
+func (l *Loop) admissible(a caller.Ask) *outcome.Error {
+	if err := l.isolated(); err != nil {
+		return err
+	}
+	if e := l.quarantined(a); e != nil {
+		return e
+	}
+	if a.Attempt > 1 {
+		return nil
+	}
+	return l.limits.take(l.Now(), a)
+}
+
+// Release implements caller.Dispatcher.
+func (l *Loop) Release(g caller.Grant, r caller.Result) {
+	if g.Pool == "" {
+		l.services.release(l.Now(), g.Backend, r.Ending)
+		return
+	}
+	boot := l.boots.take(g.Slot)
+	if r.Ending == caller.EndedCrashed {
+		l.broke(g, r, boot)
+	}
+	if r.Ending == caller.EndedOK {
+		l.over(r.Fingerprint, g.Backend, true)
+	}
+	l.limits.finished(l.Now(), r.Request, int64(r.Prompt-r.Cached+r.Tokens))
+	l.send(func(now time.Time) {
+		l.freed(g.Slot, now)
+		switch r.Ending {
+		case caller.EndedUnreachable, caller.EndedTimedOut:
+			l.failed(g.Backend, now)
+		}
+	})
+}
+
+func noEngine(a caller.Ask) *outcome.Error {
+	return &outcome.Error{
+		Code: outcome.NoBackend, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable, Retry: comeBack,
+		Message: fmt.Sprintf("no engine in service takes requests for model %s", a.Model),
+		Remedy:  "send the request again after the time given; operators see the engines with hornbeamctl status",
+	}
+}
+
+// refusal is the final answer for an owner's refusal.
+func (l *Loop) refusal(a caller.Ask, answer Answer) error {
+	if answer.Code == outcome.Quarantined {
+		if e := l.quarantined(a); e != nil {
+			return e
+		}
+	}
+	return answer.Err()
+}
+
+func leftQueue(ctx context.Context) *outcome.Error {
+	return &outcome.Error{
+		Code: outcome.Deadline, Outcome: outcome.NotRun, Status: http.StatusServiceUnavailable, Retry: comeBack,
+		Message: "the request was given up while it waited for an engine",
+		Remedy:  "send the request again after the time given",
+		Cause:   context.Cause(ctx),
+	}
+}
