--- a/hornbeambench/replay/call.go
+++ b/hornbeambench/replay/call.go
@@ -25,7 +25,9 @@
 	attempt  string
 	attempts int
 	// asks counts the questions to gates, so that one without an answer is noticed.
-	asks   int
+	asks int
+	// rounds counts the waits in this send.
+	rounds int
 	router *router
 	walk   *placement.Walk
 	// redirect is true once the owner of the home was asked where the context is.
@@ -86,6 +88,10 @@
 // fingerprint names the request when it is sent again.
 func (q *call) fingerprint() string { return fmt.Sprintf("%s/%d", q.req.Chat, q.req.Turn) }
 
+// patience is how long the request waits at one engine. It doubles with each wait up to 32 times, so that the requests of
+// an overload do not ask all engines again and again.
+func (q *call) patience() time.Duration { return q.fleet.Requeue << min(q.rounds, 5) }
+
 // size is the context after the turn.
 func (q *call) size() int {
 	n := q.context + q.req.Prompt + q.req.Answer
@@ -114,6 +120,7 @@
 		return
 	}
 	q.sends++
+	q.rounds = 0
 	sends := q.sends
 	at := int(s.chance("route", q.req.Chat, fmt.Sprint(q.req.Turn), fmt.Sprint(sends)) * float64(len(s.routers)))
 	for i := range s.routers {
@@ -326,7 +333,7 @@
 		Since: epoch.Add(q.asked),
 	}
 	if step.Queue && s.Requeue > 0 {
-		a.Deadline = s.wall().Add(s.Requeue)
+		a.Deadline = s.wall().Add(q.patience())
 	}
 	reached := false
 	r.send(owner, func() {
@@ -344,7 +351,7 @@
 
 // awaitAnswer asks again if the answer of a gate does not come, because its owner was lost with the queue.
 func (r *router) awaitAnswer(q *call, attempt string, asks int) {
-	r.fleet.after(r.fleet.Requeue+500*time.Millisecond, func() {
+	r.fleet.after(q.patience()+500*time.Millisecond, func() {
 		r.do(func() {
 			if q.attempt == attempt && q.asks == asks && !q.holding && q.state == open && q.run == nil {
 				q.walk.Again()
@@ -479,6 +486,7 @@
 		r.place(q)
 	case a.Kind == admission.Refused && a.Code == outcome.Overloaded && r.fleet.now-q.asked < r.fleet.Admission.Wait:
 		q.walk.Again()
+		q.rounds++
 		r.ask(q)
 	case a.Kind == admission.Refused:
 		r.releaseClaim(q)
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -87,14 +87,13 @@
 		g.queue.charge(ask)
 		return g.grant(now, ask, 0)
 	}
-	if ask.NoQueue {
-		return g.refuse(now, ask, outcome.Overloaded)
-	}
-	if g.settings.Queue <= 0 {
+	// A full queue is a final answer even for a request that could ask elsewhere: with the load kept level, the other queues
+	// are full too, and asking them all would multiply the messages of an overload.
+	if g.queue.len() >= g.settings.Queue && !g.queue.mayDisplace(ask) && (g.settings.Queue > 0 || !ask.NoQueue) {
 		return g.refuse(now, ask, outcome.QueueFull)
 	}
-	if g.queue.len() >= g.settings.Queue && !g.queue.mayDisplace(ask) {
-		return g.refuse(now, ask, outcome.QueueFull)
+	if ask.NoQueue {
+		return g.refuse(now, ask, outcome.Overloaded)
 	}
 	g.queue.push(now, ask)
 	return Action{Kind: Queued, Ask: ask, Retry: g.Expected(now)}
