--- a/hornbeambench/replay/call.go
+++ b/hornbeambench/replay/call.go
@@ -24,8 +24,12 @@
 	// attempt names the current attempt; events of other attempts are ignored.
 	attempt  string
 	attempts int
-	router   *router
-	walk     *placement.Walk
+	// asks counts the questions to gates, so that one without an answer is noticed.
+	asks int
+	// rounds counts the waits in this send.
+	rounds int
+	router *router
+	walk   *placement.Walk
 	// redirect is true once the owner of the home was asked where the context is.
 	redirect bool
 	engine   string
@@ -84,6 +88,10 @@
 // fingerprint names the request when it is sent again.
 func (q *call) fingerprint() string { return fmt.Sprintf("%s/%d", q.req.Chat, q.req.Turn) }
 
+// patience is how long the request waits at one engine. It doubles with each wait up to 32 times, so that the requests of
+// an overload do not ask all engines again and again.
+func (q *call) patience() time.Duration { return q.fleet.Requeue << min(q.rounds, 5) }
+
 // size is the context after the turn.
 func (q *call) size() int {
 	n := q.context + q.req.Prompt + q.req.Answer
@@ -112,6 +120,7 @@
 		return
 	}
 	q.sends++
+	q.rounds = 0
 	sends := q.sends
 	at := int(s.chance("route", q.req.Chat, fmt.Sprint(q.req.Turn), fmt.Sprint(sends)) * float64(len(s.routers)))
 	for i := range s.routers {
@@ -316,13 +325,15 @@
 		return
 	}
 	q.owner = owner
+	q.asks++
+	r.awaitAnswer(q, attempt, q.asks)
 	lookup := step.Engine == step.Home && !q.redirect && q.context > 0
 	a := admission.Ask{
 		Request: attempt, Router: r.name, Account: q.req.Account, Class: classes[q.req.Class], Over: q.over, Cost: 1, NoQueue: !step.Queue,
 		Since: epoch.Add(q.asked),
 	}
 	if step.Queue && s.Requeue > 0 {
-		a.Deadline = s.wall().Add(s.Requeue)
+		a.Deadline = s.wall().Add(q.patience())
 	}
 	reached := false
 	r.send(owner, func() {
@@ -338,6 +349,18 @@
 	}
 }
 
+// awaitAnswer asks again if the answer of a gate does not come, because its owner was lost with the queue.
+func (r *router) awaitAnswer(q *call, attempt string, asks int) {
+	r.fleet.after(q.patience()+500*time.Millisecond, func() {
+		r.do(func() {
+			if q.attempt == attempt && q.asks == asks && !q.holding && q.state == open && q.run == nil {
+				q.walk.Again()
+				r.ask(q)
+			}
+		})
+	})
+}
+
 // lookup asks the owner of the home where the context is, when the first engine to ask is not the home.
 func (r *router) lookup(q *call, owner *router) {
 	s, attempt, reached := r.fleet, q.attempt, false
@@ -463,6 +486,7 @@
 		r.place(q)
 	case a.Kind == admission.Refused && a.Code == outcome.Overloaded && r.fleet.now-q.asked < r.fleet.Admission.Wait:
 		q.walk.Again()
+		q.rounds++
 		r.ask(q)
 	case a.Kind == admission.Refused:
 		r.releaseClaim(q)
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -87,14 +87,13 @@
 		g.queue.charge(ask)
 		return g.grant(now, ask, 0)
 	}
-	if ask.NoQueue {
-		return g.refuse(now, ask, outcome.Overloaded)
-	}
-	if g.settings.Queue <= 0 {
+	// A full queue is a final answer even for a request that could ask elsewhere: with the load kept level, the other queues
+	// are full too, and asking them all would multiply the messages of an overload.
+	if g.queue.len() >= g.settings.Queue && !g.queue.mayDisplace(ask) && (g.settings.Queue > 0 || !ask.NoQueue) {
 		return g.refuse(now, ask, outcome.QueueFull)
 	}
-	if g.queue.len() >= g.settings.Queue && !g.queue.mayDisplace(ask) {
-		return g.refuse(now, ask, outcome.QueueFull)
+	if ask.NoQueue {
+		return g.refuse(now, ask, outcome.Overloaded)
 	}
 	g.queue.push(now, ask)
 	return Action{Kind: Queued, Ask: ask, Retry: g.Expected(now)}
@@ -222,7 +221,7 @@
 	}
 	level := waited < g.settings.Level && g.settings.Even > 0 && g.mean.Engines > 1
 	if level && (ask.Over || now.Sub(g.surged) > g.settings.Surge) {
-		most := g.settings.Even * g.meanWith(ask.Cost, load)
+		most := g.settings.Even * g.meanWith(0, load)
 		if ask.Over {
 			most -= g.settings.Yield * ask.Cost
 		}
@@ -233,9 +232,9 @@
 	return g.fair(ask, load)
 }
 
-// meanWith is the mean load with a further request. The mean includes the engine itself, so it moves by 1/Engines of the
-// engine's own change since the mean was taken. The mean that arrives is older than the own load at its arrival; the own
-// load alone sets a lower limit, without which a pool of one engine refuses requests after an idle second.
+// meanWith is the mean load with a further request of the given cost. The mean includes the engine itself, so it moves by
+// 1/Engines of the engine's own change since the mean was taken. The mean that arrives is older than the own load at its
+// arrival; the own load alone sets a lower limit, without which a pool of one engine refuses requests after an idle second.
 func (g *Gate) meanWith(cost, load float64) float64 {
 	if g.mean.Engines < 1 {
 		return 0
@@ -279,14 +278,13 @@
 	if c <= 0 || g.settings.Reserve <= 0 || load+ask.Cost <= c*(1-g.settings.Reserve) {
 		return true
 	}
-	used, weights := ask.Cost, g.weights
-	if u, ok := g.users[ask.Account]; ok {
-		used += u.cost
-	} else {
-		weights += ask.Weight
+	u, ok := g.users[ask.Account]
+	if !ok {
+		// An account that uses nothing is not over its share, however small the capacity.
+		return true
 	}
 	// With one account in use there is nobody to compare with; it still leaves the reserve to newcomers.
-	return used <= c*(1-g.settings.Reserve)*ask.Weight/max(weights, 2*ask.Weight)
+	return u.cost+ask.Cost <= c*(1-g.settings.Reserve)*ask.Weight/max(g.weights, 2*ask.Weight)
 }
 
 // blocked is true if a waiting request goes before a new one. Requests that wait for their own account's share do not.
--- a/routing/admission/gate_test.go
+++ b/routing/admission/gate_test.go
@@ -39,7 +39,7 @@
 			granted++
 		}
 	}
-	// Even: with L requests the mean is 4+(L+1)/9 with a further one, and L may be at most that.
+	// Even: with L requests the mean is 4+L/9, and a further one is granted while L is at most that.
 	qt.Assert(t, granted, qt.Equals, 5)
 	// After Level, the bound: L may be 1.25 times 4+L/9 plus 1, which is 6.97.
 	qt.Assert(t, g.Tick(after(time.Second)), qt.HasLen, 1)
@@ -134,7 +134,7 @@
 	qt.Assert(t, actions[0].Ask.Request, qt.Equals, "a-3")
 }
 
-// Guards against a reserve that one account can use up.
+// Guards against a reserve that one account can use up, and against one that leaves a small engine unused.
 func TestReserve(t *testing.T) {
 	s := admission.Defaults()
 	s.Capacity = 8
@@ -145,6 +145,9 @@
 	}
 	qt.Assert(t, g.Slots(), qt.Equals, 6)
 	qt.Assert(t, g.Offer(start, ask("b", 1)).Kind, qt.Equals, admission.Granted)
+	s.Capacity = 1
+	g = admission.New(start, s)
+	qt.Assert(t, g.Offer(start, ask("a", 1)).Kind, qt.Equals, admission.Granted)
 }
 
 // Guards against a new owner that grants the whole bound while slots of the former owner are still in use.
