--- a/hornbeambench/standin/requestpath/sigterm_test.go
+++ b/hornbeambench/standin/requestpath/sigterm_test.go
@@ -41,6 +41,8 @@
 	}
 	fmt.Println(f.url)
 	<-terminated
+	// A second SIGTERM ends the process, as in the daemon. The library's kill is one.
+	signal.Stop(terminated)
 	fmt.Println(f.router.Drain(context.Background()))
 }
 
