feat: one bound on the memory of all bodies in progress

Each body is bounded, but 10000 requests of 4 MiB are not. A request now takes its length from a budget of 256 MiB, or the largest length if it states none, and is refused as not run when that is used up.

--- a/hornbeambench/standin/requestpath/limit_test.go
+++ b/hornbeambench/standin/requestpath/limit_test.go
@@ -109,6 +109,21 @@
 	c.Assert((<-first).text, qt.Equals, wanted)
 }
 
+// Guards against memory that grows with the number of requests in progress, and against bytes that are never given back.
+func TestMemory(t *testing.T) {
+	c := qt.New(t)
+	body := chatBody(prompt, true)
+	f := start(t, func(o *caller.Options, _ *modelengine.Config) { o.Memory = len(body) })
+	f.engines[0].SetFault(modelengine.Fault{Kind: modelengine.Hang})
+	first := make(chan received)
+	go func() { first <- send(f.request("POST", "/v1/chat/completions", body)) }()
+	eventually(func() bool { f.mu.Lock(); defer f.mu.Unlock(); return len(f.asks) == 1 })
+	c.Assert(send(f.request("POST", "/v1/chat/completions", body)).failure.Error.Code, qt.Equals, "overloaded")
+	f.engines[0].SetFault(modelengine.Fault{})
+	c.Assert((<-first).text, qt.Equals, wanted)
+	c.Assert(send(f.request("POST", "/v1/chat/completions", body)).text, qt.Equals, wanted)
+}
+
 // Guards against a drain that cuts off a stream, takes new work or stays open.
 func TestDrain(t *testing.T) {
 	c := qt.New(t)
--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -36,6 +36,8 @@
 	replied, delivered bool
 	// cut is true if the answer broke off and the connection must be closed to show it.
 	cut bool
+	// held is the number of bytes taken from the budget of bodies.
+	held int64
 	// keep holds the answer while it is small enough to be kept with a claim.
 	keep keeper
 }
@@ -47,6 +49,7 @@
 			s: s, w: w, r: r, control: http.NewResponseController(w),
 			id: rand.Text(), kind: "other", started: time.Now(), worst: outcome.NotRun,
 		}
+		defer func() { s.bodies.give(c.held) }()
 		w.Header().Set("Request-Id", c.id)
 		e := step(c)
 		c.count(e)
--- a/hornbeamd/caller/parse.go
+++ b/hornbeamd/caller/parse.go
@@ -190,6 +190,14 @@
 	if c.r.ContentLength > int64(limit) {
 		return nil, errTooLarge("body", limit)
 	}
+	expected := c.r.ContentLength
+	if expected < 0 {
+		expected = int64(limit)
+	}
+	if !c.s.bodies.take(expected) {
+		return nil, errFull("the router holds too many bytes of requests in progress")
+	}
+	c.held = expected
 	// Not every connection has deadlines; the body is bounded all the same.
 	_ = c.control.SetReadDeadline(time.Now().Add(c.s.options.Read))
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(limit)))
@@ -205,6 +213,8 @@
 		e.Cause = err
 		return nil, e
 	}
+	c.s.bodies.give(expected - int64(len(body)))
+	c.held = int64(len(body))
 	return body, nil
 }
 
--- a/hornbeamd/caller/server.go
+++ b/hornbeamd/caller/server.go
@@ -27,6 +27,8 @@
 	Log *zap.Logger
 	// Body and Header bound a request in bytes. Defaults 4 MiB and 32 KiB.
 	Body, Header int
+	// Memory bounds the bodies held at once, in bytes. Default 256 MiB.
+	Memory int
 	// Answer bounds an answer that is gathered before it is sent, in bytes. Default 4 MiB.
 	Answer int
 	// Buffer is how much of a service's answer is gathered before it is sent, in bytes. Default 256 KiB.
@@ -55,6 +57,7 @@
 func (o Options) withDefaults() Options {
 	o.Body = or(o.Body, 4<<20)
 	o.Header = or(o.Header, 32<<10)
+	o.Memory = or(o.Memory, 256<<20)
 	o.Answer = or(o.Answer, 4<<20)
 	o.Buffer = or(o.Buffer, 256<<10)
 	o.Keep = or(o.Keep, 2048)
@@ -90,6 +93,7 @@
 	dispatcher Dispatcher
 	http       *http.Server
 	gate       *gate
+	bodies     *budget
 	metrics    *metrics
 	engines    *clients[*engine.HTTP]
 	services   *clients[*service.HTTP]
@@ -103,7 +107,7 @@
 		return nil, eris.New("the server has no dispatcher: set Options.Dispatcher")
 	}
 	o = o.withDefaults()
-	s := &Server{options: o, dispatcher: o.Dispatcher, gate: newGate(o.Requests)}
+	s := &Server{options: o, dispatcher: o.Dispatcher, gate: newGate(o.Requests), bodies: newBudget(o.Memory)}
 	s.metrics = newMetrics(o.Registry)
 	s.engines = newClients(func(name, address string) *engine.HTTP { return engine.New(name, address, o.Engine) })
 	s.services = newClients(func(name, address string) *service.HTTP { return service.New(name, address, o.Service) })
