fix: engine statuses about the router are retried, and answers too large are typed

An engine's 401, 404 or 429 concerns the router, not the caller's request, yet it was passed on as the caller's fault; only 400, 413 and 422 are now. A whole answer beyond the bound counted as a caller who had left and went unanswered; it now ends with 413, and its attempt is cancelled at the engine.

go test -race ./hornbeambench/standin/... ./hornbeamd/caller passes with tests of both.

--- a/hornbeambench/standin/modelengine/chat.go
+++ b/hornbeambench/standin/modelengine/chat.go
@@ -93,7 +93,7 @@
 		return
 	case f.Kind == Status:
 		e.cancel(n.attempt)
-		http.Error(w, "injected failure", http.StatusInternalServerError)
+		http.Error(w, "injected failure", or(f.Code, http.StatusInternalServerError))
 		return
 	}
 	if f.Kind == Late {
--- a/hornbeambench/standin/modelengine/fault.go
+++ b/hornbeambench/standin/modelengine/fault.go
@@ -32,7 +32,7 @@
 	Late FaultKind = "late"
 	// Refuse answers 503 with Not-Run.
 	Refuse FaultKind = "refuse"
-	// Status answers 500 after the request was started.
+	// Status answers with Code after the request was started.
 	Status FaultKind = "status"
 	// Burst yields the whole answer in one step.
 	Burst FaultKind = "burst"
@@ -49,6 +49,8 @@
 	Times int `json:"times,omitempty"`
 	// Delay is the time of a delay. For a crash it is the time until the restart; 0 for none.
 	Delay time.Duration `json:"delay,omitempty"`
+	// Code is the status of an answer; 0 stands for 500.
+	Code int `json:"code,omitempty"`
 	// Marker limits the fault to prompts that contain it.
 	Marker string `json:"marker,omitempty"`
 }
--- a/hornbeambench/standin/requestpath/limit_test.go
+++ b/hornbeambench/standin/requestpath/limit_test.go
@@ -124,6 +124,16 @@
 	c.Assert(send(f.request("POST", "/v1/chat/completions", body)).text, qt.Equals, wanted)
 }
 
+// Guards against a whole answer that fills the memory, and against leaving its engine at work.
+func TestLargeAnswer(t *testing.T) {
+	c := qt.New(t)
+	f := start(t, func(o *caller.Options, _ *modelengine.Config) { o.Answer = 1000 })
+	got := send(f.request("POST", "/v1/chat/completions", chatBody(prompt, false)))
+	c.Assert(got.status, qt.Equals, http.StatusRequestEntityTooLarge)
+	c.Assert(f.endings(), qt.DeepEquals, []caller.Ending{caller.EndedFailed})
+	eventually(func() bool { return f.engines[0].Active() == 0 })
+}
+
 // Guards against a drain that cuts off a stream, takes new work or stays open.
 func TestDrain(t *testing.T) {
 	c := qt.New(t)
--- a/hornbeamd/caller/assembly.go
+++ b/hornbeamd/caller/assembly.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
+	"net/http"
 	"strings"
 
 	"hornbeamstep.example/hornbeamd/engine"
+	"hornbeamstep.example/hornbeamd/exchange"
 )
 
 // The parts of a chat completion chunk.
@@ -89,7 +90,15 @@
 )
 
 // errAnswerTooLarge means that a whole answer exceeds the bound on memory.
-var errAnswerTooLarge = errors.New("the answer is larger than the router gathers: ask for a stream")
+var errAnswerTooLarge = &exchange.Error{
+	Kind: exchange.Rejected, Sent: true, Status: http.StatusRequestEntityTooLarge,
+	Message: "the answer is larger than the router gathers, ask for a stream",
+}
+
+// malformed means that a chunk has not the form of a chat completion chunk.
+func malformed(message string, cause error) error {
+	return &exchange.Error{Kind: exchange.Protocol, Sent: true, Message: message, Cause: cause}
+}
 
 // maxChoices and maxTools bound what indices in an engine's chunks can make the router allocate.
 const (
@@ -150,7 +159,7 @@
 	}
 	var part chunkWire
 	if err := json.Unmarshal(ch.Data, &part); err != nil {
-		return err
+		return malformed("a chunk is malformed", err)
 	}
 	if a.head.ID == "" {
 		a.head = part
@@ -160,7 +169,7 @@
 	}
 	for _, choice := range part.Choices {
 		if choice.Index < 0 || choice.Index >= maxChoices {
-			return errors.New("a chunk has a choice out of range")
+			return malformed("a chunk has a choice out of range", nil)
 		}
 		for len(a.choices) <= choice.Index {
 			a.choices = append(a.choices, &choiceParts{role: "assistant"})
@@ -191,7 +200,7 @@
 	}
 	for _, tool := range c.Delta.Tools {
 		if tool.Index < 0 || tool.Index >= maxTools {
-			return errors.New("a chunk has a tool call out of range")
+			return malformed("a chunk has a tool call out of range", nil)
 		}
 		for len(p.tools) <= tool.Index {
 			p.tools = append(p.tools, &toolParts{})
--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -174,7 +174,7 @@
 		return false
 	case f.Kind == exchange.Cancelled:
 		return false
-	case f.Kind == exchange.Rejected && f.Status < http.StatusInternalServerError:
+	case f.Kind == exchange.Rejected && faultOfRequest(f.Status):
 		return false
 	case c.once && f.Outcome() != outcome.NotRun:
 		return false
--- a/hornbeamd/caller/chat.go
+++ b/hornbeamd/caller/chat.go
@@ -104,7 +104,7 @@
 		result, failure := c.relay(stream, to)
 		result.Resumes = stream.resumes
 		c.s.metrics.resumes.Add(float64(stream.resumes))
-		if failure != nil && failure.Sent && failure.Kind != exchange.Refused && failure.Kind != exchange.Rejected {
+		if failure != nil && failure.Sent && failure.Kind != exchange.Refused {
 			go cancelAttempt(client, id)
 		}
 		return result, failure
@@ -136,6 +136,7 @@
 		if usage := gjson.GetBytes(chunk.Data, "usage"); usage.IsObject() {
 			result.Prompt = int(usage.Get("prompt_tokens").Int())
 			result.Cached = int(usage.Get("prompt_tokens_details.cached_tokens").Int())
+			result.Completion = int(usage.Get("completion_tokens").Int())
 		}
 		if result.Tokens == 0 {
 			result.First = time.Since(begin)
@@ -144,11 +145,21 @@
 		result.Tokens++
 		c.s.metrics.tokens.Inc()
 		if err := to.chunk(chunk, from.buffered()); err != nil {
-			return result, callerGone(err)
+			return result, sinkFailure(err)
 		}
 	}
 }
 
+// sinkFailure returns the failure for a chunk that was not taken: an answer that cannot be put together is the engine's, all
+// else the caller's.
+func sinkFailure(err error) *exchange.Error {
+	var failure *exchange.Error
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return callerGone(err)
+}
+
 // callerGone is the failure for a caller that left or is too slow; the engine is not at fault.
 func callerGone(cause error) *exchange.Error {
 	return &exchange.Error{Kind: exchange.Cancelled, Sent: true, Cause: cause}
--- a/hornbeamd/caller/dispatcher.go
+++ b/hornbeamd/caller/dispatcher.go
@@ -91,8 +91,8 @@
 	Ending Ending
 	// Request and Fingerprint are those of the Ask.
 	Request, Fingerprint string
-	// Tokens is the number of tokens received; Prompt and Cached are those that the engine reported, or 0.
-	Tokens, Prompt, Cached int
+	// Tokens is the number of chunks received. Prompt, Cached and Completion are the tokens that the engine reported, or 0.
+	Tokens, Prompt, Cached, Completion int
 	// First is the time from the grant to the first token, and Duration to the end of the attempt.
 	First, Duration time.Duration
 	// Retry is the time to come back that a refusal named, or 0.
--- a/hornbeamd/caller/errors.go
+++ b/hornbeamd/caller/errors.go
@@ -136,13 +136,19 @@
 	return e
 }
 
+// faultOfRequest reports whether an engine's status says that the request itself is wrong, so that no other engine can do
+// better. Statuses about keys, paths or load concern the router's own relation with the engine.
+func faultOfRequest(status int) bool {
+	return status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge || status == http.StatusUnprocessableEntity
+}
+
 // rejected fills in the error for a backend server's own error status. Faults of the request keep their status.
 func rejected(e *outcome.Error, f *exchange.Error) {
 	e.Message = "the backend server rejected the request with status " + strconv.Itoa(f.Status)
 	if f.Message != "" {
 		e.Message += ": " + f.Message
 	}
-	if f.Status >= http.StatusBadRequest && f.Status < http.StatusInternalServerError {
+	if faultOfRequest(f.Status) {
 		e.Code, e.Status, e.Retry = outcome.BadRequest, f.Status, 0
 		e.Remedy = "correct the request"
 		return
