fix: a crash suspect that finds no room waits its turn

Cause: suspects are never queued at an engine, so an innocent request that met full engines used up its eight rounds within a millisecond and was refused as overloaded. Change: such a request asks again every 50 ms within the pool's wait; the count of rounds is gone. After: go test -race -count=10 -run TestCrashing passed 10 of 10.

--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hornbeamstep.example/hornbeamd/caller"
+	"hornbeamstep.example/policy"
 	"hornbeamstep.example/routing/admission"
 	"hornbeamstep.example/routing/outcome"
 	"hornbeamstep.example/routing/placement"
@@ -17,8 +18,6 @@
 const (
 	// engines is the number of engines that a request asks before it waits at one of them.
 	engines = 4
-	// rounds bounds how often a request that finds no room asks all over again; each round includes a wait in a queue.
-	rounds = 8
 	// turnWait is the time after which a request asks again that has to wait for another one or for a new owner, and
 	// mostMoves bounds the wait for an owner to the 5 s in which a lost router is suspected.
 	turnWait  = 50 * time.Millisecond
@@ -66,7 +65,7 @@
 			return l.admitted(p, step, answer), nil
 		case ctx.Err() != nil || answer.Code == gone:
 			return caller.Grant{}, leftQueue(ctx)
-		case answer.Code == apart || answer.Code == notOwner:
+		case answer.Code == apart || answer.Code == notOwner || l.mayWait(p, step, answer):
 			if !l.waitTurn(ctx, p, answer.Code) {
 				return caller.Grant{}, leftQueue(ctx)
 			}
@@ -76,6 +75,19 @@
 	}
 }
 
+// mayWait is true for a request that found no room in a queue but has time left: a suspect is never queued, and a share
+// without the engine's owner has no queue.
+func (l *Loop) mayWait(p *attempt, step placement.Step, a Answer) bool {
+	if a.Code != outcome.Overloaded || !step.Queue {
+		return false
+	}
+	wait := p.snap.policy.Pools[p.snap.policy.Backends[step.Engine].Pool].Wait
+	if wait <= 0 {
+		wait = policy.DefaultWait
+	}
+	return l.Now().Sub(p.asked) < wait
+}
+
 // attempt is one search for a slot.
 type attempt struct {
 	ask caller.Ask
@@ -91,8 +103,8 @@
 	walk *placement.Walk
 	// found is true once the owner of the home was asked where the context is.
 	found bool
-	// moves counts the refusals because ownership moved, and rounds the waits that ended without a slot.
-	moves, rounds int
+	// moves counts the refusals because ownership moved.
+	moves int
 }
 
 func (l *Loop) begin(a caller.Ask) *attempt {
@@ -137,9 +149,6 @@
 		p.walk.Held(now, a.Held)
 	case a.Code == outcome.Overloaded && !step.Queue:
 		p.walk.Full(step.Engine, max(a.Wait, time.Millisecond))
-	case a.Code == outcome.Overloaded && p.rounds < rounds && now.Before(p.ask.Deadline):
-		p.rounds++
-		p.walk.Again()
 	case a.Code == outcome.NoBackend:
 		p.walk.Avoid(now, step.Engine)
 	default:
