--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -175,6 +175,7 @@
 	case f.Kind == exchange.Cancelled:
 		return false
 	case f.Kind == exchange.Rejected && faultOfRequest(f.Status):
+		// A stream that the engine ended with an error has status 200 and may be tried elsewhere.
 		return false
 	case c.once && f.Outcome() != outcome.NotRun:
 		return false
