--- a/hornbeambench/replay/attempt.go
+++ b/hornbeambench/replay/attempt.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"fmt"
 	"time"
 
 	"hornbeamstep.example/routing/placement"
@@ -31,17 +30,22 @@
 
 // importFor moves the KV cache of a chat and returns the time that takes.
 func (s *fleet) importFor(q *call, to *engine) time.Duration {
-	from := s.byID[q.from]
-	if q.from == "" || !from.up || from.hung {
-		return 0
-	}
-	tokens := from.cache.tokens(q.req.Chat)
-	if tokens == 0 || tokens <= to.cache.tokens(q.req.Chat) {
-		return s.Between * 2
+	spent := time.Duration(0)
+	for _, id := range []string{q.from, q.orElse} {
+		from := s.byID[id]
+		if id == "" || !from.up || from.hung {
+			continue
+		}
+		tokens := from.cache.tokens(q.req.Chat)
+		if tokens == 0 || tokens <= to.cache.tokens(q.req.Chat) {
+			spent += s.Between * 2
+			continue
+		}
+		s.transfer(q.req.Chat, q.req.Account, from, to, tokens)
+		s.measure.moved += tokens
+		return spent + s.Placement.TransferBase + time.Duration(tokens)*s.Placement.Transfer
 	}
-	s.transfer(q.req.Chat, q.req.Account, from, to, tokens)
-	s.measure.moved += tokens
-	return s.Placement.TransferBase + time.Duration(tokens)*s.Placement.Transfer
+	return spent
 }
 
 func (s *fleet) transfer(chat, account string, from, to *engine, tokens int) {
@@ -49,8 +53,9 @@
 	to.cache.put(cached{name: chat, chat: chat, account: account, tokens: tokens, last: s.now.Seconds()})
 }
 
-// move carries out moves one after the other at the rate of the KV transfer.
-func (s *fleet) move(moves []placement.Move) {
+// move carries out moves one after the other at the rate of the KV transfer. A nil router stands for the omniscient
+// placer; otherwise the owners of the homes learn of each move.
+func (s *fleet) move(by *router, moves []placement.Move) {
 	at := time.Duration(0)
 	for _, m := range moves {
 		at += s.Placement.TransferBase + time.Duration(m.Tokens)*s.Placement.Transfer
@@ -62,6 +67,9 @@
 			}
 			s.transfer(m.Chat, "", from, to, n)
 			s.measure.moved += n
+			if by != nil {
+				by.do(func() { by.note("m", "", m.Chat, m.To) })
+			}
 		})
 	}
 }
@@ -104,21 +112,29 @@
 	if r.placer != nil || q.home == "" {
 		return
 	}
-	owner := r.owner(q.home)
-	key := placement.Key(q.req.Model, q.req.Adapter, q.req.Chat)
-	home, now := q.home, r.fleet.wall()
+	r.note(q.req.Model, q.req.Adapter, q.req.Chat, e.id)
+}
+
+// note tells the owner of a chat's home which engine holds the context.
+func (r *router) note(model, adapter, chat, engine string) {
+	key := placement.Key(model, adapter, chat)
+	home, _ := r.view.Homes(model, adapter, key)
+	if home == "" {
+		return
+	}
+	owner, now := r.owner(home), r.fleet.wall()
 	r.send(owner, func() {
-		if e.id == home {
+		if engine == home {
 			owner.exceptions.Forget(key)
 			return
 		}
-		owner.exceptions.Put(now, key, e.id)
+		owner.exceptions.Put(now, key, engine)
 	})
 }
 
 // refused handles a connection that the engine did not accept: the request did not run.
 func (r *router) refused(q *call, e *engine) {
-	r.unhold(q)
+	r.unhold(q, false)
 	r.observe(e.id)
 	if q.attempts > 2*len(r.fleet.engines) {
 		r.releaseClaim(q)
@@ -141,10 +157,10 @@
 		s.measure.crossed++
 	}
 	r.first(q)
-	r.unhold(q)
+	r.unhold(q, true)
 	q.attempt = ""
 	if !q.req.Repeat {
-		if c := s.claims[fmt.Sprintf("%s/%d", q.req.Chat, q.req.Turn)]; c != nil {
+		if c := s.claims[q.fingerprint()]; c != nil {
 			c.done = true
 		}
 	}
@@ -153,7 +169,7 @@
 
 // broken handles a stream that ended early.
 func (r *router) broken(q *call, e *engine) {
-	r.unhold(q)
+	r.unhold(q, false)
 	r.observe(e.id)
 	q.run = nil
 	switch {
@@ -235,6 +251,6 @@
 			g.Abandon(q.attempt)
 		}
 	}
-	r.unhold(q)
+	r.unhold(q, false)
 	q.attempt = ""
 }
--- a/hornbeambench/replay/router.go
+++ b/hornbeambench/replay/router.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"hornbeamstep.example/routing/admission"
+	"hornbeamstep.example/routing/limit"
 	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/routing/quarantine"
 )
 
 // router is the fake of a router: it runs the decision packages on its own view of engines and members.
@@ -34,6 +36,8 @@
 	// loads and sent are for baselines: the last report, and the requests sent since.
 	loads, sent map[string]float64
 	lastMean    admission.Mean
+	quarantine  *quarantine.Tracker
+	surges      *limit.Surges
 	// slots are those held by this router, for renewal.
 	slots map[string]*call
 }
@@ -56,6 +60,8 @@
 	r.exceptions = placement.NewExceptions(1 << 16)
 	r.loads, r.sent = map[string]float64{}, map[string]float64{}
 	r.slots = map[string]*call{}
+	r.quarantine = quarantine.New(quarantine.Defaults())
+	r.surges = limit.NewSurges(limit.DefaultSurge())
 	r.backlog = nil
 }
 
@@ -122,8 +128,13 @@
 	}
 }
 
-func (r *router) mean(m admission.Mean) {
+func (r *router) mean(m admission.Mean, evicted map[string]float64) {
 	r.lastMean = m
+	status := map[string]placement.Status{}
+	for id, at := range evicted {
+		status[id] = placement.Status{Evicted: epoch.Add(seconds(at))}
+	}
+	r.view = r.view.WithStatuses(status)
 	for _, id := range r.owned() {
 		r.deliver(id, r.gates[id].Mean(r.fleet.wall(), m))
 	}
@@ -207,11 +218,11 @@
 	switch {
 	case st == placement.Leaving && r.gates[id] != nil:
 		e := r.fleet.byID[id]
-		r.fleet.move(r.rule.Evacuate(r.fleet.wall(), id, r.contexts(e), budget, r.view))
+		r.fleet.move(r, r.rule.Evacuate(r.fleet.wall(), id, r.contexts(e), budget, r.view))
 	case st == placement.Joining && was != placement.Joining:
 		for _, from := range r.owned() {
 			share := budget / len(r.fleet.engines)
-			r.fleet.move(r.rule.Attract(r.fleet.wall(), from, id, r.contexts(r.fleet.byID[from]), share, r.view))
+			r.fleet.move(r, r.rule.Attract(r.fleet.wall(), from, id, r.contexts(r.fleet.byID[from]), share, r.view))
 		}
 	}
 }
@@ -249,3 +260,28 @@
 		r.send(to, func() { to.answered(q, engine, a, r) })
 	}
 }
+
+// crashed is called at the owner of an engine that has crashed, with the requests in flight. The other routers learn of
+// the suspects by gossip; those that hold a suspect learn of it with the broken stream.
+func (r *router) crashed(c quarantine.Crash, calls []*call) {
+	s := r.fleet
+	var fingerprints []string
+	for _, q := range calls {
+		fingerprints = append(fingerprints, q.fingerprint())
+	}
+	entries := r.quarantine.Crashed(s.wall(), c, fingerprints)
+	for _, q := range calls {
+		for _, e := range entries {
+			if e.Fingerprint == q.fingerprint() {
+				q.suspect = e
+			}
+		}
+	}
+	for _, o := range s.routers {
+		if o != r {
+			s.after(time.Duration((0.5+0.5*s.chance("gossip", o.name))*float64(time.Second)), func() {
+				o.do(func() { o.quarantine.Merge(s.wall(), entries) })
+			})
+		}
+	}
+}
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -13,7 +13,6 @@
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/owner"
 	"hornbeamstep.example/coord/revision"
-	"hornbeamstep.example/coord/usage"
 	"hornbeamstep.example/timeline"
 )
 
@@ -24,8 +23,26 @@
 	Class int
 	// Cost is in the engine's own unit of load.
 	Cost float64
+	// Weight is the account's share in fair queueing.
+	Weight float64
 	// Wait is how long the request may be queued.
 	Wait time.Duration
+	// Fingerprint identifies the request. Suspect is set if the request was in flight on an engine that crashed.
+	Fingerprint string
+	Suspect     *Crash
+	// Chat is the hash of what decides the chat's home (placement.Key). If Home is the engine, the owner answers with the
+	// engine that holds the context in place of a slot when that is another one.
+	Chat uint64
+	Home bool
+	// Over is set while the client account surges, and Age is the time since the request first asked an engine.
+	Over bool
+	Age  time.Duration
+}
+
+// Crash names one life of an engine that ended in a crash.
+type Crash struct {
+	Engine string `json:"engine"`
+	Boot   string `json:"boot"`
 }
 
 // SlotGrant is permission to run one request.
@@ -34,6 +51,10 @@
 	Slot string
 	// Lease is how long it lasts unless it is renewed, by the owner's clock.
 	Lease time.Duration
+	// Boot is the engine's present life; empty while the owner has no report.
+	Boot string
+	// Held is set in place of a slot: the engine that holds the chat's context.
+	Held string
 }
 
 // Notice is something that every router should know soon.
@@ -41,9 +62,9 @@
 	// Kind is "suspect", "quarantine" or "release".
 	Kind        string
 	Fingerprint string
-	// Engine is the one that crashed, for suspects.
-	Engine string
-	At     time.Time
+	// Engine is the one that crashed and Boot its life, for suspects and quarantine.
+	Engine, Boot string
+	At           time.Time
 }
 
 // Query selects events of the time line.
@@ -62,14 +83,24 @@
 	Account string  `json:"account,omitempty"`
 	Class   int     `json:"class,omitempty"`
 	Cost    float64 `json:"cost,omitempty"`
+	Weight  float64 `json:"weight,omitempty"`
 	// Wait is in milliseconds.
-	Wait int64 `json:"wait,omitempty"`
+	Wait        int64  `json:"wait,omitempty"`
+	Fingerprint string `json:"print,omitempty"`
+	Suspect     *Crash `json:"suspect,omitempty"`
+	Chat        uint64 `json:"chat,omitempty"`
+	Home        bool   `json:"home,omitempty"`
+	Over        bool   `json:"over,omitempty"`
+	// Age is in milliseconds.
+	Age int64 `json:"age,omitempty"`
 }
 
 type wireGrant struct {
 	Slot string `json:"slot"`
 	// Lease is in milliseconds.
-	Lease int64 `json:"lease"`
+	Lease int64  `json:"lease"`
+	Boot  string `json:"boot,omitempty"`
+	Held  string `json:"held,omitempty"`
 }
 
 type wireSlots struct {
@@ -85,6 +116,7 @@
 	Kind        string    `json:"kind"`
 	Fingerprint string    `json:"print"`
 	Engine      string    `json:"engine,omitempty"`
+	Boot        string    `json:"boot,omitempty"`
 	At          time.Time `json:"time"`
 }
 
@@ -129,6 +161,13 @@
 	return true
 }
 
+// decode reads a value from JSON.
+func decode[T any](data []byte) (T, error) {
+	var v T
+	err := json.Unmarshal(data, &v)
+	return v, err
+}
+
 // params decodes the parameters of a request.
 func params[T any](r *jsonrpc2.Request) (T, error) {
 	var v T
@@ -175,8 +214,6 @@
 		return with(r, func(w wireFetch) (wireReply, error) { return n.handleFetch(ctx, w) })
 	case "load":
 		return with(r, func(w wireLoad) (wireLoad, error) { return n.handleLoad(ctx, w) })
-	case "usage":
-		return with(r, func(w wireUsage) (wireUsage, error) { return n.handleUsage(ctx, w) })
 	case "suspect":
 		return with(r, func(w wireNotice) (any, error) {
 			n.post(func(time.Time) { n.loop.notice(w) })
@@ -193,7 +230,7 @@
 	case r.Method == "slot" && n.Slots != nil:
 		return with(r, func(w wireAsk) (wireGrant, error) {
 			g, err := n.Slots.Take(ctx, w.From, w.ask())
-			return wireGrant{g.Slot, g.Lease.Milliseconds()}, err
+			return wireGrant{g.Slot, g.Lease.Milliseconds(), g.Boot, g.Held}, err
 		})
 	case r.Method == "free" && n.Slots != nil:
 		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Free(ctx, w.From, w.Slots) })
@@ -210,13 +247,27 @@
 	case r.Method == "status" && n.Operator != nil:
 		document, err := n.Operator.Status(ctx)
 		return wireStatus{document}, err
+	case r.Method == "claim" && n.Claims != nil:
+		return with(r, func(w wireClaim) (wireClaimed, error) { return n.handleClaim(ctx, w) })
+	case r.Method == "finish" && n.Claims != nil:
+		return with(r, func(w wireFinish) (any, error) { return n.handleFinish(ctx, w) })
+	case r.Method == "held" && n.Contexts != nil:
+		return with(r, n.handleHeld)
+	case r.Method == "note" && n.Contexts != nil:
+		return with(r, n.handleNote)
+	case r.Method == "usage" && n.Usages != nil:
+		return with(r, n.handleUsage)
 	default:
 		return nil, &jsonrpc2.Error{Code: codeMethod, Message: "router " + n.ID + " does not serve " + method(r.Method)}
 	}
 }
 
 func (w wireAsk) ask() SlotAsk {
-	return SlotAsk{w.Request, w.Engine, w.Account, w.Class, w.Cost, time.Duration(w.Wait) * time.Millisecond}
+	return SlotAsk{
+		Request: w.Request, Engine: w.Engine, Account: w.Account, Class: w.Class, Cost: w.Cost, Weight: w.Weight,
+		Wait: time.Duration(w.Wait) * time.Millisecond, Fingerprint: w.Fingerprint, Suspect: w.Suspect,
+		Chat: w.Chat, Home: w.Home, Over: w.Over, Age: time.Duration(w.Age) * time.Millisecond,
+	}
 }
 
 func (n *Node) handlePing(ctx context.Context, w wirePing) (wireAck, error) {
@@ -273,12 +324,6 @@
 	return wireLoad{Items: fromItems(reply.Items)}, err
 }
 
-func (n *Node) handleUsage(ctx context.Context, w wireUsage) (wireUsage, error) {
-	return ask(ctx, n, func(now time.Time) wireUsage {
-		return fromUsage("", n.loop.usage.Handle(now, usage.Report{From: w.From, Items: w.items()}))
-	})
-}
-
 // notice takes a notice and passes it on to the peers once.
 func (l *loop) notice(w wireNotice) {
 	if !l.notices.add(w) {
@@ -319,9 +364,13 @@
 		return n.Slots.Take(ctx, n.ID, a)
 	}
 	var w wireGrant
-	params := wireAsk{n.ID, a.Request, a.Engine, a.Account, a.Class, a.Cost, a.Wait.Milliseconds()}
+	params := wireAsk{
+		From: n.ID, Request: a.Request, Engine: a.Engine, Account: a.Account, Class: a.Class, Cost: a.Cost, Weight: a.Weight,
+		Wait: a.Wait.Milliseconds(), Fingerprint: a.Fingerprint, Suspect: a.Suspect,
+		Chat: a.Chat, Home: a.Home, Over: a.Over, Age: a.Age.Milliseconds(),
+	}
 	err := n.send(ctx, router, "slot", params, &w)
-	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond}, err
+	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond, w.Boot, w.Held}, err
 }
 
 // Free returns slots to the owner that granted them.
--- a/hornbeamd/peer/loop.go
+++ b/hornbeamd/peer/loop.go
@@ -11,15 +11,18 @@
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/owner"
 	"hornbeamstep.example/coord/revision"
-	"hornbeamstep.example/coord/usage"
 )
 
 const (
 	// tickEvery is short against the time for the answer to a ping.
 	tickEvery = 100 * time.Millisecond
-	// loadEvery is the period of load reports, tidyEvery that of the look for idle and silent connections.
-	loadEvery = time.Second
-	tidyEvery = time.Second
+	// loadEvery is the period of load reports, tidyEvery that of the look for idle and silent connections. In a fleet of up to
+	// smallFleet routers loads go every loadOften: a mean that is a second old admits requests above the bound, and the
+	// messages of so few routers fit the budget for control traffic.
+	loadEvery  = time.Second
+	loadOften  = 200 * time.Millisecond
+	smallFleet = 16
+	tidyEvery  = time.Second
 	// directLimit is the time for the answer to a ping, exchangeLimit that for other control messages.
 	directLimit   = member.DefaultDirect
 	exchangeLimit = 2 * time.Second
@@ -31,16 +34,13 @@
 	members   *member.State
 	revisions *revision.State
 	loads     *loadsum.State
-	usage     *usage.State
 
 	engines []owner.Engine
 	pools   []string
 	dirty   bool
-	// totalsChanged is set when the use of client accounts has to be published.
-	totalsChanged bool
-	view          *member.View
-	owners        *owner.Snapshot
-	notices       notices
+	view    *member.View
+	owners  *owner.Snapshot
+	notices notices
 
 	nextLoad time.Time
 	nextTidy time.Time
@@ -50,11 +50,10 @@
 func (l *loop) start(n *Node) {
 	now := n.Clock()
 	l.n = n
-	self := member.Member{ID: n.ID, Boot: n.Boot, Address: n.address, Zone: n.Zone, Region: n.Region}
+	self := member.Member{ID: n.ID, Boot: n.Boot, Address: n.address, Zone: n.Zone, Region: n.Region, Caller: n.Caller}
 	l.members = member.New(member.Config{Self: self, Uniform: n.Uniform}, now, n.Rand)
 	l.revisions = revision.New(revision.Config{}, now, n.Rand)
 	l.loads = loadsum.New()
-	l.usage = usage.New(n.ID)
 	l.dirty = true
 	if len(n.Seeds) > 0 {
 		var seeds []member.Instance
@@ -97,9 +96,8 @@
 	l.do(now, l.members.Tick(now))
 	l.spread(now, l.revisions.Tick(now))
 	if !now.Before(l.nextLoad) {
-		l.nextLoad = now.Add(loadEvery)
+		l.nextLoad = now.Add(l.loadPeriod())
 		l.reportLoads(now)
-		l.reportUsage(now)
 	}
 	if !now.Before(l.nextTidy) {
 		l.nextTidy = now.Add(tidyEvery)
@@ -108,6 +106,13 @@
 	}
 }
 
+func (l *loop) loadPeriod() time.Duration {
+	if len(l.view.Members) <= smallFleet {
+		return loadOften
+	}
+	return loadEvery
+}
+
 func (l *loop) gauge() {
 	counts := map[member.Status]int{}
 	for _, m := range l.n.published.Load().view.Members {
@@ -127,13 +132,10 @@
 		l.reassign(now, view)
 	}
 	last := l.n.published.Load()
-	means := l.loads.Means(now)
-	if last.view != l.view || last.owners != l.owners || last.revision != l.revisions.Revision() || !maps.Equal(last.means, means) ||
-		l.totalsChanged {
-		l.totalsChanged = false
+	sums := l.loads.Sums(now)
+	if last.view != l.view || last.owners != l.owners || last.revision != l.revisions.Revision() || !maps.Equal(last.sums, sums) {
 		l.n.published.Store(&snapshot{
-			view: l.view, owners: l.owners, untrusted: l.owners.WithTrust(false), means: means,
-			totals: l.usage.Totals(now), revision: l.revisions.Revision(),
+			view: l.view, owners: l.owners, untrusted: l.owners.WithTrust(false), sums: sums, revision: l.revisions.Revision(),
 		})
 	}
 	l.n.beat.Store(now.UnixNano())
@@ -157,7 +159,6 @@
 	l.owners = l.owners.WithTrust(view.Trusted)
 	owners := l.owners
 	l.loads.SetRoles(loadsum.Roles{Self: l.n.ID, Zone: l.n.Zone, Aggregator: owners.Aggregator, Zones: owners.Zones()})
-	l.usage.SetAggregator(owners.Account)
 	l.spread(now, l.revisions.Place(l.place()))
 }
 
@@ -384,24 +385,3 @@
 		})
 	}
 }
-
-func (l *loop) reportUsage(now time.Time) {
-	if l.n.Usage == nil {
-		return
-	}
-	l.usage.Own(l.n.Usage.Usage())
-	l.totalsChanged = true
-	for _, send := range l.usage.Tick(now) {
-		m, ok := l.view.Find(send.To)
-		if !ok {
-			continue
-		}
-		reply := new(wireUsage)
-		l.exchange(m, exchangeLimit, "usage", fromUsage(l.n.ID, send.Report.Items), reply, func(now time.Time, err error) {
-			if err == nil {
-				l.usage.Answered(now, reply.items())
-				l.totalsChanged = true
-			}
-		})
-	}
-}
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -17,7 +17,6 @@
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/owner"
 	"hornbeamstep.example/coord/revision"
-	"hornbeamstep.example/coord/usage"
 	"hornbeamstep.example/timeline"
 )
 
@@ -34,11 +33,6 @@
 	Loads() map[string]loadsum.Sum
 }
 
-// Usage returns what the router lets through by client account. It is called each second and must not block.
-type Usage interface {
-	Usage() map[string]usage.Amount
-}
-
 // Revisions takes revisions in force, in growing order.
 type Revisions interface {
 	// Apply gets the content of each file by its digest.
@@ -70,6 +64,8 @@
 	Zone, Region string
 	// Listen is ip:port; port 0 takes a free one. Advertise is what other routers are told, by default the same.
 	Listen, Advertise string
+	// Caller is the address for callers that other routers are told, as ip:port.
+	Caller string
 	// Keys turn on mutual TLS. They may be nil on a loopback address only.
 	Keys *Keys
 	// Seeds are addresses of routers to contact first. Listed replaces them.
@@ -88,11 +84,13 @@
 	// The handlers may be nil; requests for them are then refused.
 	Slots     Slots
 	Loads     Loads
-	Usage     Usage
 	Revisions Revisions
 	Notices   Notices
 	Timeline  Timeline
 	Operator  Operator
+	Claims    Claims
+	Usages    Usages
+	Contexts  Contexts
 
 	once    sync.Once
 	ready   chan struct{}
@@ -117,8 +115,7 @@
 	view      *member.View
 	owners    *owner.Snapshot
 	untrusted *owner.Snapshot
-	means     map[string]float64
-	totals    map[string]usage.Item
+	sums      map[string]loadsum.Sum
 	revision  int64
 }
 
@@ -313,18 +310,11 @@
 	return n.Clock().Sub(time.Unix(0, n.beat.Load())) > member.DefaultGap
 }
 
-// Mean returns the mean load of a pool's engines over the fleet, if it is known from the last seconds.
-func (n *Node) Mean(pool string) (float64, bool) {
-	n.init()
-	mean, ok := n.published.Load().means[pool]
-	return mean, ok && !n.behind()
-}
-
-// Total returns what a client account uses over all routers for which it is heavy, if it is known from the last seconds.
-func (n *Node) Total(account string) (usage.Item, bool) {
+// Sum returns the load of a pool's engines over the fleet, if it is known from the last seconds.
+func (n *Node) Sum(pool string) (loadsum.Sum, bool) {
 	n.init()
-	item, ok := n.published.Load().totals[account]
-	return item, ok && !n.behind()
+	sum, ok := n.published.Load().sums[pool]
+	return sum, ok && !n.behind()
 }
 
 // Revision returns the revision in force, 0 for none.
--- a/hornbeamd/peer/pause_test.go
+++ b/hornbeamd/peer/pause_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"hornbeamstep.example/coord/loadsum"
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/owner"
 )
@@ -18,13 +19,13 @@
 	n.init()
 	owners := owner.Compute(owner.Input{Self: "a", Routers: []owner.Router{{ID: "a"}}, Engines: []owner.Engine{{ID: "e"}}})
 	n.published.Store(&snapshot{
-		view: &member.View{Trusted: true}, owners: owners.WithTrust(true), untrusted: owners, means: map[string]float64{"chat": 2},
+		view: &member.View{Trusted: true}, owners: owners.WithTrust(true), untrusted: owners, sums: map[string]loadsum.Sum{"chat": {Load: 4, Count: 2}},
 	})
 	n.beat.Store(now.UnixNano())
 	c.Assert(n.Owners().Owns("e"), quicktest.IsTrue)
 	now = now.Add(member.DefaultGap + time.Millisecond)
 	c.Assert(n.Owners().Owns("e"), quicktest.IsFalse)
 	c.Assert(n.Members().Trusted, quicktest.IsFalse)
-	_, known := n.Mean("chat")
+	_, known := n.Sum("chat")
 	c.Assert(known, quicktest.IsFalse)
 }
--- a/hornbeamd/settings/file.go
+++ b/hornbeamd/settings/file.go
@@ -1,8 +1,10 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"strings"
 
@@ -28,7 +30,7 @@
 // load reads a YAML file for kong.
 func load(r io.Reader) (kong.Resolver, error) {
 	var root yaml.MapSlice
-	if err := yaml.NewDecoder(r, yaml.UseOrderedMap()).Decode(&root); err != nil && err != io.EOF {
+	if err := yaml.NewDecoder(r, yaml.UseOrderedMap()).Decode(&root); err != nil && !errors.Is(err, io.EOF) {
 		return nil, &InvalidError{Key: "config", Value: "file", Remedy: "correct the YAML: " + err.Error()}
 	}
 	f := &file{values: map[string]scalar{}}
@@ -84,3 +86,9 @@
 	}
 	return v, nil
 }
+
+// Exit ends the process over settings that can't be used.
+func Exit(err error) {
+	fmt.Fprintln(os.Stderr, "hornbeamd:", err)
+	os.Exit(2)
+}
