--- a/coord/loadsum/loadsum.go
+++ b/coord/loadsum/loadsum.go
@@ -245,12 +245,12 @@
 	return max(0, mean), age, true
 }
 
-// Sums returns every fleet-wide sum that is known and not stale, by pool.
+// Sums returns every fleet-wide sum that is known and not stale, by pool. Its mean is that of Mean.
 func (s *State) Sums(now time.Time) map[string]Sum {
 	out := make(map[string]Sum, len(s.means))
 	for pool, got := range s.means {
-		if _, _, ok := s.Mean(now, pool); ok {
-			out[pool] = got.Sum
+		if mean, _, ok := s.Mean(now, pool); ok {
+			out[pool] = Sum{mean * float64(got.Count), got.Count}
 		}
 	}
 	return out
--- a/coord/loadsum/loadsum_test.go
+++ b/coord/loadsum/loadsum_test.go
@@ -160,6 +160,7 @@
 			mean, _, ok := s.Mean(now.Add(2*time.Second), "chat")
 			c.Assert(ok, quicktest.IsTrue)
 			c.Assert(mean, quicktest.Equals, test.want)
+			c.Assert(s.Sums(now.Add(2 * time.Second))["chat"].Mean(), quicktest.Equals, test.want)
 		})
 	}
 }
