--- a/hornbeamd/caller/parse.go
+++ b/hornbeamd/caller/parse.go
@@ -65,11 +65,20 @@
 	var messages []json.RawMessage
 	var options fields
 	var total, completion int64
-	for name, v := range map[string]any{
-		"model": &model, "messages": &messages, "user": &q.user, "stream": &q.stream,
-		"stream_options": &options, "max_tokens": &total, "max_completion_tokens": &completion,
+	// The order is fixed, so that of several wrong fields the same one is always reported.
+	for _, field := range []struct {
+		name  string
+		value any
+	}{
+		{"model", &model},
+		{"messages", &messages},
+		{"user", &q.user},
+		{"stream", &q.stream},
+		{"stream_options", &options},
+		{"max_tokens", &total},
+		{"max_completion_tokens", &completion},
 	} {
-		if err := f.read(name, v); err != nil {
+		if err := f.read(field.name, field.value); err != nil {
 			return q, err
 		}
 	}
--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -18,6 +18,10 @@
 const (
 	// engines is the number of engines that a request asks before it waits at one of them.
 	engines = 4
+	// requeue is how long a request waits at one engine before it asks the others again. It doubles up to mostDoubled times,
+	// so that requests which wait long do not fill the links with questions.
+	requeue     = 30 * time.Millisecond
+	mostDoubled = 5
 	// turnWait is the time after which a request asks again that has to wait for another one or for a new owner, and
 	// mostMoves bounds the wait for an owner to the 5 s in which a lost router is suspected.
 	turnWait  = 50 * time.Millisecond
@@ -65,7 +69,13 @@
 			return l.admitted(p, step, answer), nil
 		case ctx.Err() != nil || answer.Code == gone:
 			return caller.Grant{}, leftQueue(ctx)
-		case answer.Code == apart || answer.Code == notOwner || l.mayWait(p, step, answer):
+		case l.mayWait(p, step, answer):
+			p.waits++
+			p.walk.Again()
+			if answer.Waited < requeue/2 && !l.waitTurn(ctx, p, answer.Code) {
+				return caller.Grant{}, leftQueue(ctx)
+			}
+		case answer.Code == apart || answer.Code == notOwner:
 			if !l.waitTurn(ctx, p, answer.Code) {
 				return caller.Grant{}, leftQueue(ctx)
 			}
@@ -103,8 +113,8 @@
 	walk *placement.Walk
 	// found is true once the owner of the home was asked where the context is.
 	found bool
-	// moves counts the refusals because ownership moved.
-	moves int
+	// moves counts the refusals because ownership moved, and waits those after a wait in a queue.
+	moves, waits int
 }
 
 func (l *Loop) begin(a caller.Ask) *attempt {
@@ -169,12 +179,22 @@
 		Chat:        p.key,
 		Home:        step.Engine == step.Home && !p.found && p.request.Context > 0,
 	}
+	if step.Queue {
+		ask.Deadline = earlier(ask.Deadline, l.Now().Add(requeue<<min(p.waits, mostDoubled)))
+	}
 	if l.snap.Load().owned[step.Engine] {
 		return l.owned(ctx, step.Engine, ask)
 	}
 	return l.remote(ctx, step.Engine, ask)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // waitTurn waits until a suspect, or a request whose engine changes its owner, may ask again. It returns false if the
 // request has to give up.
 func (l *Loop) waitTurn(ctx context.Context, p *attempt, code outcome.Code) bool {
--- a/hornbeamd/daemon/peers.go
+++ b/hornbeamd/daemon/peers.go
@@ -46,6 +46,7 @@
 	if !ask.NoQueue {
 		wait = time.Until(ask.Deadline)
 	}
+	begin := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+takeLimit)
 	defer cancel()
 	grant, err := p.node.Take(ctx, router, peer.SlotAsk{
@@ -57,6 +58,7 @@
 	if errors.As(err, &refused) {
 		return control.Answer{Action: admission.Action{
 			Kind: admission.Refused, Ask: ask.Ask, Code: refused.Code, Retry: refused.Retry,
+			Waited: time.Since(begin),
 		}, Wait: refused.Retry}, nil
 	}
 	if err != nil {
