feat: measurement of what whole daemons cost the platform, the engines and their instances

Cause: the capacity page needs slopes of calls to the object API, bytes to engines, processor time and memory.

--- /dev/null
+++ b/hornbeambench/calls/world.go
@@ -0,0 +1,188 @@
+package calls
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"hornbeamstep.example/hornbeambench/standin/modelengine"
+	"hornbeamstep.example/hornbeambench/standin/platformapi"
+	"hornbeamstep.example/hornbeamd/daemon"
+	"hornbeamstep.example/hornbeamd/settings"
+	"hornbeamstep.example/platform/instancelist"
+	"hornbeamstep.example/policy"
+	"hornbeamstep.example/policy/folder"
+	"hornbeamstep.example/policy/history"
+)
+
+const (
+	zones = 7
+	// poll is the time between looks whether all daemons are ready.
+	poll = 20 * time.Millisecond
+)
+
+// world is everything that runs.
+type world struct {
+	platform *platformapi.Server
+	server   *http.Server
+	address  string
+	engines  []*modelengine.Engine
+	// relays stand between routers and engines and count the bytes.
+	relays   []net.Listener
+	up, down atomic.Int64
+	daemons  []*daemon.Daemon
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+func start(routers, engines int) (*world, error) {
+	w := &world{platform: platformapi.New(), ended: make(chan error, routers)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w.address = "http://" + listener.Addr().String()
+	w.server = &http.Server{Handler: w.platform.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = w.server.Serve(listener) }()
+	if err := w.startEngines(engines); err != nil {
+		return nil, err
+	}
+	if err := w.push(); err != nil {
+		return nil, err
+	}
+	return w, w.startDaemons(routers)
+}
+
+func (w *world) startEngines(n int) error {
+	for i := range n {
+		engine, err := modelengine.Start(modelengine.Config{Name: fmt.Sprintf("worker-%d", i+1), Models: []string{"m"}})
+		if err != nil {
+			return err
+		}
+		w.engines = append(w.engines, engine)
+		relay, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		w.relays = append(w.relays, relay)
+		go w.relay(relay, engine.Address())
+	}
+	return nil
+}
+
+// relay passes on connections and counts the bytes.
+func (w *world) relay(listener net.Listener, address string) {
+	for {
+		near, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", address)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		go pass(far, near, &w.up)
+		go pass(near, far, &w.down)
+	}
+}
+
+func pass(to, from net.Conn, count *atomic.Int64) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		count.Add(int64(n))
+		if _, broken := to.Write(buffer[:n]); err != nil || broken != nil {
+			return
+		}
+	}
+}
+
+func (w *world) push() error {
+	var b strings.Builder
+	b.WriteString("pools:\n  p: {wait: 10s}\nmodels:\n  m: {pool: p}\n")
+	fmt.Fprintf(&b, "accounts:\n  a: {keys: [%s], models: [\"*\"]}\nbackends:\n", policy.Digest("key"))
+	for i, relay := range w.relays {
+		fmt.Fprintf(&b, "  worker-%d: {pool: p, address: %q, zone: z%d, fence: true}\n", i+1, relay.Addr(), i%zones)
+	}
+	h := &history.History{Store: w.platform.Store}
+	_, err := h.Push(context.Background(), history.Change{
+		Base: history.Any, Author: "bench", Push: "1", Files: []folder.File{{Name: "10.yaml", Data: []byte(b.String())}},
+	})
+	return err
+}
+
+func (w *world) startDaemons(n int) error {
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	var list []instancelist.Instance
+	for i := range n {
+		s, err := settings.Default(fmt.Sprintf("r%03d", i+1), fmt.Sprintf("z%d", i%zones))
+		if err != nil {
+			return err
+		}
+		s.Caller.Listen, s.Operator.Listen, s.Caller.Lifetime = "127.0.0.1:0", "127.0.0.1:0", time.Millisecond
+		if s.Peer.Listen, err = free(); err != nil {
+			return err
+		}
+		s.Platform.Objects, s.Platform.Instances = w.address, w.address
+		d := &daemon.Daemon{Settings: s}
+		if err := d.Open(); err != nil {
+			return err
+		}
+		w.daemons = append(w.daemons, d)
+		list = append(list, instancelist.Instance{ID: s.ID, Address: s.Peer.Listen, Zone: s.Zone, Role: "router", State: instancelist.Live})
+	}
+	w.platform.SetInstances(list)
+	for _, d := range w.daemons {
+		go func() { w.ended <- d.Run(ctx) }()
+	}
+	return nil
+}
+
+// free returns a loopback address that was free a moment ago.
+func free() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// ready waits until every daemon takes callers and knows all others.
+func (w *world) ready(ctx context.Context) error {
+	for {
+		have := 0
+		for _, d := range w.daemons {
+			if d.Revision() > 0 && d.Members() == len(w.daemons) {
+				have++
+			}
+		}
+		if have == len(w.daemons) {
+			return nil
+		}
+		if err := sleep(ctx, poll); err != nil {
+			return err
+		}
+	}
+}
+
+func (w *world) close() {
+	w.stop()
+	for range w.daemons {
+		<-w.ended
+	}
+	for _, relay := range w.relays {
+		_ = relay.Close()
+	}
+	for _, engine := range w.engines {
+		engine.Close()
+	}
+	_ = w.server.Close()
+}
--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"hornbeamstep.example/hornbeambench/calls"
 	"hornbeamstep.example/hornbeambench/control"
 	"hornbeamstep.example/hornbeambench/demo"
 	"hornbeamstep.example/hornbeambench/fleet"
@@ -28,6 +29,7 @@
 	Report   report.Command   `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
 	Control  control.Command  `cmd:"" help:"Measure the control traffic between real nodes in this process."`
 	Virtual  control.Virtual  `cmd:"" help:"Count the encoded bytes between routers in virtual time."`
+	Calls    calls.Command    `cmd:"" help:"Measure what whole daemons cost the platform, the engines and their instances."`
 	Variants variants.Command `cmd:"" help:"Compare three designs of admission in a model in virtual time."`
 	Fleet    fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
 	Standin  standin.Commands `cmd:"" help:"Run a stand-in as a process of its own."`
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -232,3 +232,6 @@
 
 // Revision returns the revision in force, 0 for none.
 func (d *Daemon) Revision() int64 { return d.loop.Policy().Revision }
+
+// Members returns the number of daemons that this one knows to take part, itself included.
+func (d *Daemon) Members() int { return len(d.node.Members().Members) }
