feat: limit of connections in the measurement of control traffic

200 routers in one process used up 20,000 file descriptors while they started, since both ends of each connection are there, and never agreed.

--- a/hornbeambench/control/control.go
+++ b/hornbeambench/control/control.go
@@ -32,8 +32,11 @@
 	Window  time.Duration `help:"Length of the steady state that is measured." default:"30s"`
 	Changes int           `help:"Configuration changes of one file each that are measured." default:"5"`
 	Uniform bool          `help:"Ping any member instead of a few peers, for comparison."`
-	Plain   bool          `help:"Connect without TLS, for comparison."`
-	JSON    string        `help:"Write the report to this file." type:"path"`
+	// Both ends of each connection are in this process: 200 routers at the default limit need more than 20,000 descriptors
+	// while they start.
+	Connections int    `help:"Greatest number of connections of a router; 0 for the default."`
+	Plain       bool   `help:"Connect without TLS, for comparison."`
+	JSON        string `help:"Write the report to this file." type:"path"`
 }
 
 // Cost is what one router spends.
--- a/hornbeambench/control/measure.go
+++ b/hornbeambench/control/measure.go
@@ -56,7 +56,7 @@
 	return out
 }
 
-func start(ctx context.Context, n int, uniform bool, keys *peer.Keys) (*fleet, error) {
+func (c *Command) start(ctx context.Context, n int, keys *peer.Keys) (*fleet, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	f := &fleet{cancel: cancel, ended: make(chan error, n)}
 	byPool := map[string]string{}
@@ -73,7 +73,7 @@
 	for i := range n {
 		x := &peer.Node{
 			ID: fmt.Sprintf("router-%03d", i), Zone: zoneName(i), Region: regionName(i), Listen: "127.0.0.1:0", Keys: keys,
-			Seeds: seeds[:min(len(seeds), 5)], Uniform: uniform, Rand: rand.New(rand.NewPCG(seed, uint64(i))),
+			Seeds: seeds[:min(len(seeds), 5)], Uniform: c.Uniform, Connections: c.Connections, Rand: rand.New(rand.NewPCG(seed, uint64(i))),
 		}
 		x.Loads = &loads{x, byPool, rand.New(rand.NewPCG(seed, uint64(n+i)))}
 		go func() { f.ended <- x.Run(ctx) }()
@@ -180,7 +180,7 @@
 			return Size{}, err
 		}
 	}
-	f, err := start(ctx, n, c.Uniform, keys)
+	f, err := c.start(ctx, n, keys)
 	if err != nil {
 		return Size{}, err
 	}
