fix: check a connection whose exchange timed out before it is closed

340 routers in one process on a busy machine spent six cores and did not agree: a ping that took more than 0.4 s closed its connection, and the TLS handshakes that followed made the next pings late. Whether 340 routers in one process now agree is not measured.

--- a/hornbeamd/peer/conns.go
+++ b/hornbeamd/peer/conns.go
@@ -286,7 +286,8 @@
 	return len(p.all)
 }
 
-// call makes one exchange. A connection that was silent until the exchange timed out is closed and replaced by the next call.
+// call makes one exchange. A connection that was silent until the exchange timed out is checked, and closed if it stays silent.
+// Closing it at once would make routers that are only slow spend their time on TLS handshakes.
 func (p *links) call(ctx context.Context, id, address, name string, params, result any) error {
 	l, err := p.get(ctx, id, address)
 	if err != nil {
@@ -298,7 +299,7 @@
 	defer l.calls.Add(-1)
 	err = l.conn.Call(ctx, name, params, result)
 	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) && l.heard.Load() < start {
-		p.drop(l)
+		go p.check(l)
 	}
 	return decodeError(err)
 }
