fix: daemons of the cost measurement listen on addresses of their own

Cause: a port that was free a moment before was taken by another daemon's port 0, and the measurement waited for ever. Change: 127.1.x.y addresses with one port; a daemon that ends early ends the measurement.

--- a/hornbeambench/calls/world.go
+++ b/hornbeambench/calls/world.go
@@ -21,6 +21,9 @@
 
 const (
 	zones = 7
+	// Daemons listen for their peers on addresses of their own, perNet of them in each network of loopback.
+	perNet   = 250
+	peerPort = 7400
 	// poll is the time between looks whether all daemons are ready.
 	poll = 20 * time.Millisecond
 )
@@ -127,9 +130,8 @@
 			return err
 		}
 		s.Caller.Listen, s.Operator.Listen, s.Caller.Lifetime = "127.0.0.1:0", "127.0.0.1:0", time.Millisecond
-		if s.Peer.Listen, err = free(); err != nil {
-			return err
-		}
+		// Addresses of their own keep daemons from taking each other's ports.
+		s.Peer.Listen = fmt.Sprintf("127.1.%d.%d:%d", i/perNet, 1+i%perNet, peerPort)
 		s.Platform.Objects, s.Platform.Instances = w.address, w.address
 		d := &daemon.Daemon{Settings: s}
 		if err := d.Open(); err != nil {
@@ -145,16 +147,6 @@
 	return nil
 }
 
-// free returns a loopback address that was free a moment ago.
-func free() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 // ready waits until every daemon takes callers and knows all others.
 func (w *world) ready(ctx context.Context) error {
 	for {
@@ -167,6 +159,12 @@
 		if have == len(w.daemons) {
 			return nil
 		}
+		select {
+		case err := <-w.ended:
+			w.ended <- err
+			return fmt.Errorf("a daemon ended early: %w", err)
+		default:
+		}
 		if err := sleep(ctx, poll); err != nil {
 			return err
 		}
