fix: calls of plain services are counted to their end, and quarantined when they crash replicas

Cause: the release of a service's call returned early, so that its expected tokens and its client account's requests in progress were never taken back; and a call that crashes each replica was not recognised. Change: one path for engines and services; a replica that takes no connection after a broken call counts as crashed.

--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -264,20 +264,19 @@
 
 // Release implements caller.Dispatcher.
 func (l *Loop) Release(g caller.Grant, r caller.Result) {
-	if g.Pool == "" {
-		l.services.release(l.Now(), g.Backend, r.Ending)
-		return
-	}
 	boot := l.boots.take(g.Slot)
 	switch r.Ending {
 	case caller.EndedCrashed, caller.EndedFailed, caller.EndedMalformed:
 		// An engine that crashes may still end its streams with an error.
 		l.broke(g, r, boot)
-	}
-	if r.Ending == caller.EndedOK {
+	case caller.EndedOK:
 		l.over(r.Fingerprint, g.Backend, true)
 	}
 	l.limits.finished(l.Now(), r.Request, int64(r.Prompt-r.Cached+r.Tokens))
+	if g.Pool == "" {
+		l.services.release(l.Now(), g.Backend, r.Ending)
+		return
+	}
 	l.send(func(now time.Time) {
 		l.freed(g.Slot, now)
 		switch r.Ending {
--- a/hornbeamd/control/claims.go
+++ b/hornbeamd/control/claims.go
@@ -9,7 +9,6 @@
 	"hornbeamstep.example/coord/claim"
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/routing/outcome"
-	"hornbeamstep.example/timeline"
 )
 
 // claimLimit is the longest wait for a claim; its grouping alone takes up to 250 ms.
@@ -35,14 +34,8 @@
 		}
 		return caller.Claim{}, claimDown(retry, err)
 	}
-	won := stands.Won(token, l.Now())
-	text := "key already " + string(stands.State)
-	if won {
-		text = "key claimed"
-	}
-	l.record(timeline.Event{Kind: timeline.Claimed, Text: text, Backend: key.Service})
 	return caller.Claim{
-		Key: key, Won: won, Token: string(stands.Token), State: string(stands.State),
+		Key: key, Won: stands.Won(token, l.Now()), Token: string(stands.Token), State: string(stands.State),
 		Fingerprint: key.Fingerprint, Answer: stands.Answer,
 	}, nil
 }
--- a/hornbeamd/control/control_test.go
+++ b/hornbeamd/control/control_test.go
@@ -37,6 +37,11 @@
 	p.Backends = map[string]policy.Backend{
 		"e1": {Name: "e1", Pool: "p", Address: "127.0.0.1:1", Zone: "z", Weight: 1, State: state},
 	}
+	p.Services = map[string]policy.Service{"s": {Name: "s", Repeat: true}}
+	for _, name := range []string{"s1", "s2", "s3"} {
+		// Port 1 of loopback takes no connections, as a replica that has crashed.
+		p.Backends[name] = policy.Backend{Name: name, Service: "s", Address: "127.0.0.1:1", Zone: "z", Weight: 1, State: policy.InService}
+	}
 	return history.State{Revision: history.Revision{Number: rev}, Policy: p}
 }
 
@@ -140,3 +145,22 @@
 	_, err := l.Admit(t.Context(), ask("last"))
 	qt.Check(t, err, qt.IsNil)
 }
+
+// Guards against a call that takes down one replica of a plain service after the other, and against its count of requests in
+// progress that only grows.
+func TestCallThatCrashesReplicasIsQuarantined(t *testing.T) {
+	l, _ := start(t, alone())
+	call := ask("q1")
+	call.Model, call.Service = "", "s"
+	for range 2 {
+		grant, err := l.Admit(t.Context(), call)
+		qt.Assert(t, err, qt.IsNil)
+		l.Release(grant, caller.Result{Ending: caller.EndedCrashed, Request: call.Request, Fingerprint: call.Fingerprint})
+		call.Avoid = append(call.Avoid, grant.Backend)
+	}
+	_, err := l.Admit(t.Context(), call)
+	var refused *outcome.Error
+	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+	qt.Check(t, refused.Code, qt.Equals, outcome.Quarantined)
+	qt.Check(t, l.Accounts(1)[0].Running, qt.Equals, 0)
+}
--- a/hornbeamd/control/crashes.go
+++ b/hornbeamd/control/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -98,6 +99,9 @@
 	if !ok {
 		return false
 	}
+	if b.Service != "" {
+		return refuses(b.Address)
+	}
 	client := l.Engine(b)
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
@@ -106,6 +110,17 @@
 	return err != nil || (boot != "" && report.Boot != boot)
 }
 
+// refuses reports whether a replica of a plain service takes no connections. Services have no boot identifier, so a replica
+// that is back within the time of a call is not taken for crashed.
+func refuses(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, probeLimit)
+	if err != nil {
+		return true
+	}
+	_ = conn.Close()
+	return false
+}
+
 // spread tells the other routers of suspects and quarantined requests.
 func (l *Loop) spread(entries []quarantine.Entry) {
 	for _, e := range entries {
--- a/hornbeamd/control/oversight.go
+++ b/hornbeamd/control/oversight.go
@@ -116,6 +116,7 @@
 		for _, c := range e.Crashes {
 			q.Engines = append(q.Engines, c.Engine)
 		}
+		q.Engines = slices.Compact(q.Engines)
 		out = append(out, q)
 	}
 	return out
