fix: linter findings in the cost measurement

Cause: four results of writes and of ended daemons were not looked at. Change: they are dropped on purpose, with the reason.

--- a/hornbeambench/calls/calls.go
+++ b/hornbeambench/calls/calls.go
@@ -87,7 +87,7 @@
 }
 
 func (c *Command) add(ctx context.Context, report *Report, routers, engines int) error {
-	fmt.Fprintf(os.Stderr, "measuring %d daemons and %d engines\n", routers, engines)
+	_, _ = fmt.Fprintf(os.Stderr, "measuring %d daemons and %d engines\n", routers, engines)
 	p, err := c.measure(ctx, routers, engines)
 	report.Points = append(report.Points, p)
 	return err
@@ -150,9 +150,10 @@
 
 func (r *Report) print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "daemons\tengines\tready s\treads/s\twrites/s\twatches/s\tup B/s\tdown B/s\tcore %\tMB\t")
+	// A failed write shows at Flush.
+	_, _ = fmt.Fprintln(w, "daemons\tengines\tready s\treads/s\twrites/s\twatches/s\tup B/s\tdown B/s\tcore %\tMB\t")
 	for _, p := range r.Points {
-		fmt.Fprintf(w, "%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.2f\t%.1f\t\n", p.Routers, p.Engines, p.Ready, p.Reads, p.Writes,
+		_, _ = fmt.Fprintf(w, "%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.2f\t%.1f\t\n", p.Routers, p.Engines, p.Ready, p.Reads, p.Writes,
 			p.Watches, p.Up, p.Down, p.Core, p.Memory/1e6)
 	}
 	if err := w.Flush(); err != nil {
--- a/hornbeambench/calls/world.go
+++ b/hornbeambench/calls/world.go
@@ -174,7 +174,8 @@
 func (w *world) close() {
 	w.stop()
 	for range w.daemons {
-		<-w.ended
+		// Daemons that are stopped have nothing to report.
+		_ = <-w.ended
 	}
 	for _, relay := range w.relays {
 		_ = relay.Close()
