--- a/hornbeambench/calls/world.go
+++ b/hornbeambench/calls/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -174,8 +175,9 @@
 func (w *world) close() {
 	w.stop()
 	for range w.daemons {
-		// Daemons that are stopped have nothing to report.
-		_ = <-w.ended
+		if err := <-w.ended; err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, "a daemon ended with an error:", err)
+		}
 	}
 	for _, relay := range w.relays {
 		_ = relay.Close()
