--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -193,6 +193,7 @@
 	group.Go(func() error { return d.assign(parts) })
 	group.Go(func() error { return d.shareLimits(parts) })
 	group.Go(func() error { return d.tidyClaims(parts) })
+	group.Go(func() error { return d.reloadKeys(parts) })
 	if d.Settings.Orders.Enable {
 		group.Go(func() error { return d.keepEngines(parts) })
 	}
@@ -210,6 +211,25 @@
 	return errors.Join(err, group.Wait())
 }
 
+// keysEvery is the time between two looks for new certificates of the links between daemons.
+const keysEvery = time.Minute
+
+// reloadKeys takes over renewed certificates. Unreadable files leave the old ones in use.
+func (d *Daemon) reloadKeys(ctx context.Context) error {
+	if d.node.Keys == nil {
+		return nil
+	}
+	failed := false
+	for pause(ctx, keysEvery); ctx.Err() == nil; pause(ctx, keysEvery) {
+		err := d.node.Keys.Reload()
+		if err != nil && !failed {
+			d.Log.Error("certificates of peers could not be read again; the old ones stay in use", zap.Error(err))
+		}
+		failed = err != nil
+	}
+	return nil
+}
+
 // requestStop begins the drain of this daemon.
 func (d *Daemon) requestStop() {
 	d.stopOnce.Do(func() { close(d.stopped) })
