fix: one router stands in for an owner that does not answer, in place of a share for each router

Cause: while an owner was unreachable, each router could send one request to its engines: five more than the bound at a mean of one request in a fleet of six. Change: the next router in the order of ownership grants the one share; a router that did not answer is not asked for 2 s.

--- a/hornbeamd/control/alone.go
+++ b/hornbeamd/control/alone.go
@@ -40,6 +40,9 @@
 	return Answer{}, errAlone
 }
 
+// Deputy implements Peers.
+func (a *Alone) Deputy(string, []string) string { return a.Self.ID }
+
 // Renew implements Peers.
 func (a *Alone) Renew(context.Context, string, string, []uint64) ([]uint64, error) {
 	return nil, errAlone
--- a/hornbeamd/control/control.go
+++ b/hornbeamd/control/control.go
@@ -73,6 +73,7 @@
 	metrics  *metrics
 	memory   memory
 	boots    boots
+	silent   silentRouters
 	services services
 	limits   limits
 	retries  retries
--- a/hornbeamd/control/engines.go
+++ b/hornbeamd/control/engines.go
@@ -53,7 +53,6 @@
 	e.gate = admission.Takeover(now, gateSettings(e.pool))
 	e.mean = loadsum.Sum{}
 	e.failures = 0
-	e.share = nil
 	l.record(timeline.Event{Kind: timeline.Owner, Backend: e.backend.Name, Text: "this router owns the engine"})
 }
 
--- a/hornbeamd/control/peers.go
+++ b/hornbeamd/control/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"hornbeamstep.example/coord/loadsum"
@@ -17,6 +19,8 @@
 	Owners() *owner.Snapshot
 	// Take asks the owner of an engine for a slot. The error says that the owner did not answer.
 	Take(ctx context.Context, router, engine string, ask SlotAsk) (Answer, error)
+	// Deputy returns the router that stands in for an engine's owner while some routers are silent; empty if there is none.
+	Deputy(engine string, silent []string) string
 	// Renew extends slots and returns those that the owner no longer knows.
 	Renew(ctx context.Context, router, engine string, slots []uint64) ([]uint64, error)
 	// Free returns a slot. A message that is lost is made up for by the slot's expiry.
@@ -46,7 +50,7 @@
 
 // slotRef names a slot that a request of this router has.
 type slotRef struct {
-	// router is empty for slots of this router's own gates and shares.
+	// router is empty for slots that this router granted itself.
 	router, engine string
 	slot           uint64
 }
@@ -60,61 +64,73 @@
 	return a
 }
 
-// remote asks the owner of an engine. If it does not answer, a conservative share of the engine is used.
+// remote asks the owner of an engine. If it does not answer, the next router in the order of ownership stands in for it with a
+// conservative share of the engine: one share for the whole fleet keeps the load bound, one for each router would not.
 func (l *Loop) remote(ctx context.Context, engine string, ask SlotAsk) Answer {
 	router := l.Peers.Owners().Engine(engine)
-	if router == "" || router == l.Settings.ID {
-		return l.shared(ctx, engine, ask)
-	}
-	l.metrics.slotCalls.Inc()
-	a, err := l.Peers.Take(ctx, router, engine, ask)
-	if err != nil {
+	silent := l.silent.list(l.Now())
+	for range deputies {
+		if slices.Contains(silent, router) {
+			router = l.Peers.Deputy(engine, silent)
+			ask.Share = true
+		}
+		if router == "" || router == l.Settings.ID {
+			ask.Share = true
+			return l.owned(ctx, engine, ask)
+		}
+		l.metrics.slotCalls.Inc()
+		a, err := l.Peers.Take(ctx, router, engine, ask)
+		if err == nil {
+			if a.Kind == admission.Granted {
+				slot := slotRef{router: router, engine: engine, slot: a.Slot.ID}
+				l.send(func(time.Time) { l.state.remote[ask.Request] = slot })
+			}
+			return a
+		}
 		if ctx.Err() != nil {
-			// The owner may have granted the slot; it expires there.
+			// The router may have granted the slot; it expires there.
 			return refuse(ask, gone)
 		}
-		return l.shared(ctx, engine, ask)
+		l.silent.add(l.Now(), router)
+		silent = append(silent, router)
 	}
-	if a.Kind == admission.Granted {
-		slot := slotRef{router: router, engine: engine, slot: a.Slot.ID}
-		l.send(func(time.Time) { l.state.remote[ask.Request] = slot })
-	}
-	return a
+	return refuse(ask, outcome.NoBackend)
 }
 
-// shared uses the share of an engine that a router has without its owner. Suspects wait for the owner, who alone can keep
-// them apart.
-func (l *Loop) shared(ctx context.Context, name string, ask SlotAsk) Answer {
-	if ask.Suspect != nil {
-		return refuse(ask, apart)
+const (
+	// deputies bounds the routers that one request asks for a slot on one engine.
+	deputies = 4
+	// silence is how long a router that did not answer is not asked again.
+	silence = 2 * time.Second
+)
+
+// silentRouters remembers the routers that did not answer lately.
+type silentRouters struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+func (s *silentRouters) add(now time.Time, router string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.until == nil {
+		s.until = map[string]time.Time{}
 	}
-	answer := make(chan Answer, 1)
-	sent := l.send(func(now time.Time) {
-		e, ok := l.state.engines[name]
-		if !ok || !l.takesWork(e) {
-			answer <- refuse(ask, outcome.NoBackend)
-			return
-		}
-		if e.share == nil {
-			e.share = admission.NewShare(gateSettings(e.pool))
-		}
-		a := e.share.Offer(now, ask.Ask)
-		if a.Kind == admission.Granted {
-			l.state.shared[ask.Request] = slotRef{engine: name, slot: a.Slot.ID}
-			l.metrics.shares.Inc()
+	s.until[router] = now.Add(silence)
+}
+
+func (s *silentRouters) list(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for router, until := range s.until {
+		if now.Before(until) {
+			out = append(out, router)
+		} else {
+			delete(s.until, router)
 		}
-		answer <- Answer{Action: a}
-	})
-	if !sent {
-		return refuse(ask, outcome.Draining)
-	}
-	select {
-	case a := <-answer:
-		return a
-	case <-ctx.Done():
-		// A granted share expires by itself.
-		return refuse(ask, gone)
 	}
+	return out
 }
 
 // loads exchanges the load of the owned engines for the mean of their pools.
@@ -145,8 +161,8 @@
 // renew extends the slots of this router's requests.
 func (l *Loop) renew(now time.Time) {
 	for _, s := range l.state.local {
-		if e, ok := l.state.engines[s.engine]; ok && e.gate != nil {
-			e.gate.Renew(now, []uint64{s.slot})
+		if e, ok := l.state.engines[s.engine]; ok {
+			e.renew(now, []uint64{s.slot})
 		}
 	}
 	l.renewRemote()
@@ -171,11 +187,6 @@
 			}
 		}()
 	}
-	for _, s := range l.state.shared {
-		if e, ok := l.state.engines[s.engine]; ok && e.share != nil {
-			e.share.Renew(l.Now(), s.slot)
-		}
-	}
 }
 
 // freed returns the slot of a request that has ended, wherever it came from.
@@ -188,10 +199,4 @@
 		delete(l.state.remote, request)
 		go l.Peers.Free(s.router, s.engine, s.slot)
 	}
-	if s, ok := l.state.shared[request]; ok {
-		delete(l.state.shared, request)
-		if e, ok := l.state.engines[s.engine]; ok && e.share != nil {
-			e.share.Release(s.slot)
-		}
-	}
 }
--- a/hornbeamd/control/slots.go
+++ b/hornbeamd/control/slots.go
@@ -28,6 +28,8 @@
 	// engine that holds the chat's context in place of a slot when that is another one.
 	Chat uint64
 	Home bool
+	// Share asks a router that does not own the engine to stand in for its owner.
+	Share bool
 }
 
 // Answer is an owner's answer to a SlotAsk.
@@ -64,6 +66,9 @@
 func (l *Loop) offered(name string, ask SlotAsk, answer chan<- Answer, now time.Time) {
 	e, ok := l.state.engines[name]
 	switch {
+	case ok && e.gate == nil && ask.Share:
+		answer <- l.standIn(e, ask, now)
+		return
 	case !ok || e.gate == nil:
 		answer <- refuse(ask, notOwner)
 		return
@@ -93,6 +98,45 @@
 	l.answer(e, waiter{answer: answer, ask: ask}, a)
 }
 
+// shareBit marks the slots of a share among those of a gate.
+const shareBit = 1 << 63
+
+// standIn grants a slot in place of an owner that does not answer. Suspects wait for the owner, who alone can keep them apart.
+func (l *Loop) standIn(e *engineState, ask SlotAsk, now time.Time) Answer {
+	if ask.Suspect != nil {
+		return refuse(ask, apart)
+	}
+	if !l.takesWork(e) {
+		return refuse(ask, outcome.NoBackend)
+	}
+	if e.share == nil {
+		e.share = admission.NewShare(gateSettings(e.pool))
+	}
+	a := e.share.Offer(now, ask.Ask)
+	if a.Kind == admission.Granted {
+		l.metrics.shares.Inc()
+		a.Slot.ID |= shareBit
+	}
+	return Answer{Action: a}
+}
+
+// renew extends slots and returns those that are no longer held.
+func (e *engineState) renew(now time.Time, slots []uint64) (lost []uint64) {
+	for _, id := range slots {
+		held := false
+		switch {
+		case id&shareBit != 0:
+			held = e.share != nil && e.share.Renew(now, id&^shareBit)
+		case e.gate != nil:
+			held = len(e.gate.Renew(now, []uint64{id})) == 0
+		}
+		if !held {
+			lost = append(lost, id)
+		}
+	}
+	return lost
+}
+
 // waiter is a request in the queue of an engine.
 type waiter struct {
 	answer chan<- Answer
@@ -144,6 +188,10 @@
 
 func (l *Loop) free(name string, slot uint64, now time.Time) {
 	e, ok := l.state.engines[name]
+	if ok && slot&shareBit != 0 && e.share != nil {
+		e.share.Release(slot &^ shareBit)
+		return
+	}
 	if !ok || e.gate == nil {
 		return
 	}
@@ -164,11 +212,11 @@
 	answer := make(chan []uint64, 1)
 	sent := l.send(func(now time.Time) {
 		e, ok := l.state.engines[name]
-		if !ok || e.gate == nil {
+		if !ok {
 			answer <- slots
 			return
 		}
-		answer <- e.gate.Renew(now, slots)
+		answer <- e.renew(now, slots)
 	})
 	if !sent {
 		return slots
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -20,9 +20,8 @@
 	engines  map[string]*engineState
 	// order holds the keys of engines, sorted, so that runs do not depend on the order of a map.
 	order []string
-	// local, remote and shared hold the slots that requests of this router have here, of other owners, and without an owner's
-	// consent, by attempt.
-	local, remote, shared map[string]slotRef
+	// local and remote hold the slots that requests of this router have here and of other routers, by attempt.
+	local, remote map[string]slotRef
 	// drained are the backend servers that an operator took out of service on this router only.
 	drained map[string]bool
 	// exchanged is when slots were last renewed and loads last sent.
@@ -49,7 +48,7 @@
 	// gate is nil unless this router owns the engine. waiters holds the requests in its queue.
 	gate    *admission.Gate
 	waiters map[string]waiter
-	// share is used while the owner cannot be reached.
+	// share is used while this router stands in for an owner that cannot be reached; nil before the first use.
 	share    *admission.Share
 	stopPoll context.CancelFunc
 	// mean is the last sum over the pool that the gate was given.
@@ -67,7 +66,6 @@
 		engines: map[string]*engineState{},
 		local:   map[string]slotRef{},
 		remote:  map[string]slotRef{},
-		shared:  map[string]slotRef{},
 		drained: map[string]bool{},
 	}
 }
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -110,7 +110,7 @@
 		}
 		d.node.Keys = keys
 	}
-	peers := &peers{node: d.node, lifetime: d.Settings.Caller.Lifetime}
+	peers := &peers{node: d.node, zone: func(engine string) string { return d.loop.Policy().Backends[engine].Zone }}
 	d.loop = &control.Loop{
 		Settings: d.Settings, Peers: peers, Claims: &claims{owner: d.shardOwner, remote: d.node, local: d.claims}, Engine: d.engine, Ring: d.ring, Log: d.Log,
 		Registry: d.registry, InForce: d.inForce,
--- a/hornbeamd/daemon/peers.go
+++ b/hornbeamd/daemon/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,8 +29,9 @@
 
 // peers is the control loop's view of the other daemons. It implements control.Peers and peer.Loads.
 type peers struct {
-	node     *peer.Node
-	lifetime time.Duration
+	node *peer.Node
+	// zone returns the availability zone of an engine.
+	zone func(engine string) string
 
 	mu   sync.Mutex
 	sums map[string]loadsum.Sum
@@ -52,7 +54,7 @@
 	grant, err := p.node.Take(ctx, router, peer.SlotAsk{
 		Request: ask.Request, Engine: engine, Account: ask.Account, Class: int(ask.Class), Cost: ask.Cost, Weight: ask.Weight,
 		Wait: wait, Fingerprint: ask.Fingerprint, Suspect: toCrash(ask.Suspect),
-		Chat: ask.Chat, Home: ask.Home, Over: ask.Over, Age: time.Since(ask.Since),
+		Chat: ask.Chat, Home: ask.Home, Share: ask.Share, Over: ask.Over, Age: time.Since(ask.Since),
 	})
 	var refused *outcome.Error
 	if errors.As(err, &refused) {
@@ -77,6 +79,17 @@
 	}, nil
 }
 
+// Deputy implements control.Peers: the owner by the same hashing without the silent routers.
+func (p *peers) Deputy(engine string, silent []string) string {
+	in := owner.Input{Self: p.node.ID, Engines: []owner.Engine{{ID: engine, Zone: p.zone(engine)}}}
+	for _, m := range p.node.Members().Members {
+		if m.Eligible() && !slices.Contains(silent, m.ID) {
+			in.Routers = append(in.Routers, owner.Router{ID: m.ID, Zone: m.Zone, Region: m.Region})
+		}
+	}
+	return owner.Compute(in).Engine(engine)
+}
+
 // Renew implements control.Peers.
 func (p *peers) Renew(ctx context.Context, router, engine string, slots []uint64) ([]uint64, error) {
 	names := make([]string, len(slots))
@@ -195,7 +208,7 @@
 			Cost: ask.Cost, NoQueue: ask.Wait <= 0, Deadline: time.Now().Add(ask.Wait), Over: ask.Over,
 			Since: time.Now().Add(-ask.Age),
 		},
-		Fingerprint: ask.Fingerprint, Chat: ask.Chat, Home: ask.Home,
+		Fingerprint: ask.Fingerprint, Chat: ask.Chat, Home: ask.Home, Share: ask.Share,
 	}
 	if ask.Suspect != nil {
 		in.Suspect = &quarantine.Crash{Engine: ask.Suspect.Engine, Boot: ask.Suspect.Boot}
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -35,6 +35,8 @@
 	// engine that holds the context in place of a slot when that is another one.
 	Chat uint64
 	Home bool
+	// Share asks a router that does not own the engine to stand in for its owner.
+	Share bool
 	// Over is set while the client account surges, and Age is the time since the request first asked an engine.
 	Over bool
 	Age  time.Duration
@@ -91,6 +93,7 @@
 	Suspect     *Crash `json:"suspect,omitempty"`
 	Chat        uint64 `json:"chat,omitempty"`
 	Home        bool   `json:"home,omitempty"`
+	Share       bool   `json:"share,omitempty"`
 	Over        bool   `json:"over,omitempty"`
 	// Age is in milliseconds.
 	Age int64 `json:"age,omitempty"`
@@ -275,7 +278,7 @@
 	return SlotAsk{
 		Request: w.Request, Engine: w.Engine, Account: w.Account, Class: w.Class, Cost: w.Cost, Weight: w.Weight,
 		Wait: time.Duration(w.Wait) * time.Millisecond, Fingerprint: w.Fingerprint, Suspect: w.Suspect,
-		Chat: w.Chat, Home: w.Home, Over: w.Over, Age: time.Duration(w.Age) * time.Millisecond,
+		Chat: w.Chat, Home: w.Home, Share: w.Share, Over: w.Over, Age: time.Duration(w.Age) * time.Millisecond,
 	}
 }
 
@@ -376,7 +379,7 @@
 	params := wireAsk{
 		From: n.ID, Request: a.Request, Engine: a.Engine, Account: a.Account, Class: a.Class, Cost: a.Cost, Weight: a.Weight,
 		Wait: a.Wait.Milliseconds(), Fingerprint: a.Fingerprint, Suspect: a.Suspect,
-		Chat: a.Chat, Home: a.Home, Over: a.Over, Age: a.Age.Milliseconds(),
+		Chat: a.Chat, Home: a.Home, Share: a.Share, Over: a.Over, Age: a.Age.Milliseconds(),
 	}
 	err := n.send(ctx, router, "slot", params, &w)
 	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond, w.Boot, w.Held}, err
