--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -17,7 +17,7 @@
 
 const (
 	// engines is the number of engines that a request asks before it waits at one of them.
-	engines = 4
+	engines = 9
 	// requeue is how long a request waits at one engine before it asks the others again. It doubles up to mostDoubled times,
 	// so that requests which wait long do not fill the links with questions.
 	requeue     = 30 * time.Millisecond
--- a/hornbeamd/control/control_test.go
+++ b/hornbeamd/control/control_test.go
@@ -16,6 +16,7 @@
 	"hornbeamstep.example/hornbeamd/settings"
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/routing/admission"
 	"hornbeamstep.example/routing/outcome"
 )
 
@@ -164,3 +165,41 @@
 	qt.Check(t, refused.Code, qt.Equals, outcome.Quarantined)
 	qt.Check(t, l.Accounts(1)[0].Running, qt.Equals, 0)
 }
+
+// parted is a fleet in which the owner of every engine is silent and another router stands in for it.
+type parted struct {
+	*control.Alone
+
+	asked []string
+	share bool
+}
+
+func (p *parted) Owners() *owner.Snapshot {
+	return owner.Compute(owner.Input{
+		Self: "r1", Routers: []owner.Router{{ID: "lost", Zone: "z"}}, Engines: []owner.Engine{{ID: "e1", Zone: "z"}},
+	}).WithTrust(true)
+}
+
+func (p *parted) Take(_ context.Context, router, _ string, ask control.SlotAsk) (control.Answer, error) {
+	p.asked = append(p.asked, router)
+	if router == "lost" {
+		return control.Answer{}, errors.New("connection refused")
+	}
+	p.share = ask.Share
+	return control.Answer{Action: admission.Action{Kind: admission.Granted, Ask: ask.Ask, Slot: admission.Slot{ID: 1}}}, nil
+}
+
+func (p *parted) Deputy(string, []string) string { return "r2" }
+
+// Guards against a share of a lost owner's engine for each router, which together exceed the bound, and against a silent owner
+// that each request waits for.
+func TestOneRouterStandsInForALostOwner(t *testing.T) {
+	p := &parted{Alone: alone()}
+	l, _ := start(t, p)
+	for _, request := range []string{"q1", "q2"} {
+		_, err := l.Admit(t.Context(), ask(request))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Check(t, p.asked, qt.DeepEquals, []string{"lost", "r2", "r2"})
+	qt.Check(t, p.share, qt.IsTrue)
+}
--- a/routing/admission/admission.go
+++ b/routing/admission/admission.go
@@ -30,6 +30,9 @@
 	// Surge is how long after a request of a surging account Even does not apply to the others, who then need not wait
 	// for level engines: the requests that yield fill the gaps.
 	Surge time.Duration
+	// Low is the time over which Even uses the lowest mean: a request that is granted at a peak of the mean leaves its engine
+	// above the others when the mean falls.
+	Low time.Duration
 	// Level is the time since the request first asked during which Even applies; after it only the bound does.
 	Level time.Duration
 	// SmallPool is the number of engines up to which a pool has an allowance of one request above the bound. In larger
@@ -61,6 +64,7 @@
 		Even:      1,
 		Yield:     0.5,
 		Surge:     200 * time.Millisecond,
+		Low:       300 * time.Millisecond,
 		Level:     100 * time.Millisecond,
 		SmallPool: 16,
 		Reserve:   0.25,
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -24,6 +24,8 @@
 	// mean is valid if Engines is at least 1; atMean is the gate's load when it arrived.
 	mean   Mean
 	atMean float64
+	// lows are the means of the last Settings.Low, in growing order of time and load.
+	lows []low
 	// slots are in the order of their IDs.
 	slots []slot
 	// freed are slots that were released after the latest report, in order of time.
@@ -40,6 +42,12 @@
 	service time.Duration
 }
 
+// low is a mean load that may be the lowest of the last Settings.Low.
+type low struct {
+	at   time.Time
+	load float64
+}
+
 type slot struct {
 	Slot
 	ask Ask
@@ -147,8 +155,8 @@
 		return nil
 	}
 	g.report, g.reported = r, true
-	g.freed = slices.DeleteFunc(g.freed, func(f release) bool { return !f.at.After(r.At) })
-	g.foreign = append([]float64{max(0, r.Load-g.present(r.At))}, g.foreign[:min(len(g.foreign), foreignReports-1)]...)
+	g.freed = slices.DeleteFunc(g.freed, func(f release) bool { return !f.at.After(r.At.Add(-g.settings.ReportLag)) })
+	g.foreign = append([]float64{max(0, r.Load-g.possible(r.At))}, g.foreign[:min(len(g.foreign), foreignReports-1)]...)
 	return g.advance(now)
 }
 
@@ -156,17 +164,17 @@
 // granted long before the report but reaches the engine after it, looks like load of others in one report only.
 const foreignReports = 3
 
-// present is the load of the gate's own slots that the engine surely had at a time.
-func (g *Gate) present(at time.Time) float64 {
-	sure := at.Add(-g.settings.ReportLag)
+// possible is the load of the gate's own slots that the engine may have had in a report. It counts every slot that was held
+// within ReportLag before the report: to take those granted lately for load of others would count short requests twice.
+func (g *Gate) possible(at time.Time) float64 {
 	sum := 0.0
 	for _, s := range g.slots {
-		if !s.at.After(sure) {
+		if !s.at.After(at) {
 			sum += s.ask.Cost
 		}
 	}
 	for _, f := range g.freed {
-		if !f.granted.After(sure) {
+		if !f.granted.After(at) {
 			sum += f.cost
 		}
 	}
@@ -176,6 +184,8 @@
 // Mean takes the mean load of the pool.
 func (g *Gate) Mean(now time.Time, m Mean) []Action {
 	g.mean, g.atMean = m, g.Load()
+	g.lows = slices.DeleteFunc(g.lows, func(l low) bool { return now.Sub(l.at) >= g.settings.Low || l.load >= m.Load })
+	g.lows = append(g.lows, low{at: now, load: m.Load})
 	return g.advance(now)
 }
 
@@ -221,7 +231,7 @@
 	}
 	level := waited < g.settings.Level && g.settings.Even > 0 && g.mean.Engines > 1
 	if level && (ask.Over || now.Sub(g.surged) > g.settings.Surge) {
-		most := g.settings.Even * g.meanWith(0, load)
+		most := g.settings.Even * g.lowest(now, load)
 		if ask.Over {
 			most -= g.settings.Yield * ask.Cost
 		}
@@ -243,6 +253,17 @@
 	return max(g.mean.Load+(load+cost-g.atMean)/n, (load+cost)/n)
 }
 
+// lowest is the lowest mean load of the last Settings.Low, and never below the share of the engine's own load.
+func (g *Gate) lowest(now time.Time, load float64) float64 {
+	mean := g.meanWith(0, load)
+	for _, l := range g.lows {
+		if now.Sub(l.at) < g.settings.Low {
+			mean = min(mean, l.load)
+		}
+	}
+	return max(mean, load/float64(max(1, g.mean.Engines)))
+}
+
 // limit is the greatest load with a further request of the given cost.
 func (g *Gate) limit(now time.Time, cost, load float64) float64 {
 	l := g.settings.Allowed(g.meanWith(cost, load), g.mean.Engines, cost)
--- a/routing/admission/gate_test.go
+++ b/routing/admission/gate_test.go
@@ -183,3 +183,34 @@
 	g.Offer(start, ask("a", 1))
 	qt.Assert(t, g.Offer(start, ask("a", 2)).Kind, qt.Equals, admission.Granted)
 }
+
+// Guards against short requests that are taken for load of others, because each report comes soon after they were granted.
+func TestShortRequestsCountOnce(t *testing.T) {
+	g := gate(0)
+	for i := range 5 {
+		at := after(time.Duration(i) * 200 * time.Millisecond)
+		granted := g.Offer(at, ask("a", i))
+		qt.Assert(t, granted.Kind, qt.Equals, admission.Granted)
+		at = at.Add(50 * time.Millisecond)
+		g.Report(at, admission.Report{At: at, Load: 1})
+		qt.Check(t, g.Load(), qt.Equals, 1.0)
+		g.Release(at.Add(10*time.Millisecond), granted.Slot.ID)
+		qt.Check(t, g.Load(), qt.Equals, 0.0)
+	}
+}
+
+// Guards against a peak of the mean that admits a request which is above the others when the mean falls.
+func TestPeakOfTheMean(t *testing.T) {
+	g := admission.New(start, admission.Defaults())
+	g.Mean(start, admission.Mean{Load: 0.5, Engines: 9})
+	qt.Assert(t, g.Offer(start, ask("a", 1)).Kind, qt.Equals, admission.Granted)
+	at := after(200 * time.Millisecond)
+	g.Mean(at, admission.Mean{Load: 2, Engines: 9})
+	second := ask("a", 2)
+	second.NoQueue, second.Since = true, at
+	qt.Check(t, g.Offer(at, second).Kind, qt.Equals, admission.Refused)
+	at = after(600 * time.Millisecond)
+	g.Mean(at, admission.Mean{Load: 2, Engines: 9})
+	second.Request, second.Since = "a-3", at
+	qt.Check(t, g.Offer(at, second).Kind, qt.Equals, admission.Granted)
+}
