--- a/hornbeamd/control/slots.go
+++ b/hornbeamd/control/slots.go
@@ -60,6 +60,8 @@
 	case <-ctx.Done():
 		l.send(func(now time.Time) { l.abandon(name, ask.Request, answer, now) })
 		return refuse(ask, gone)
+	case <-l.stopped:
+		return refuse(ask, outcome.Draining)
 	}
 }
 
@@ -226,5 +228,7 @@
 		return lost
 	case <-ctx.Done():
 		return nil
+	case <-l.stopped:
+		return slots
 	}
 }
