fix: a chat whose home and second home are both out of service goes to another engine

Cause: placement chose among the home, the second home and the engine of the shared prefix only. With two engines lost, the chats that had both as homes got no engine although others were in service; that is what was left unexplained of the innocent requests that a crash took along. Change: the first engine in the order of the chain that takes work.

--- a/routing/placement/placement_test.go
+++ b/routing/placement/placement_test.go
@@ -149,3 +149,21 @@
 		rule.Place(start, r, v)
 	}
 }
+
+// Guards against a chat that gets no engine because its home and its second home are out of service together, while others of
+// the pool are not.
+func TestHomeAndSecondHomeOut(t *testing.T) {
+	rule := placement.New(placement.Defaults())
+	for i := range 20 {
+		v := placement.NewView(engines(4))
+		r := chat(i)
+		d := rule.Place(start, r, v)
+		v = v.WithState(d.Home, placement.Suspect).WithState(d.Second, placement.Suspect)
+		got := rule.Place(start, r, v)
+		qt.Check(t, got.Engine, qt.Not(qt.Equals), "")
+		qt.Check(t, got.Reason, qt.Equals, placement.Avoided)
+		walk := rule.Walk(start, r, v, 4)
+		walk.Avoid(start, got.Engine)
+		qt.Check(t, walk.Next(start).Engine, qt.Not(qt.Equals), "")
+	}
+}
--- a/routing/placement/rule.go
+++ b/routing/placement/rule.go
@@ -131,6 +131,9 @@
 		blocked = false
 	}
 	if blocked {
+		if next := v.firstTaking(r); next != none {
+			return p.finish(d, r, v, next, Avoided, source)
+		}
 		return Decision{Home: d.Home, Second: d.Second, Reason: NoEngine}
 	}
 	return p.finish(d, r, v, best, reason, source)
--- a/routing/placement/view.go
+++ b/routing/placement/view.go
@@ -131,6 +131,17 @@
 	return dst
 }
 
+// firstTaking is the first engine in the order of Chain that takes work, for chats whose home and second home do not. It
+// allocates, which only matters while several engines are out of service.
+func (v View) firstTaking(r Request) int32 {
+	for _, id := range v.Chain(nil, r, len(v.engines)) {
+		if i := v.index[id]; v.takes(i) {
+			return i
+		}
+	}
+	return none
+}
+
 func (v View) id(i int32) string {
 	if i == none {
 		return ""
