fix: a daemon whose port for peers is taken ends with an error

Six parts of the daemon waited for the listener for peers without regard to the end of the daemon, so that a taken port left the process waiting for good, without serving and without an error. The demo brought it about: it probed 18 free ports, released them and let the daemons bind them later.

Change: the parts stop waiting when another part fails.

--- a/hornbeambench/demo/demo.go
+++ b/hornbeambench/demo/demo.go
@@ -55,7 +55,7 @@
 			return fmt.Errorf("%s: %w", step.title, err)
 		}
 	}
-	err = w.stopRouters()
+	err = w.fleet.Stop()
 	s.require("every router ends by itself when told to", err == nil, "error %v", err)
 	s.printf("\n== outcomes\n")
 	return s.judge()
--- a/hornbeambench/demo/story.go
+++ b/hornbeambench/demo/story.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	s.printf("revision %d in force on %d routers after %.2f s\n", revision, routers, took.Seconds())
+	s.printf("revision %d in force on %d routers after %.2f s\n", revision, routerCount, took.Seconds())
 	return s.ready(ctx)
 }
 
@@ -74,11 +74,14 @@
 				have++
 			}
 		}
-		if have == routers {
+		if have == routerCount {
 			return time.Since(begin), nil
 		}
+		if err := s.world.fleet.Ended(); err != nil {
+			return 0, err
+		}
 		if !pause(ctx, poll) {
-			return 0, fmt.Errorf("revision %d is in force on %d of %d routers: %w", revision, have, routers, ctx.Err())
+			return 0, fmt.Errorf("revision %d is in force on %d of %d routers: %w", revision, have, routerCount, ctx.Err())
 		}
 	}
 }
@@ -91,8 +94,11 @@
 			if err == nil && status.Ready {
 				break
 			}
+			if err := s.world.fleet.Ended(); err != nil {
+				return err
+			}
 			if !pause(ctx, poll) {
-				return fmt.Errorf("router %s is not ready: %s: %w", r.settings.ID, status.Reason, ctx.Err())
+				return fmt.Errorf("router %s is not ready: %s: %w", r.ID(), status.Reason, ctx.Err())
 			}
 		}
 	}
@@ -105,8 +111,8 @@
 	var prompt strings.Builder
 	right := true
 	for turn := range turns {
-		r := s.world.routers[turn%routers]
-		client := openai.NewClient(option.WithBaseURL("http://"+r.settings.Caller.Listen+"/v1"), option.WithAPIKey("demo-coordinators"))
+		r := s.world.routers[turn%routerCount]
+		client := openai.NewClient(option.WithBaseURL("http://"+r.Callers()+"/v1"), option.WithAPIKey("demo-coordinators"))
 		question := fmt.Sprintf("turn %d: draft the next paragraph", turn+1)
 		prompt.WriteString("user:" + question + "\n")
 		messages = append(messages, openai.UserMessage(question))
@@ -118,7 +124,7 @@
 		}
 		text := completion.Choices[0].Message.Content
 		right = right && text == modelengine.Answer(prompt.String(), answerTokens)
-		s.printf("turn %d by router %s: %q, %d of %d prompt tokens from the cache\n", turn+1, r.settings.ID, text,
+		s.printf("turn %d by router %s: %q, %d of %d prompt tokens from the cache\n", turn+1, r.ID(), text,
 			completion.Usage.PromptTokensDetails.CachedTokens, completion.Usage.PromptTokens)
 		messages = append(messages, openai.AssistantMessage(text))
 		prompt.WriteString("assistant:" + text + "\n")
@@ -272,8 +278,8 @@
 	took := time.Since(begin)
 	known := s.known(ctx)
 	s.printf("%5.1f s: revision %d in force after %.2f s, new account known to %d routers\n", s.elapsed(), revision, took.Seconds(), known)
-	s.require("the new policy is in force on every router within 7 s", err == nil && took <= inForceLimit && known == routers,
-		"%d of %d routers, %.2f s", known, routers, took.Seconds())
+	s.require("the new policy is in force on every router within 7 s", err == nil && took <= inForceLimit && known == routerCount,
+		"%d of %d routers, %.2f s", known, routerCount, took.Seconds())
 	return nil
 }
 
@@ -281,7 +287,7 @@
 func (s *story) known(ctx context.Context) int {
 	known := 0
 	for _, r := range s.world.routers {
-		question, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.settings.Caller.Listen+"/v1/models", nil)
+		question, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Callers()+"/v1/models", nil)
 		if err != nil {
 			continue
 		}
--- a/hornbeambench/demo/world.go
+++ b/hornbeambench/demo/world.go
@@ -4,20 +4,20 @@
 	"context"
 	"crypto/rand"
 	"embed"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"path"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"hornbeamstep.example/hornbeambench/routers"
 	"hornbeamstep.example/hornbeambench/standin/modelengine"
 	"hornbeamstep.example/hornbeambench/standin/plainservice"
 	"hornbeamstep.example/hornbeambench/standin/platformapi"
-	"hornbeamstep.example/platform/instancelist"
+	"hornbeamstep.example/hornbeamd/operator"
+	"hornbeamstep.example/hornbeamd/settings"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
 )
@@ -28,13 +28,21 @@
 var zones = []string{"Kariakoo", "Mikocheni", "Ubungo"}
 
 const (
-	engines  = 9
-	services = 3
-	routers  = 6
+	engines     = 9
+	services    = 3
+	routerCount = 6
+	// callLimit ends a call to a router's operator interface.
+	callLimit = 10 * time.Second
 	// lag is the age of the engines' load reports.
 	lag = 50 * time.Millisecond
 )
 
+// router is one daemon and a client of its operator interface.
+type router struct {
+	*routers.Router
+	operator *operator.Client
+}
+
 // world is everything that runs.
 type world struct {
 	platform *platformapi.Server
@@ -42,6 +50,7 @@
 	address  string
 	engines  map[string]*modelengine.Engine
 	services map[string]*plainservice.Service
+	fleet    *routers.Group
 	routers  []*router
 	revision int64
 	// looks and work count the looks at the drained engine, and those that saw work there.
@@ -90,26 +99,30 @@
 	return nil
 }
 
-func (w *world) startRouters(ctx context.Context) error {
-	var list []instancelist.Instance
-	for i := range routers {
-		r, err := newRouter(fmt.Sprintf("r%d", i+1), zones[i%len(zones)], "http://"+w.address)
+func (w *world) startRouters(context.Context) error {
+	w.fleet = &routers.Group{Platform: w.platform, Address: "http://" + w.address, Change: func(s *settings.Settings) {
+		s.Platform.Weights = ""
+		s.Caller.Lifetime = time.Second
+	}}
+	for i := range routerCount {
+		started, err := w.fleet.Start(fmt.Sprintf("r%d", i+1), zones[i%len(zones)])
 		if err != nil {
 			return err
 		}
-		w.routers = append(w.routers, r)
-		list = append(list, r.instance())
-	}
-	w.platform.SetInstances(list)
-	for _, r := range w.routers {
-		r.start(ctx)
+		client, err := operator.NewClient(started.Operators(), settings.TLS{}, callLimit)
+		if err != nil {
+			return err
+		}
+		w.routers = append(w.routers, &router{Router: started, operator: client})
 	}
 	return nil
 }
 
 // close ends everything; routers first, so that they see no failures of their backend servers.
 func (w *world) close() {
-	_ = w.stopRouters()
+	if w.fleet != nil {
+		_ = w.fleet.Stop()
+	}
 	for _, e := range w.engines {
 		e.Close()
 	}
@@ -121,17 +134,6 @@
 	}
 }
 
-// stopRouters stops all routers at once, because each serves on for a while, and joins their errors.
-func (w *world) stopRouters() error {
-	ended := make([]error, len(w.routers))
-	var all sync.WaitGroup
-	for i, r := range w.routers {
-		all.Go(func() { ended[i] = r.stop() })
-	}
-	all.Wait()
-	return errors.Join(ended...)
-}
-
 // push makes the sample folder, the addresses in use and further files the next revision.
 func (w *world) push(ctx context.Context, message string, further ...folder.File) (int64, error) {
 	files, err := sampleFiles()
@@ -196,7 +198,7 @@
 func (w *world) callers() []string {
 	var all []string
 	for _, r := range w.routers {
-		all = append(all, r.settings.Caller.Listen)
+		all = append(all, r.Callers())
 	}
 	return all
 }
--- a/hornbeamd/daemon/claims.go
+++ b/hornbeamd/daemon/claims.go
@@ -92,7 +92,9 @@
 
 // tidyClaims removes old segments while this router owns the first shard, and forgets shards that moved to other routers.
 func (d *Daemon) tidyClaims(ctx context.Context) error {
-	<-d.node.Ready()
+	if !d.joined(ctx) {
+		return nil
+	}
 	for pause(ctx, sweepEvery); ctx.Err() == nil; pause(ctx, sweepEvery) {
 		owners := d.node.Owners()
 		for shard := range claim.Shards {
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -171,6 +171,17 @@
 // Ready is closed once the daemon takes part in the fleet. Valid after Open.
 func (d *Daemon) Ready() <-chan struct{} { return d.node.Ready() }
 
+// joined waits until the daemon listens for its peers. It returns false if ctx ends before, as it does when another part
+// fails: without that, a taken port for peers left the daemon waiting for good instead of ending with an error.
+func (d *Daemon) joined(ctx context.Context) bool {
+	select {
+	case <-d.node.Ready():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Run serves until ctx ends and the drain that follows is complete. It returns an error if a part fails, or if the drain
 // exceeds its limit.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/hornbeamd/daemon/orders.go
+++ b/hornbeamd/daemon/orders.go
@@ -39,7 +39,9 @@
 
 // keepEngines brings the engines that this router owns to the state that the configuration asks for, under a lease.
 func (d *Daemon) keepEngines(ctx context.Context) error {
-	<-d.node.Ready()
+	if !d.joined(ctx) {
+		return nil
+	}
 	boot := strconv.FormatInt(time.Now().UnixNano(), 36) + strconv.FormatUint(rand.Uint64(), 36)
 	for ctx.Err() == nil {
 		k := d.newKeeper(boot)
--- a/hornbeamd/daemon/usage.go
+++ b/hornbeamd/daemon/usage.go
@@ -35,7 +35,9 @@
 
 // shareLimits exchanges the demand of heavy accounts, so that limits hold over all routers.
 func (d *Daemon) shareLimits(ctx context.Context) error {
-	<-d.node.Ready()
+	if !d.joined(ctx) {
+		return nil
+	}
 	period := limit.Defaults().Period
 	for pause(ctx, period); ctx.Err() == nil; pause(ctx, period) {
 		d.usages.expire()
--- a/hornbeamd/daemon/watch.go
+++ b/hornbeamd/daemon/watch.go
@@ -33,7 +33,9 @@
 
 // watchConfig follows the head of the configuration while this router is a relay.
 func (d *Daemon) watchConfig(ctx context.Context) error {
-	<-d.node.Ready()
+	if !d.joined(ctx) {
+		return nil
+	}
 	after := int64(0)
 	for ctx.Err() == nil {
 		if !d.node.Owners().Relay() {
@@ -135,7 +137,9 @@
 
 // assign tells the peers which engines and pools need owners, whenever the configuration changes.
 func (d *Daemon) assign(ctx context.Context) error {
-	<-d.node.Ready()
+	if !d.joined(ctx) {
+		return nil
+	}
 	revision := int64(0)
 	for ctx.Err() == nil {
 		if s, ok := d.inForce.Current(); ok && s.Revision.Number > revision {
@@ -163,7 +167,9 @@
 
 // readInstances reads the instance list: often as a relay, seldom otherwise.
 func (d *Daemon) readInstances(ctx context.Context) error {
-	<-d.node.Ready()
+	if !d.joined(ctx) {
+		return nil
+	}
 	for ctx.Err() == nil {
 		list, err := d.list.List(ctx)
 		if err != nil {
