--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -50,6 +50,8 @@
 	server   *caller.Server
 	operator *operator.Server
 	listener net.Listener
+	// certificate is the identity towards callers; nil without TLS.
+	certificate *caller.Certificate
 	// orders are the latest that this daemon gave, oldest first; at most keptOrders.
 	ordersMu sync.Mutex
 	orders   []operator.Order
@@ -69,6 +71,12 @@
 		return eris.Wrapf(err, "cannot listen for callers on %s: free the port or set another", d.Settings.Caller.Listen)
 	}
 	d.listener = listener
+	if tls := d.Settings.Caller.TLS; tls.Cert != "" {
+		if d.certificate, err = caller.LoadCertificate(tls.Cert, tls.Key); err != nil {
+			return errors.Join(err, listener.Close())
+		}
+		d.listener = d.certificate.Listener(listener)
+	}
 	d.stopped = make(chan struct{})
 	if d.Settings.Caller.Address == "" {
 		d.Settings.Caller.Address = listener.Addr().String()
@@ -222,21 +230,27 @@
 	return errors.Join(err, group.Wait())
 }
 
-// keysEvery is the time between two looks for new certificates of the links between daemons.
+// keysEvery is the time between two looks for renewed certificates.
 const keysEvery = time.Minute
 
 // reloadKeys takes over renewed certificates. Unreadable files leave the old ones in use.
 func (d *Daemon) reloadKeys(ctx context.Context) error {
-	if d.node.Keys == nil {
-		return nil
+	reload := map[string]func() error{}
+	if d.node.Keys != nil {
+		reload["peers"] = d.node.Keys.Reload
+	}
+	if d.certificate != nil {
+		reload["callers"] = d.certificate.Reload
 	}
-	failed := false
-	for pause(ctx, keysEvery); ctx.Err() == nil; pause(ctx, keysEvery) {
-		err := d.node.Keys.Reload()
-		if err != nil && !failed {
-			d.Log.Error("certificates of peers could not be read again; the old ones stay in use", zap.Error(err))
+	failed := map[string]bool{}
+	for pause(ctx, keysEvery); ctx.Err() == nil && len(reload) > 0; pause(ctx, keysEvery) {
+		for side, read := range reload {
+			err := read()
+			if err != nil && !failed[side] {
+				d.Log.Error("certificates could not be read again; the old ones stay in use", zap.String("towards", side), zap.Error(err))
+			}
+			failed[side] = err != nil
 		}
-		failed = err != nil
 	}
 	return nil
 }
--- a/hornbeamd/settings/settings.go
+++ b/hornbeamd/settings/settings.go
@@ -38,6 +38,13 @@
 	Heartbeat   time.Duration `help:"Time between SSE comments on a silent stream." default:"5s"`
 	Lifetime    time.Duration `help:"How long callers may keep a route answer." default:"30s"`
 	Write       time.Duration `help:"Longest time that a write to a caller may block." default:"30s"`
+	TLS         Identity      `embed:"" prefix:"tls-"`
+}
+
+// Identity names the files of a server whose clients need no certificate. Either both are set or none.
+type Identity struct {
+	Cert string `help:"File with the certificate chain, PEM." placeholder:"FILE"`
+	Key  string `help:"File with the private key, PEM." placeholder:"FILE"`
 }
 
 // Peer holds the settings of the links between daemons.
@@ -128,6 +135,9 @@
 			return err
 		}
 	}
+	if tls := s.Caller.TLS; (tls.Cert == "") != (tls.Key == "") {
+		return &InvalidError{Key: "caller.tls", Value: "incomplete", Remedy: "set cert and key together"}
+	}
 	if err := checkTLS("peer", s.Peer.Listen, s.Peer.TLS); err != nil {
 		return err
 	}
--- a/hornbeamd/settings/settings_test.go
+++ b/hornbeamd/settings/settings_test.go
@@ -41,6 +41,7 @@
 		"open peer port":          {"id: r1\nzone: z\npeer:\n  listen: 0.0.0.0:1\n", "peer.listen"},
 		"open operator port":      {"id: r1\nzone: z\noperator:\n  listen: 10.0.0.1:1\n", "operator.listen"},
 		"incomplete certificates": {"id: r1\nzone: z\npeer:\n  tls:\n    cert: a.pem\n", "peer.tls"},
+		"certificate without key": {"id: r1\nzone: z\ncaller:\n  tls:\n    cert: a.pem\n", "caller.tls"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
