feat(control): drills with racing operators, parted regions, cut links and clocks in virtual time

Change: hornbeambench drill replays fault files together on the state machines of membership, ownership and revisions, with operators that push to the real history package over the in-memory object API. Each named outcome falls short once the mechanism behind it is taken out.

--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -29,6 +29,7 @@
 	Report   report.Command   `cmd:"" help:"Make a page with plots from the JSON files of replay, load and control."`
 	Control  control.Command  `cmd:"" help:"Measure the control traffic between real nodes in this process."`
 	Virtual  control.Virtual  `cmd:"" help:"Count the encoded bytes between routers in virtual time."`
+	Drill    control.Drill    `cmd:"" help:"Inject faults into a fleet in virtual time in which operators race; judge revisions, members and ownership."`
 	Calls    calls.Command    `cmd:"" help:"Measure what whole daemons cost the platform, the engines and their instances."`
 	Variants variants.Command `cmd:"" help:"Compare three designs of admission in a model in virtual time."`
 	Fleet    fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
--- a/hornbeambench/control/virtual.go
+++ b/hornbeambench/control/virtual.go
@@ -14,6 +14,7 @@
 	"hornbeamstep.example/coord/loadsum"
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/coord/revision"
 	"hornbeamstep.example/hornbeamd/peer"
 )
 
@@ -70,6 +71,8 @@
 	engines    []owner.Engine
 	pools      []string
 	err        error
+	// drill is nil unless faults are injected and revisions are spread.
+	drill *drill
 }
 
 type virtualNode struct {
@@ -79,6 +82,16 @@
 	view    *member.View
 	owners  *owner.Snapshot
 	next    time.Time
+	// life counts the processes of the router, so that the events of an earlier one are dropped. dead ones take no message.
+	life int
+	dead bool
+	born time.Time
+	// skew is how far the wall clock is off, which gives the boot id.
+	skew time.Duration
+	// revisions is set in drills.
+	revisions *revision.State
+	// placed is the ownership that revisions know.
+	placed *owner.Snapshot
 }
 
 type delivery struct {
@@ -129,7 +142,9 @@
 // restart gives a router a new process.
 func (w *world) restart(i int) {
 	n := w.nodes[i]
-	n.self.Boot = uint64(w.now.UnixMilli())
+	n.life++
+	n.born = w.now
+	n.self.Boot = uint64(w.now.Add(n.skew).UnixMilli())
 	n.members = member.New(member.Config{Self: n.self}, w.now, rand.New(rand.NewPCG(w.Seed, w.rnd.Uint64())))
 	var seeds []member.Instance
 	for j := range min(5, len(w.nodes)) {
@@ -159,24 +174,44 @@
 	return float64(bytes) / w.Window.Seconds() / float64(w.Routers)
 }
 
-// send counts a message and delivers it after 1 to 5 ms.
-func (w *world) send(message any, deliver func()) {
+// send counts a message and delivers it after 1 to 5 ms, unless the link is cut or an end dies meanwhile.
+func (w *world) send(from, to *virtualNode, message any, deliver func()) {
 	kind, size, err := peer.EncodedSize(message)
 	if err != nil {
 		w.err = err
 		return
 	}
 	w.bytes[kind] += size
-	w.later(time.Millisecond+time.Duration(w.rnd.Int64N(int64(4*time.Millisecond))), deliver)
+	w.carry(from, to, deliver)
+}
+
+// carry delivers a message after 1 to 5 ms. In drills it is lost if the link is cut or an end dies meanwhile.
+func (w *world) carry(from, to *virtualNode, deliver func()) {
+	if w.drill != nil && !w.drill.reaches(from, to) {
+		return
+	}
+	start, life := from.life, to.life
+	w.later(time.Millisecond+time.Duration(w.rnd.Int64N(int64(4*time.Millisecond))), func() {
+		if w.drill == nil || (from.life == start && to.life == life && !to.dead) {
+			deliver()
+		}
+	})
 }
 
 func (w *world) tick(n *virtualNode) {
+	if n.dead {
+		w.later(100*time.Millisecond, func() { w.tick(n) })
+		return
+	}
 	w.do(n, n.members.Tick(w.now))
 	w.assign(n)
 	if !w.now.Before(n.next) {
 		n.next = w.now.Add(time.Second)
 		w.report(n)
 	}
+	if w.drill != nil {
+		w.drill.tick(n)
+	}
 	w.later(100*time.Millisecond, func() { w.tick(n) })
 }
 
@@ -211,10 +246,10 @@
 			continue
 		}
 		to := w.byAddress[m.Address]
-		w.send(send.Report, func() {
+		w.send(n, to, send.Report, func() {
 			reply := to.loads.Handle(w.now, send.Report)
 			if send.Report.Zone == "" {
-				w.send(reply, func() { n.loads.Answered(w.now, reply) })
+				w.send(to, n, reply, func() { n.loads.Answered(w.now, reply) })
 			}
 		})
 	}
@@ -224,18 +259,18 @@
 	for _, a := range actions {
 		to := w.byAddress[a.To.Address]
 		switch {
-		case to == nil:
+		case a.Kind == member.Changed && w.drill != nil:
+			w.drill.lost(n, a.To)
+		case to == nil, w.drill != nil && w.drill.without == Rejoin && (a.To.Status == member.Removed || a.To.ID == ""):
 		case a.Kind == member.SendPing:
-			w.send(a.Ping, func() {
-				ack, more := to.members.HandlePing(w.now, a.Ping)
-				w.do(to, more)
-				w.send(ack, func() { w.do(n, n.members.Acked(w.now, a.Seq, ack)) })
-			})
+			w.ping(n, to, a.Ping, func(ack member.Ack) { w.do(n, n.members.Acked(w.now, a.Seq, ack)) })
+		case a.Kind == member.SendProbe && w.drill != nil:
+			w.drill.probe(n, to, a)
 		case a.Kind == member.SendSync:
-			w.send(a.Sync, func() {
+			w.send(n, to, a.Sync, func() {
 				reply, more := to.members.HandleSync(w.now, a.Sync)
 				w.do(to, more)
-				w.send(reply, func() {
+				w.send(to, n, reply, func() {
 					if len(a.Sync.Digests) > 0 {
 						w.do(n, n.members.Synced(w.now, a.To, reply))
 					}
@@ -244,3 +279,20 @@
 		}
 	}
 }
+
+// ping sends a ping and hands its answer over. In drills both carry the revision in force.
+func (w *world) ping(n, to *virtualNode, p member.Ping, acked func(member.Ack)) {
+	rev := w.drill.revision(n)
+	w.send(n, to, p, func() {
+		w.drill.heard(to, n, rev)
+		p.Updates = w.drill.news(to, p.Updates)
+		ack, more := to.members.HandlePing(w.now, p)
+		w.do(to, more)
+		rev := w.drill.revision(to)
+		w.send(to, n, ack, func() {
+			w.drill.heard(n, to, rev)
+			ack.Updates = w.drill.news(n, ack.Updates)
+			acked(ack)
+		})
+	})
+}
--- a/hornbeambench/trace/trace.go
+++ b/hornbeambench/trace/trace.go
@@ -70,7 +70,8 @@
 	Pause Kind = "pause"
 	// Kill ends a router, which is replaced.
 	Kill Kind = "kill"
-	// Lag makes the instance list of a router late by value seconds.
+	// Lag makes the instance list of a router late by value seconds. With target store, reads of the object API show the head as it
+	// was as many changes ago as value says.
 	Lag Kind = "lag"
 	// Zone stops all engines and routers of a zone.
 	Zone Kind = "zone"
