feat(fleet): racing operators and a partition between real daemons

Cause: no run with real processes had operators that race or daemons that are parted. The judge also requires that no revision in force goes back, that all routers agree in the end, that each race has one winner and conflicts with the remedy, and that the partition took place.

--- a/hornbeambench/fleet/command.go
+++ b/hornbeambench/fleet/command.go
@@ -23,6 +23,9 @@
 	Judge JudgeCommand `cmd:"" help:"Judge the outcomes of an experiment from what callers and stand-ins recorded."`
 	Fault FaultCommand `cmd:"" help:"Inject a fault into a stand-in."`
 	Wait  WaitCommand  `cmd:"" help:"Wait until URLs answer with status 200."`
+
+	Revisions RevisionsCommand `cmd:"" help:"Write the revisions in force of routers over time to a file until it is interrupted."`
+	Relay     RelayCommand     `cmd:"" help:"Run relays between daemons that part two groups of them on demand."`
 }
 
 // WatchCommand samples the loads of engines.
@@ -102,11 +105,14 @@
 
 // JudgeCommand judges an experiment.
 type JudgeCommand struct {
-	Records  string   `help:"File of load --records." required:"" type:"existingfile" placeholder:"FILE"`
-	Services []string `help:"Addresses of all plain services, for their ledgers." placeholder:"IP:PORT"`
-	Samples  string   `help:"File of watch." required:"" type:"existingfile" placeholder:"FILE"`
-	Bound    float64  `help:"Configured multiple of the mean load." default:"1.25"`
-	Out      string   `help:"Also write the verdicts as JSON to this file." type:"path" placeholder:"FILE"`
+	Records   string   `help:"File of load --records." required:"" type:"existingfile" placeholder:"FILE"`
+	Services  []string `help:"Addresses of all plain services, for their ledgers." placeholder:"IP:PORT"`
+	Samples   string   `help:"File of watch." required:"" type:"existingfile" placeholder:"FILE"`
+	Revisions string   `help:"File of revisions." type:"existingfile" placeholder:"FILE"`
+	Pushes    string   `help:"Folder with the result of each push: RACE-OPERATOR.code holds the exit code of hornbeamctl, RACE-OPERATOR.text what it printed." type:"existingdir" placeholder:"DIR"`
+	Apart     []string `help:"Daemons that were parted from the others; needs --revisions." placeholder:"NAME"`
+	Bound     float64  `help:"Configured multiple of the mean load." default:"1.25"`
+	Out       string   `help:"Also write the verdicts as JSON to this file." type:"path" placeholder:"FILE"`
 }
 
 type wireEntry struct {
@@ -120,6 +126,15 @@
 		return err
 	}
 	verdicts := Judge(evidence)
+	if c.Revisions != "" {
+		verdicts = append(verdicts, evidence.reverted(), evidence.agreed())
+	}
+	if len(c.Apart) > 0 {
+		verdicts = append(verdicts, evidence.parted(c.Apart))
+	}
+	if c.Pushes != "" {
+		verdicts = append(verdicts, evidence.races()...)
+	}
 	held := true
 	for _, v := range verdicts {
 		mark := "holds"
@@ -152,6 +167,16 @@
 	if e.Samples, err = readLines[Sample](c.Samples); err != nil {
 		return e, err
 	}
+	if c.Revisions != "" {
+		if e.Revisions, err = readLines[InForce](c.Revisions); err != nil {
+			return e, err
+		}
+	}
+	if c.Pushes != "" {
+		if e.Pushes, err = readPushes(c.Pushes); err != nil {
+			return e, err
+		}
+	}
 	for _, service := range c.Services {
 		content, err := fetch(ctx, "http://"+service+"/ledger")
 		if err != nil {
--- a/hornbeambench/fleet/judge.go
+++ b/hornbeambench/fleet/judge.go
@@ -25,6 +25,9 @@
 	Samples []Sample
 	// Bound is the configured multiple of the mean load.
 	Bound float64
+	// Revisions are the revisions in force over time, and Pushes the results of operators that raced.
+	Revisions []InForce
+	Pushes    []Push
 }
 
 // Sample is the loads of the engines that answered at a time.
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -100,7 +100,7 @@
 func (d *Daemon) openPeers() error {
 	s := d.Settings.Peer
 	d.node = &peer.Node{
-		ID: d.Settings.ID, Zone: d.Settings.Zone, Region: d.Settings.Region, Listen: s.Listen,
+		ID: d.Settings.ID, Zone: d.Settings.Zone, Region: d.Settings.Region, Listen: s.Listen, Advertise: s.Address,
 		Caller: d.Settings.Caller.Address, Seeds: s.Seeds, Logger: d.Log, Metrics: d.registry,
 	}
 	if s.TLS.Cert != "" {
--- a/hornbeamd/settings/settings.go
+++ b/hornbeamd/settings/settings.go
@@ -42,9 +42,10 @@
 
 // Peer holds the settings of the links between daemons.
 type Peer struct {
-	Listen string   `help:"Address for other daemons, as ip:port." default:"127.0.0.1:8081"`
-	Seeds  []string `help:"Addresses of other daemons to ask when the instance list is unavailable, as ip:port."`
-	TLS    TLS      `embed:"" prefix:"tls-"`
+	Listen  string   `help:"Address for other daemons, as ip:port." default:"127.0.0.1:8081"`
+	Address string   `help:"Address given to other daemons, as ip:port; the listening address if empty."`
+	Seeds   []string `help:"Addresses of other daemons to ask when the instance list is unavailable, as ip:port."`
+	TLS     TLS      `embed:"" prefix:"tls-"`
 }
 
 // Operator holds the settings of the interface towards operators.
@@ -128,6 +129,11 @@
 			return err
 		}
 	}
+	if s.Peer.Address != "" {
+		if err := checkAddress("peer.address", s.Peer.Address); err != nil {
+			return err
+		}
+	}
 	if err := checkTLS("peer", s.Peer.Listen, s.Peer.TLS); err != nil {
 		return err
 	}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,22 +1,37 @@
 #!/usr/bin/env bash
 # Runs routers and stand-ins as real processes on loopback addresses, disturbs them under load and judges the outcomes.
-# Usage: scripts/fleet.sh [ROUTERS] [SECONDS] [SEED] [RATE]. ROUTERS is 6 to 8, RATE is in requests per second. The result is written to out/fleet.
+# Usage: scripts/fleet.sh [ROUTERS] [SECONDS] [SEED] [RATE] [--race] [--part]. ROUTERS is 6 to 8, RATE is in requests per second.
+# The result is written to out/fleet.
+#   --race  operators push two changes from one base revision at the same moment, once with all replies of the object API lost
+#   --part  daemons r1 to r3 are parted from the others by relays for a quarter of the time, while a daemon is killed, before the
+#           other failures; with --race the operators race then too, and SECONDS is at least 90
 # Exit codes: 0 every outcome held, 1 one did not, 2 wrong usage.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-routers="${1:-6}"
-seconds="${2:-60}"
-seed="${3:-1}"
-rate="${4:-150}"
-if [ "$routers" -lt 6 ] || [ "$routers" -gt 8 ] || [ "$seconds" -lt 40 ]; then
-  echo "usage: scripts/fleet.sh [ROUTERS from 6 to 8] [SECONDS from 40] [SEED] [RATE]" >&2
+usage() {
+  echo "usage: scripts/fleet.sh [ROUTERS from 6 to 8] [SECONDS from 40, from 90 with --part] [SEED] [RATE] [--race] [--part]" >&2
   exit 2
-fi
+}
+race='' part='' numbers=()
+for argument in "$@"; do
+  case "$argument" in
+    --race) race=yes ;;
+    --part) part=yes ;;
+    --*) usage ;;
+    *) numbers+=("$argument") ;;
+  esac
+done
+routers="${numbers[0]:-6}"
+seconds="${numbers[1]:-60}"
+seed="${numbers[2]:-1}"
+rate="${numbers[3]:-150}"
+if [ "$routers" -lt 6 ] || [ "$routers" -gt 8 ] || [ "$seconds" -lt 40 ]; then usage; fi
+if [ -n "$part" ] && [ "$seconds" -lt 90 ]; then usage; fi
 
 out=out/fleet
 rm -rf "$out"
-mkdir -p "$out/config" "$out/logs" "$out/bin"
+mkdir -p "$out/config" "$out/logs" "$out/bin" "$out/pushes"
 export GOFLAGS="${GOFLAGS:--buildvcs=false}"
 go build -o "$out/bin/" ./hornbeamd ./hornbeamctl ./hornbeambench
 d="$out/bin/hornbeamd" ctl="$out/bin/hornbeamctl" bench="$out/bin/hornbeambench"
@@ -24,6 +39,10 @@
 # Each kind of process has a network of its own on loopback, so that a log line shows which one it is about.
 platform=127.0.30.1:7001
 router() { echo "127.0.31.$1"; }
+relay() { echo "127.0.34.$1:8081"; }
+relays=127.0.34.100:7002
+# The address that other daemons use.
+peer() { if [ -n "$part" ]; then relay "$1"; else echo "$(router "$1"):8081"; fi; }
 engine() { echo "127.0.32.$1:8000"; }
 service() { echo "127.0.33.$1:8080"; }
 zones=(Kariakoo Mikocheni Ubungo)
@@ -53,14 +72,14 @@
   local i separator=""
   printf '['
   for i in "$@"; do
-    printf '%s{"id":"r%s","address":"%s:8081","zone":"%s","role":"router","state":"live"}' "$separator" "$i" "$(router "$i")" "$(zone "$i")"
+    printf '%s{"id":"r%s","address":"%s","zone":"%s","role":"router","state":"live"}' "$separator" "$i" "$(peer "$i")" "$(zone "$i")"
     separator=,
   done
   printf ']\n'
 }
 start_router() {
   start "r$1" "$d" --id="r$1" --zone="$(zone "$1")" \
-    --caller-listen="$(router "$1"):8080" --peer-listen="$(router "$1"):8081" --operator-listen="$(router "$1"):8082" \
+    --caller-listen="$(router "$1"):8080" --peer-listen="$(router "$1"):8081" --peer-address="$(peer "$1")" --operator-listen="$(router "$1"):8082" \
     --caller-lifetime=2s --platform-objects="http://$platform" --platform-instances="http://$platform"
 }
 
@@ -87,21 +106,77 @@
 done
 "$bench" fleet wait "http://$platform/v1/instances" "http://$(engine 9)/v1/load" "http://$(service 3)/ledger"
 "$ctl" config push "$out/config" --base=0 -m "fleet experiment" --objects="http://$platform"
-addresses="" ready=""
+if [ -n "$part" ]; then
+  between=()
+  for i in $all; do between+=("--relays=r$i=$(relay "$i")=$(router "$i"):8081"); done
+  start relays "$bench" fleet relay --listen="$relays" "${between[@]}"
+  "$bench" fleet wait "http://$relays/"
+fi
+
+# race NAME lets two operators push different changes of one base revision at the same moment. NAME has no dash.
+base=1
+race() {
+  local operator pushes=()
+  for operator in a b; do
+    cp -r "$out/config" "$out/config-$1-$operator"
+    printf '# change %s of operator %s\n' "$1" "$operator" >>"$out/config-$1-$operator/90-addresses.yaml"
+  done
+  for operator in a b; do
+    {
+      code=0
+      "$ctl" config push "$out/config-$1-$operator" --base="$base" -m "race $1, operator $operator" --objects="http://$platform" \
+        >"$out/pushes/$1-$operator.text" 2>&1 || code=$?
+      echo "$code" >"$out/pushes/$1-$operator.code"
+    } &
+    pushes+=($!)
+  done
+  wait "${pushes[@]}"
+  base="$("$ctl" config history --limit=1 --objects="http://$platform" --output=json | grep -o '"number": *[0-9]*' | head -1 | grep -o '[0-9]*$')"
+  say "race $1 of two operators: codes $(cat "$out/pushes/$1-a.code") and $(cat "$out/pushes/$1-b.code"); the head is revision $base"
+}
+lose_replies() { "$bench" fleet fault "$platform" "{\"target\":\"objects\",\"lost\":$1,\"seed\":$seed}"; }
+
+addresses="" ready="" metrics=""
 for i in $all; do
   start_router "$i"
   addresses="$addresses,$(router "$i"):8080"
   ready="$ready http://$(router "$i"):8080/readyz"
+  metrics="$metrics,r$i=$(router "$i"):8080"
 done
 "$bench" fleet wait $ready
 say "$routers routers are ready"
 
 start watch "$bench" fleet watch --engines="${engines#,}" --out="$out/samples.jsonl"
+start revisions "$bench" fleet revisions --routers="${metrics#,}" --out="$out/revisions.jsonl"
 start load "$bench" load --routers="${addresses#,}" --caller=coordinators=demo-coordinators --caller=trainees=demo-trainees \
   --model=letter-writer --service=placements --calls=0.3 --rate="$rate" --duration="${seconds}s" --seed="$seed" --attempts=8 \
   --records="$out/records.jsonl" --out="$out/load.json"
 step=$((seconds / 8))
+if [ -n "$part" ]; then step=$((seconds / 16)); fi
 
+if [ -n "$race" ]; then
+  sleep 2
+  race plain
+  lose_replies 1
+  race lost
+  lose_replies 0
+fi
+if [ -n "$part" ]; then
+  sleep "$step"
+  say "part daemons r1, r2 and r3 from the others"
+  "$bench" fleet fault "$relays" '{"apart":["r1","r2","r3"]}'
+  sleep "$((seconds / 8))"
+  if [ -n "$race" ]; then race parted; fi
+  say "kill router r5"
+  kill -KILL "${pids[r5]}"
+  wait "${pids[r5]}" 2>/dev/null || true
+  sleep 2
+  start_router 5
+  sleep "$((seconds / 8))"
+  say "the daemons are joined"
+  "$bench" fleet fault "$relays" '{}'
+  if [ -n "$race" ]; then race joined; fi
+fi
 sleep "$step"
 say "kill router r2"
 kill -KILL "${pids[r2]}"
@@ -126,13 +201,16 @@
 wait "${pids[load]}" || loaded=$?
 unset 'pids[load]'
 say "load ended with code $loaded"
-kill -INT "${pids[watch]}"
-wait "${pids[watch]}" || true
-unset 'pids[watch]'
+for name in watch revisions; do
+  kill -INT "${pids[$name]}"
+  wait "${pids[$name]}" || true
+  unset "pids[$name]"
+done
 
 "$ctl" timeline --address="$(router 1):8082" --html="$out/timeline.html" || echo "time line: code $?"
 judged=0
-"$bench" fleet judge --records="$out/records.jsonl" --services="${services#,}" --samples="$out/samples.jsonl" --out="$out/verdicts.json" || judged=$?
+"$bench" fleet judge --records="$out/records.jsonl" --services="${services#,}" --samples="$out/samples.jsonl" --out="$out/verdicts.json" \
+  --revisions="$out/revisions.jsonl" ${race:+--pushes="$out/pushes"} ${part:+--apart=r1,r2,r3} || judged=$?
 if [ "$graceful" -ne 0 ]; then
   echo "short: a graceful shutdown ends with code 0: $graceful"
   judged=1
