feat: drains and quarantined requests outlive the routers

Cause: an operator's drain was spread once and kept in memory, so routers that started later gave work to the drained server; the quarantine was forgotten when all routers were replaced. A late drain message could undo an undrain.

Pings carry a digest and routers pull what differs. The quarantine list shows the client account.

--- a/hornbeambench/endtoend/fleet_test.go
+++ b/hornbeambench/endtoend/fleet_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -43,11 +44,13 @@
 	service  *plainservice.Service
 	routers  []*daemon.Daemon
 	listed   []instancelist.Instance
+	// stops end the routers and wait for their end.
+	stops map[*daemon.Daemon]func()
 }
 
 func newWorld(t *testing.T, engines, routers int, config modelengine.Config) *world {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	w := &world{t: t, ctx: ctx, platform: platformapi.New()}
+	w := &world{t: t, ctx: ctx, platform: platformapi.New(), stops: map[*daemon.Daemon]func(){}}
 	t.Cleanup(cancel)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -105,10 +108,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
-	w.t.Cleanup(func() {
+	w.stops[d] = sync.OnceFunc(func() {
 		cancel()
 		<-ended
 	})
+	w.t.Cleanup(w.stops[d])
 	<-d.Ready()
 	_, peers, _ := d.Addresses()
 	w.listed = append(w.listed, instancelist.Instance{ID: id, Address: peers, Zone: "z", Role: "router", State: instancelist.Live})
--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -133,6 +133,7 @@
 	begin := time.Now()
 	defer func() {
 		result.Request = c.id
+		result.Account = c.account.Name
 		result.Fingerprint = c.ask.Fingerprint
 		result.Duration = time.Since(begin)
 		c.s.dispatcher.Release(g, result)
--- a/hornbeamd/caller/dispatcher.go
+++ b/hornbeamd/caller/dispatcher.go
@@ -89,8 +89,8 @@
 // Result says how an attempt went.
 type Result struct {
 	Ending Ending
-	// Request and Fingerprint are those of the Ask.
-	Request, Fingerprint string
+	// Request, Account and Fingerprint are those of the Ask.
+	Request, Account, Fingerprint string
 	// Tokens is the number of chunks received. Prompt, Cached and Completion are the tokens that the engine reported, or 0.
 	Tokens, Prompt, Cached, Completion int
 	// First is the time from the grant to the first token, and Duration to the end of the attempt.
--- a/hornbeamd/control/alone.go
+++ b/hornbeamd/control/alone.go
@@ -81,4 +81,4 @@
 func (a *Alone) Isolated() bool { return false }
 
 // Spread implements Peers.
-func (a *Alone) Spread(string, string, quarantine.Crash, time.Time) {}
+func (a *Alone) Spread(string, string, string, quarantine.Crash, time.Time) {}
--- a/hornbeamd/control/crashes.go
+++ b/hornbeamd/control/crashes.go
@@ -89,7 +89,7 @@
 	l.tracked.Lock()
 	entries := l.tracker.Crashed(l.Now(), quarantine.Crash{Engine: g.Backend, Boot: boot}, []string{r.Fingerprint})
 	l.tracked.Unlock()
-	l.spread(entries)
+	l.spread(entries, r.Account)
 }
 
 // crashed reports whether an engine's life with a boot identifier has ended. A slot that was granted before the engine's first
@@ -122,7 +122,7 @@
 }
 
 // spread tells the other routers of suspects and quarantined requests.
-func (l *Loop) spread(entries []quarantine.Entry) {
+func (l *Loop) spread(entries []quarantine.Entry, account string) {
 	for _, e := range entries {
 		kind, text := "suspect", "in flight when an engine crashed"
 		if e.Quarantined {
@@ -132,24 +132,17 @@
 		last := e.Crashes[len(e.Crashes)-1]
 		l.record(timeline.Event{Kind: timeline.Quarantined, Backend: last.Engine, Text: e.Fingerprint + ": " + text})
 		for _, c := range e.Crashes {
-			l.Peers.Spread(kind, e.Fingerprint, c, e.At)
+			l.Peers.Spread(kind, e.Fingerprint, account, c, e.At)
 		}
 	}
 }
 
-// Notice takes what another router spread about a request that crashed an engine.
-func (l *Loop) Notice(kind, fingerprint string, c quarantine.Crash, at time.Time) {
+// Notice takes what other routers know about requests that crashed engines.
+func (l *Loop) Notice(entries []quarantine.Entry) {
 	l.init()
 	l.tracked.Lock()
 	defer l.tracked.Unlock()
-	now := l.Now()
-	if kind == "release" {
-		l.tracker.Release(now, fingerprint)
-		return
-	}
-	l.tracker.Merge(now, []quarantine.Entry{{
-		Fingerprint: fingerprint, Crashes: []quarantine.Crash{c}, At: at, Quarantined: kind == "quarantine",
-	}})
+	l.tracker.Merge(l.Now(), entries)
 }
 
 // boots remembers the engine's life in which each slot was granted, by attempt.
--- a/hornbeamd/control/oversight.go
+++ b/hornbeamd/control/oversight.go
@@ -67,22 +67,19 @@
 	}
 }
 
-// SetDrained takes a backend server out of service on this router, or back, and reports whether it exists. The configuration
-// is the lasting way; this one acts at once and is forgotten when the router is replaced.
+// SetDrained takes a backend server out of service on this router, or back, and reports whether it is in the configuration. A
+// router that starts learns of drains before it has one.
 func (l *Loop) SetDrained(name string, drained bool) bool {
 	return query(l, func(time.Time) bool {
-		b, ok := l.state.policy.Backends[name]
-		if !ok {
-			return false
-		}
+		_, ok := l.state.policy.Backends[name]
 		if drained {
 			l.state.drained[name] = true
 		} else {
 			delete(l.state.drained, name)
 		}
 		l.state.dirty = true
-		l.services.drain(b.Name, drained)
-		return true
+		l.services.drain(name, drained)
+		return ok
 	})
 }
 
@@ -122,15 +119,10 @@
 	return out
 }
 
-// ReleaseFingerprint ends a quarantine here and reports whether there was one.
-func (l *Loop) ReleaseFingerprint(fingerprint string) bool {
+// Quarantines reports whether requests with a fingerprint are refused.
+func (l *Loop) Quarantines(fingerprint string) bool {
 	l.init()
 	l.tracked.Lock()
 	defer l.tracked.Unlock()
-	now := l.Now()
-	if l.tracker.State(now, fingerprint) != quarantine.Quarantined {
-		return false
-	}
-	l.tracker.Release(now, fingerprint)
-	return true
+	return l.tracker.State(l.Now(), fingerprint) == quarantine.Quarantined
 }
--- a/hornbeamd/control/peers.go
+++ b/hornbeamd/control/peers.go
@@ -38,7 +38,7 @@
 	Isolated() bool
 	// Spread tells all routers of a crash suspect, a quarantined request, or a release, as kind says. It returns when those
 	// that can be reached know: the caller may send the request again through any of them as soon as it has its answer.
-	Spread(kind, fingerprint string, c quarantine.Crash, at time.Time)
+	Spread(kind, fingerprint, account string, c quarantine.Crash, at time.Time)
 }
 
 // Address is where callers reach a router.
--- a/hornbeamd/control/services.go
+++ b/hornbeamd/control/services.go
@@ -31,6 +31,8 @@
 	// replicas are sorted by name within a service.
 	replicas map[string][]*replica
 	byName   map[string]*replica
+	// drained are the backend servers that an operator took out of service, whether or not the configuration names them.
+	drained map[string]bool
 }
 
 type replica struct {
@@ -39,8 +41,6 @@
 	calls int
 	// until is when an ejection ends.
 	until time.Time
-	// drained is set by an operator on this router only.
-	drained bool
 }
 
 func (s *services) init() {
@@ -83,7 +83,7 @@
 	ignoreEjection := float64(ejected) > mostEjected*float64(len(all))
 	var best *replica
 	for _, r := range all {
-		if r.backend.State == policy.Leaving || r.drained || slices.Contains(avoid, r.backend.Name) {
+		if r.backend.State == policy.Leaving || s.drained[r.backend.Name] || slices.Contains(avoid, r.backend.Name) {
 			continue
 		}
 		if now.Before(r.until) && !ignoreEjection {
@@ -100,13 +100,18 @@
 	return best.backend, true
 }
 
-// drain takes a replica out of service, or back.
+// drain takes a replica out of service, or back. It holds over a change of the replica's address.
 func (s *services) drain(name string, drained bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r, ok := s.byName[name]; ok {
-		r.drained = drained
+	if !drained {
+		delete(s.drained, name)
+		return
+	}
+	if s.drained == nil {
+		s.drained = map[string]bool{}
 	}
+	s.drained[name] = true
 }
 
 // before orders replicas: below spillAt calls those of the own availability zone come first.
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -22,7 +22,7 @@
 	order []string
 	// local and remote hold the slots that requests of this router have here and of other routers, by attempt.
 	local, remote map[string]slotRef
-	// drained are the backend servers that an operator took out of service on this router only.
+	// drained are the backend servers that an operator took out of service, whether or not the configuration names them.
 	drained map[string]bool
 	// exchanged is when slots were last renewed and loads last sent.
 	exchanged time.Time
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -44,6 +44,7 @@
 	list     *instancelist.HTTP
 	inForce  *history.InForce
 	claims   *claim.Table
+	standing *standing
 	usages   *usages
 	node     *peer.Node
 	loop     *control.Loop
@@ -95,6 +96,7 @@
 	d.list = &instancelist.HTTP{Base: d.Settings.Platform.Instances, Timeout: d.Settings.Platform.Timeout}
 	d.inForce = &history.InForce{}
 	d.claims = &claim.Table{Store: d.store}
+	d.standing = newStanding(d.store, d.Log)
 }
 
 func (d *Daemon) openPeers() error {
@@ -110,15 +112,17 @@
 		}
 		d.node.Keys = keys
 	}
-	peers := &peers{node: d.node, zone: func(engine string) string { return d.loop.Policy().Backends[engine].Zone }}
+	peers := &peers{node: d.node, standing: d.standing, zone: func(engine string) string { return d.loop.Policy().Backends[engine].Zone }}
 	d.loop = &control.Loop{
 		Settings: d.Settings, Peers: peers, Claims: &claims{owner: d.shardOwner, remote: d.node, local: d.claims}, Engine: d.engine, Ring: d.ring, Log: d.Log,
 		Registry: d.registry, InForce: d.inForce,
 	}
-	d.node.Slots = slots{loop: d.loop}
+	d.node.Slots = slots{loop: d.loop, standing: d.standing}
 	d.node.Loads = peers
 	d.node.Revisions = revisions{inForce: d.inForce, loader: &folder.Loader{}}
-	d.node.Notices = notices{loop: d.loop}
+	d.standing.node, d.standing.loop = d.node, d.loop
+	d.node.Notices = d.standing
+	d.node.Agreed = d.standing
 	d.node.Timeline = events{ring: d.ring}
 	d.node.Operator = d
 	d.node.Claims = d.claims
@@ -144,7 +148,7 @@
 func (d *Daemon) openCallers() error {
 	s := d.Settings
 	server, err := caller.New(caller.Options{
-		Dispatcher: d.loop, Registry: d.registry, Log: d.Log,
+		Dispatcher: guard{Loop: d.loop, standing: d.standing}, Registry: d.registry, Log: d.Log,
 		Body: int(s.Caller.Body), Requests: s.Caller.Connections, Connections: 2 * s.Caller.Connections,
 		Heartbeat: s.Caller.Heartbeat, Write: s.Caller.Write, Lifetime: s.Caller.Lifetime, Keep: claim.MaxAnswer,
 		Engine: engine.Options{
@@ -187,7 +191,11 @@
 	group.Go(func() error { return d.node.Run(parts) })
 	group.Go(func() error { return d.loop.Run(parts) })
 	group.Go(func() error { return d.operator.Run(parts) })
-	group.Go(func() error { return d.server.Serve(d.listener) })
+	group.Go(func() error {
+		d.standing.restore(parts)
+		return d.server.Serve(d.listener)
+	})
+	group.Go(func() error { return d.standing.run(parts) })
 	group.Go(func() error { return d.watchConfig(parts) })
 	group.Go(func() error { return d.readInstances(parts) })
 	group.Go(func() error { return d.assign(parts) })
--- a/hornbeamd/daemon/fleet.go
+++ b/hornbeamd/daemon/fleet.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"hornbeamstep.example/coord/agreed"
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/hornbeamd/operator"
 	"hornbeamstep.example/hornbeamd/peer"
@@ -151,26 +152,26 @@
 }
 
 // Drain implements operator.Fleet.
-func (f *fleet) Drain(_ context.Context, target operator.Target) (operator.Drained, error) {
+func (f *fleet) Drain(ctx context.Context, target operator.Target) (operator.Drained, error) {
 	if target.Self {
 		f.daemon.requestStop()
 		return operator.Drained{Target: f.daemon.Settings.ID, State: "draining", Running: f.daemon.server.Active()}, nil
 	}
-	return f.setDrained(target, true)
+	return f.setDrained(ctx, target, true)
 }
 
 // Undrain implements operator.Fleet.
-func (f *fleet) Undrain(_ context.Context, target operator.Target) (operator.Drained, error) {
+func (f *fleet) Undrain(ctx context.Context, target operator.Target) (operator.Drained, error) {
 	if target.Self {
 		return operator.Drained{}, &operator.Error{
 			Code: operator.Conflict, Message: "a daemon that drains can't be taken back", Remedy: "start it again",
 		}
 	}
-	return f.setDrained(target, false)
+	return f.setDrained(ctx, target, false)
 }
 
-func (f *fleet) setDrained(target operator.Target, drained bool) (operator.Drained, error) {
-	if !f.daemon.loop.SetDrained(target.Backend, drained) {
+func (f *fleet) setDrained(ctx context.Context, target operator.Target, drained bool) (operator.Drained, error) {
+	if _, ok := f.daemon.loop.Policy().Backends[target.Backend]; !ok {
 		return operator.Drained{}, &operator.Error{
 			Code: operator.NotFound, Message: fmt.Sprintf("backend server %q is not in the configuration", target.Backend),
 			Remedy: "list the backend servers with hornbeamctl status",
@@ -180,7 +181,7 @@
 	if drained {
 		kind = "drain"
 	}
-	f.daemon.node.Spread(peer.Notice{Kind: kind, Engine: target.Backend, At: time.Now()})
+	f.daemon.standing.decide(ctx, agreed.Drain, target.Backend, drained, target.Reason)
 	f.daemon.ring.Add(timeline.Event{Kind: timeline.Drained, Backend: target.Backend, Text: kind + ": " + target.Reason})
 	state := operator.Drained{Target: target.Backend, State: "service"}
 	if !drained {
@@ -268,18 +269,18 @@
 
 // Quarantine implements operator.Fleet.
 func (f *fleet) Quarantine(context.Context) ([]operator.Quarantined, error) {
-	return f.daemon.loop.Quarantine(), nil
+	return f.daemon.standing.withAccounts(f.daemon.loop.Quarantine()), nil
 }
 
 // Release implements operator.Fleet.
-func (f *fleet) Release(_ context.Context, fingerprint string) error {
-	if !f.daemon.loop.ReleaseFingerprint(fingerprint) {
+func (f *fleet) Release(ctx context.Context, fingerprint string) error {
+	if !f.daemon.loop.Quarantines(fingerprint) {
 		return &operator.Error{
 			Code: operator.NotFound, Message: fmt.Sprintf("fingerprint %q is not quarantined", fingerprint),
 			Remedy: "list the fingerprints with hornbeamctl quarantine list",
 		}
 	}
-	f.daemon.node.Spread(peer.Notice{Kind: "release", Fingerprint: fingerprint, At: time.Now()})
+	f.daemon.standing.decide(ctx, agreed.Quarantine, fingerprint, false, "")
 	return nil
 }
 
--- a/hornbeamd/daemon/peers.go
+++ b/hornbeamd/daemon/peers.go
@@ -32,6 +32,8 @@
 	node *peer.Node
 	// zone returns the availability zone of an engine.
 	zone func(engine string) string
+	// standing outlives this router.
+	standing *standing
 
 	mu   sync.Mutex
 	sums map[string]loadsum.Sum
@@ -172,10 +174,12 @@
 }
 
 // Spread implements control.Peers.
-func (p *peers) Spread(kind, fingerprint string, c quarantine.Crash, at time.Time) {
+func (p *peers) Spread(kind, fingerprint, account string, c quarantine.Crash, at time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), takeLimit)
 	defer cancel()
-	p.node.Tell(ctx, peer.Notice{Kind: kind, Fingerprint: fingerprint, Engine: c.Engine, Boot: c.Boot, At: at})
+	n := peer.Notice{Kind: kind, Fingerprint: fingerprint, Account: account, Engine: c.Engine, Boot: c.Boot, At: at}
+	p.standing.took(toRecord(n))
+	p.node.Tell(ctx, n)
 }
 
 func toCrash(c *quarantine.Crash) *peer.Crash {
@@ -198,10 +202,16 @@
 }
 
 // slots answers other daemons that ask for slots. It implements peer.Slots.
-type slots struct{ loop *control.Loop }
+type slots struct {
+	loop     *control.Loop
+	standing *standing
+}
 
 // Take implements peer.Slots.
 func (s slots) Take(ctx context.Context, from string, ask peer.SlotAsk) (peer.SlotGrant, error) {
+	if err := s.standing.confirm(ctx); err != nil {
+		return peer.SlotGrant{}, err
+	}
 	in := control.SlotAsk{
 		Ask: admission.Ask{
 			Request: ask.Request, Router: from, Account: ask.Account, Class: admission.Class(ask.Class), Weight: ask.Weight,
@@ -262,19 +272,6 @@
 	return lost, nil
 }
 
-// notices hands on what other daemons spread. It implements peer.Notices.
-type notices struct{ loop *control.Loop }
-
-// Notice implements peer.Notices.
-func (n notices) Notice(in peer.Notice) {
-	switch in.Kind {
-	case "drain", "undrain":
-		n.loop.SetDrained(in.Engine, in.Kind == "drain")
-		return
-	}
-	n.loop.Notice(in.Kind, in.Fingerprint, quarantine.Crash{Engine: in.Engine, Boot: in.Boot}, in.At)
-}
-
 // events answers queries of other daemons. It implements peer.Timeline.
 type events struct{ ring *timeline.Ring }
 
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -62,9 +62,11 @@
 
 // Notice is something that every router should know soon.
 type Notice struct {
-	// Kind is "suspect", "quarantine" or "release".
+	// Kind is "suspect", "quarantine", "release", "drain" or "undrain".
 	Kind        string
 	Fingerprint string
+	// Account is that of the request, and Reason the operator's for a drain.
+	Account, Reason string
 	// Engine is the one that crashed and Boot its life, for suspects and quarantine.
 	Engine, Boot string
 	At           time.Time
@@ -119,6 +121,8 @@
 type wireNotice struct {
 	Kind        string    `json:"kind"`
 	Fingerprint string    `json:"print"`
+	Account     string    `json:"account,omitempty"`
+	Reason      string    `json:"reason,omitempty"`
 	Engine      string    `json:"engine,omitempty"`
 	Boot        string    `json:"boot,omitempty"`
 	At          time.Time `json:"time"`
@@ -267,6 +271,8 @@
 		return with(r, n.handleHeld)
 	case r.Method == "note" && n.Contexts != nil:
 		return with(r, n.handleNote)
+	case r.Method == "agreed" && n.Agreed != nil:
+		return with(r, n.handleAgreed)
 	case r.Method == "usage" && n.Usages != nil:
 		return with(r, n.handleUsage)
 	default:
@@ -287,7 +293,8 @@
 		ack, actions := n.loop.members.HandlePing(now, w.ping())
 		n.loop.do(now, actions)
 		n.loop.spread(now, n.loop.revisions.Heard(now, w.From.ID, w.Revision))
-		return fromAck(ack, n.loop.revisions.Revision())
+		n.loop.differs(w.From.ID, w.Agreed)
+		return fromAck(ack, n.loop.revisions.Revision(), n.agreedDigest())
 	})
 }
 
@@ -299,7 +306,7 @@
 		return wireProbed{}, nil
 	}
 	ping, err := ask(ctx, n, func(now time.Time) wirePing {
-		return fromPing(n.loop.members.Relay(now, target), n.loop.revisions.Revision())
+		return fromPing(n.loop.members.Relay(now, target), n.loop.revisions.Revision(), n.agreedDigest())
 	})
 	if err != nil {
 		return wireProbed{}, err
--- a/hornbeamd/peer/loop.go
+++ b/hornbeamd/peer/loop.go
@@ -41,6 +41,7 @@
 	view    *member.View
 	owners  *owner.Snapshot
 	notices notices
+	pulls   pulls
 
 	nextLoad time.Time
 	nextTidy time.Time
@@ -88,7 +89,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), directLimit)
 	defer cancel()
 	for _, a := range l.members.Stop(l.n.Clock()) {
-		_ = l.n.links.notify(ctx, a.To.ID, a.To.Address, "ping", fromPing(a.Ping, l.revisions.Revision()))
+		_ = l.n.links.notify(ctx, a.To.ID, a.To.Address, "ping", fromPing(a.Ping, l.revisions.Revision(), l.n.agreedDigest()))
 	}
 }
 
@@ -274,13 +275,14 @@
 
 func (l *loop) ping(a member.Action) {
 	reply := new(wireAck)
-	l.exchange(a.To, directLimit, "ping", fromPing(a.Ping, l.revisions.Revision()), reply, func(now time.Time, err error) {
+	l.exchange(a.To, directLimit, "ping", fromPing(a.Ping, l.revisions.Revision(), l.n.agreedDigest()), reply, func(now time.Time, err error) {
 		if err != nil {
 			l.do(now, l.members.Failed(now, a.Seq))
 			return
 		}
 		l.do(now, l.members.Acked(now, a.Seq, reply.ack()))
 		l.spread(now, l.revisions.Heard(now, reply.From.ID, reply.Revision))
+		l.differs(reply.From.ID, reply.Agreed)
 	})
 }
 
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -91,6 +91,7 @@
 	Claims    Claims
 	Usages    Usages
 	Contexts  Contexts
+	Agreed    Agreed
 
 	once    sync.Once
 	ready   chan struct{}
--- a/hornbeamd/peer/size.go
+++ b/hornbeamd/peer/size.go
@@ -11,6 +11,9 @@
 	"hornbeamstep.example/coord/member"
 )
 
+// typicalDigest stands for the digest of decisions that outlive routers; its encoding has a fixed length.
+const typicalDigest digest64 = 1
+
 // EncodedSize returns the method of a message of package member or loadsum and its length as a frame between routers, without
 // TLS. It serves models that count control traffic without connections.
 func EncodedSize(message any) (name string, size int, err error) {
@@ -31,9 +34,9 @@
 	}
 	switch m := message.(type) {
 	case member.Ping:
-		return req("ping", fromPing(m, 1))
+		return req("ping", fromPing(m, 1, typicalDigest))
 	case member.Ack:
-		return resp("ping", fromAck(m, 1))
+		return resp("ping", fromAck(m, 1, typicalDigest))
 	case member.Sync:
 		return req("sync", fromSync(m))
 	case member.SyncReply:
--- a/hornbeamd/peer/wire.go
+++ b/hornbeamd/peer/wire.go
@@ -23,7 +23,7 @@
 var methods = map[string]bool{
 	"hello": true, "echo": true, "ping": true, "probe": true, "sync": true, "announce": true, "fetch": true,
 	"slot": true, "free": true, "renew": true, "load": true, "suspect": true, "events": true, "status": true,
-	"claim": true, "finish": true, "usage": true, "held": true, "note": true, "crash": true,
+	"claim": true, "finish": true, "usage": true, "held": true, "note": true, "crash": true, "agreed": true,
 }
 
 func method(name string) string {
@@ -105,11 +105,12 @@
 	Boot     uint64       `json:"boot,omitempty"`
 	Revision int64        `json:"rev,omitempty"`
 	Digest   digest64     `json:"digest"`
+	Agreed   digest64     `json:"agreed,omitempty"`
 	News     []wireMember `json:"news,omitempty"`
 }
 
-func fromPing(p member.Ping, revision int64) wirePing {
-	return wirePing{fromMember(p.From), p.To, p.Boot, revision, digest64(p.Digest), fromMembers(p.Updates)}
+func fromPing(p member.Ping, revision int64, agreed digest64) wirePing {
+	return wirePing{fromMember(p.From), p.To, p.Boot, revision, digest64(p.Digest), agreed, fromMembers(p.Updates)}
 }
 
 func (w wirePing) ping() member.Ping {
@@ -123,12 +124,13 @@
 	From     wireMember   `json:"from"`
 	Revision int64        `json:"rev,omitempty"`
 	Digest   digest64     `json:"digest"`
+	Agreed   digest64     `json:"agreed,omitempty"`
 	News     []wireMember `json:"news,omitempty"`
 	Unknown  bool         `json:"unknown,omitempty"`
 }
 
-func fromAck(a member.Ack, revision int64) wireAck {
-	return wireAck{fromMember(a.From), revision, digest64(a.Digest), fromMembers(a.Updates), a.Unknown}
+func fromAck(a member.Ack, revision int64, agreed digest64) wireAck {
+	return wireAck{fromMember(a.From), revision, digest64(a.Digest), agreed, fromMembers(a.Updates), a.Unknown}
 }
 
 func (w wireAck) ack() member.Ack {
