fix(control): a slow engine is not taken for a crashed one

Cause: after a broken connection the engine was probed for its load report, and any failure of the probe within 500 ms, the deadline too, counted as a crash. Two slow answers could put an innocent request in quarantine. Change: only a refused or reset connection, or another start identity, is a crash. An answer that says neither is probed again, with jitter, until the 500 ms are over, and then counts as alive. The same holds for replicas of plain services.

--- a/hornbeamd/control/crashes.go
+++ b/hornbeamd/control/crashes.go
@@ -2,22 +2,31 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/routing/outcome"
 	"hornbeamstep.example/routing/quarantine"
+	"hornbeamstep.example/routing/retry"
 	"hornbeamstep.example/timeline"
 )
 
 // apart is the code for a suspect that has to wait because another one runs. It never reaches a caller.
 const apart outcome.Code = "apart"
 
-// probeLimit is how long an engine may take to show that it lives after a connection to it broke.
-const probeLimit = 500 * time.Millisecond
+const (
+	// probeLimit is how long an engine may take to show that it lives after a connection to it broke. One that takes longer
+	// is slow: only a refused or reset connection, or another life, is a crash.
+	probeLimit = 500 * time.Millisecond
+	// probePause is the greatest wait before an engine is probed again whose answer says neither.
+	probePause = 50 * time.Millisecond
+)
 
 // quarantined refuses requests that have crashed too many engines.
 func (l *Loop) quarantined(a caller.Ask) *outcome.Error {
@@ -93,34 +102,60 @@
 }
 
 // crashed reports whether an engine's life with a boot identifier has ended. A slot that was granted before the engine's first
-// report has none; then only an engine that does not answer counts.
+// report has none; then only an engine that refuses or resets connections counts.
 func (l *Loop) crashed(name, boot string) bool {
 	b, ok := l.snap.Load().policy.Backends[name]
 	if !ok {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+	defer cancel()
 	if b.Service != "" {
-		return refuses(b.Address)
+		return refuses(ctx, b.Address)
 	}
 	client := l.Engine(b)
 	defer client.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
-	defer cancel()
-	report, err := client.Load(ctx)
-	return err != nil || (boot != "" && report.Boot != boot)
+	wait := retry.Backoff{Base: probePause, Most: probePause}
+	for n := 1; ; n++ {
+		report, err := client.Load(ctx)
+		switch {
+		case err == nil:
+			return boot != "" && report.Boot != boot
+		case dead(err):
+			return true
+		case !pause(ctx, wait.Delay(n, rand.Float64())):
+			return false
+		}
+	}
+}
+
+// dead is true for the failures by which a process shows that it has ended: its connections are refused or reset. A deadline
+// that passes says only that it is slow.
+func dead(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // refuses reports whether a replica of a plain service takes no connections. Services have no boot identifier, so a replica
 // that is back within the time of a call is not taken for crashed.
-func refuses(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, probeLimit)
+func refuses(ctx context.Context, address string) bool {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 	if err != nil {
-		return true
+		return dead(err)
 	}
 	_ = conn.Close()
 	return false
 }
 
+// pause waits and is false if the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // spread tells the other routers of suspects and quarantined requests.
 func (l *Loop) spread(entries []quarantine.Entry) {
 	for _, e := range entries {
