feat(control): health and adaptive limits for replicas of plain services

Cause: a replica that failed one call was avoided for 2 s, whatever else it answered, and came back at once with its whole share. Calls to a replica that answered ever more slowly had no limit. Replicas with equal use were taken by name, so that routers with little traffic all sent to the first one. Change: retry.Health judges the replicas of each service by the calls of this router: two failures in a row or half of six eject, for 2 s at first, at most half of the replicas; one call is let through as a trial, then the share rises over 10 s. retry.Concurrency limits the calls of each replica by the delay until the answer's header, as a smoothed mean, because a service has fast and slow calls. Above it a call is refused as overloaded, not run. Replicas with equal use take turns. In the library: ejections elsewhere count for the cap, requests from before an ejection do not decide the trial, Smooth, Drop, Restart. Figures: TestConcurrencyOfMixedRequests: with 10% of calls 25 times as long, the limit stays at 20; without smoothing it falls below 5. TestFailingReplicaIsEjected: one failing replica of three gets 2 of 100 calls; if all three fail, two stay in use. No count of failing calls before the change was taken; under load it was bounded by one per 2 s and replica.

--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -274,7 +274,7 @@
 	}
 	l.limits.finished(l.Now(), r.Request, int64(r.Prompt-r.Cached+r.Tokens))
 	if g.Pool == "" {
-		l.services.release(l.Now(), g.Backend, r.Ending)
+		l.called(g, r)
 		return
 	}
 	l.send(func(now time.Time) {
--- a/hornbeamd/control/control_test.go
+++ b/hornbeamd/control/control_test.go
@@ -48,10 +48,11 @@
 
 // start runs a loop in a fleet of one router that owns the engines.
 func start(t *testing.T, peers control.Peers) (*control.Loop, *history.InForce) {
-	return startWith(t, peers, fakeEngine{})
+	return startWith(t, peers, fakeEngine{}, nil)
 }
 
-func startWith(t *testing.T, peers control.Peers, e control.Engine) (*control.Loop, *history.InForce) {
+// startWith runs a loop with one client for all engines, and a clock unless it is nil.
+func startWith(t *testing.T, peers control.Peers, e control.Engine, now func() time.Time) (*control.Loop, *history.InForce) {
 	s, err := settings.Default("r1", "z")
 	qt.Assert(t, err, qt.IsNil)
 	force := &history.InForce{}
@@ -59,6 +60,7 @@
 	l := &control.Loop{
 		Settings: s, Peers: peers, InForce: force, Log: zap.NewNop(),
 		Engine: func(policy.Backend) control.Engine { return e },
+		Now:    now,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/hornbeamd/control/crashes_test.go
+++ b/hornbeamd/control/crashes_test.go
@@ -73,7 +73,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			p := &spreading{Alone: alone()}
-			l, _ := startWith(t, p, test.engine)
+			l, _ := startWith(t, p, test.engine, nil)
 			grant, err := l.Admit(t.Context(), ask("q1"))
 			qt.Assert(t, err, qt.IsNil)
 			l.Release(grant, caller.Result{Ending: caller.EndedCrashed, Request: "q1", Fingerprint: "q1"})
--- /dev/null
+++ b/hornbeamd/control/services_test.go
@@ -0,0 +1,75 @@
+package control_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/hornbeamd/caller"
+	"hornbeamstep.example/hornbeamd/control"
+	"hornbeamstep.example/routing/outcome"
+)
+
+func serviceCall(l *control.Loop, t *testing.T, n int) (caller.Grant, caller.Ask, error) {
+	q := ask(fmt.Sprint("call", n))
+	q.Model, q.Service = "", "s"
+	g, err := l.Admit(t.Context(), q)
+	return g, q, err
+}
+
+// Guards against calls to a replica that fails while others work, and against the ejection of most replicas by a fault that all
+// share.
+func TestFailingReplicaIsEjected(t *testing.T) {
+	tests := map[string]struct {
+		bad  map[string]bool
+		most int
+	}{
+		"one replica": {map[string]bool{"s1": true}, 2},
+		"all of them": {map[string]bool{"s1": true, "s2": true, "s3": true}, 100},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			l, _ := startWith(t, alone(), fakeEngine{}, func() time.Time { return now })
+			failed, used := 0, map[string]bool{}
+			for i := range 100 {
+				g, q, err := serviceCall(l, t, i)
+				qt.Assert(t, err, qt.IsNil)
+				r := caller.Result{Ending: caller.EndedOK, Request: q.Request, First: time.Millisecond}
+				if test.bad[g.Backend] {
+					r.Ending = caller.EndedTimedOut
+					failed++
+				}
+				l.Release(g, r)
+				if i >= 50 {
+					used[g.Backend] = true
+				}
+			}
+			qt.Check(t, failed <= test.most, qt.IsTrue, qt.Commentf("%d calls failed", failed))
+			// Two of three remain in use, whatever fails.
+			qt.Check(t, len(used), qt.Equals, 2, qt.Commentf("%v", used))
+		})
+	}
+}
+
+// Guards against calls without end to replicas that do not answer, and against a refusal that is not marked as not run.
+func TestCallsAreLimited(t *testing.T) {
+	l, _ := start(t, alone())
+	started := 0
+	for ; started < 1000; started++ {
+		_, _, err := serviceCall(l, t, started)
+		if err == nil {
+			continue
+		}
+		var refused *outcome.Error
+		qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+		qt.Check(t, refused.Code, qt.Equals, outcome.Overloaded)
+		qt.Check(t, refused.Outcome, qt.Equals, outcome.NotRun)
+		break
+	}
+	// The class of the calls is urgent, so that three replicas take three times the first limit.
+	qt.Check(t, started, qt.Equals, 3*64)
+}
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -91,7 +91,7 @@
 		}
 	}
 	l.state.order = slices.Sorted(maps.Keys(l.state.engines))
-	l.services.apply(current.Policy)
+	l.services.apply(l.Now(), current.Policy)
 	l.limits.apply(current.Policy)
 	l.enterForce(current)
 }
--- a/routing/retry/concurrency.go
+++ b/routing/retry/concurrency.go
@@ -12,11 +12,14 @@
 	Shrink float64
 	// Memory is the time after which the shortest delay is measured anew when little is in flight.
 	Memory time.Duration
+	// Smooth is the weight of the latest delay in the mean that is compared, in (0,1]. With 1 each delay counts alone, which
+	// takes a slow kind of request among fast ones for an overload.
+	Smooth float64
 }
 
 // DefaultConcurrency returns the default settings.
 func DefaultConcurrency() ConcurrencySettings {
-	return ConcurrencySettings{Least: 1, Most: 1024, Slack: 2, Shrink: 0.9, Memory: time.Minute}
+	return ConcurrencySettings{Least: 1, Most: 1024, Slack: 2, Shrink: 0.9, Memory: time.Minute, Smooth: 1}
 }
 
 // Concurrency is a limit of requests in flight that follows the measured delay: it grows by one for each limit's worth of
@@ -26,6 +29,8 @@
 	limit    float64
 	flight   int
 	shortest time.Duration
+	// mean is the smoothed delay of good answers; 0 before the first.
+	mean     time.Duration
 	measured time.Time
 	// shrunk is when the limit last fell; requests that started before are not counted again.
 	shrunk time.Time
@@ -56,7 +61,7 @@
 func (c *Concurrency) End(now, started time.Time, ok bool) {
 	busy := c.flight
 	c.flight = max(0, c.flight-1)
-	delay := now.Sub(started)
+	delay := c.smoothed(now.Sub(started), ok)
 	// A new shortest delay is only taken for longer than the old one while little is in flight: measured under overload, it
 	// would make the overload look normal.
 	idle := now.Sub(c.measured) > c.settings.Memory && float64(busy) <= c.limit/4
@@ -75,3 +80,16 @@
 		c.shrunk = now
 	}
 }
+
+// Drop ends a request that started and whose outcome tells nothing of the server's load.
+func (c *Concurrency) Drop() { c.flight = max(0, c.flight-1) }
+
+// smoothed returns the mean delay with a further one. A failure ends early or at a deadline, so its delay does not count.
+func (c *Concurrency) smoothed(delay time.Duration, ok bool) time.Duration {
+	if c.mean == 0 || c.settings.Smooth >= 1 || c.settings.Smooth <= 0 {
+		c.mean = delay
+	} else if ok {
+		c.mean += time.Duration(c.settings.Smooth * float64(delay-c.mean))
+	}
+	return c.mean
+}
--- a/routing/retry/health.go
+++ b/routing/retry/health.go
@@ -49,6 +49,8 @@
 type Health struct {
 	settings HealthSettings
 	servers  map[string]*server
+	// elsewhere is the number of servers that others have ejected.
+	elsewhere int
 }
 
 type server struct {
@@ -86,6 +88,18 @@
 	}
 }
 
+// SetElsewhere takes the number of the pool's servers that others have taken out of service, for the cap. It is for pools whose
+// servers are judged in several places.
+func (h *Health) SetElsewhere(n int) { h.elsewhere = max(0, n) }
+
+// Restart begins a slow start of a server that lost its state. What it did before does not count, except for an ejection.
+func (h *Health) Restart(now time.Time, id string) {
+	if s := h.servers[id]; s != nil {
+		s.since, s.window = now, now
+		s.ok, s.failed, s.consecutive = 0, 0, 0
+	}
+}
+
 // Circuit returns the state of a server's circuit. Unknown servers are Closed.
 func (h *Health) Circuit(now time.Time, id string) Circuit {
 	s := h.servers[id]
@@ -124,28 +138,37 @@
 	if now.Sub(s.window) >= h.settings.Window {
 		s.window, s.ok, s.failed = now, 0, 0
 	}
+	if s.open {
+		return h.tried(now, s, ok)
+	}
 	if ok {
 		s.ok++
 		s.consecutive = 0
-		if s.open && !now.Before(s.until) {
-			h.restore(now, s)
+		if now.Sub(s.since) >= h.settings.MostEject {
+			s.ejections = 0
 		}
 		return false
 	}
 	s.failed++
 	s.consecutive++
-	if s.open {
-		if now.Before(s.until) {
-			return false
-		}
-		return h.eject(now, s)
-	}
 	n := s.ok + s.failed
 	bad := n >= h.settings.Least && float64(s.failed) >= h.settings.Failures*float64(n)
 	if !bad && s.consecutive < h.settings.Consecutive {
 		return false
 	}
-	if float64(h.ejected()+1) > h.settings.Cap*float64(len(h.servers)) {
+	if float64(h.ejected()+h.elsewhere+1) > h.settings.Cap*float64(len(h.servers)) {
+		return false
+	}
+	return h.eject(now, s)
+}
+
+// tried takes an outcome while the circuit is not closed. One of a request that began before the trial decides nothing.
+func (h *Health) tried(now time.Time, s *server, ok bool) bool {
+	switch {
+	case s.trial.IsZero():
+		return false
+	case ok:
+		h.restore(now, s)
 		return false
 	}
 	return h.eject(now, s)
@@ -201,5 +224,5 @@
 
 func (h *Health) restore(now time.Time, s *server) {
 	s.open, s.trial, s.since = false, time.Time{}, now
-	s.window, s.ok, s.failed = now, 0, 0
+	s.window, s.ok, s.failed, s.consecutive = now, 0, 0, 0
 }
--- a/routing/retry/retry_test.go
+++ b/routing/retry/retry_test.go
@@ -70,6 +70,51 @@
 	qt.Assert(t, h.Ejected(), qt.HasLen, 3)
 }
 
+// Guards against ejections above the cap by judges who each see a part of the pool, and against a request from before the
+// ejection that decides in place of the trial.
+func TestEjectionBySeveralJudges(t *testing.T) {
+	h, _ := pool(10)
+	fail := func(now time.Time, id string) (out bool) {
+		for range 5 {
+			out = h.Record(now, id, false)
+		}
+		return out
+	}
+	h.SetElsewhere(3)
+	qt.Assert(t, fail(at(0), "s0"), qt.IsFalse)
+	h.SetElsewhere(2)
+	qt.Assert(t, h.Record(at(0), "s0", false), qt.IsTrue)
+	h.Record(at(6), "s0", true)
+	qt.Assert(t, h.Circuit(at(6), "s0"), qt.Equals, retry.Half)
+	h.Allow(at(6), "s0")
+	h.Record(at(6), "s0", true)
+	qt.Assert(t, h.Circuit(at(6), "s0"), qt.Equals, retry.Closed)
+	// After a minute without an ejection, the next one is as short as the first.
+	h.Record(at(70), "s0", true)
+	qt.Assert(t, fail(at(70), "s0"), qt.IsTrue)
+	qt.Assert(t, h.Circuit(at(75), "s0"), qt.Equals, retry.Half)
+}
+
+// Guards against a slow kind of request among fast ones that is taken for an overload, and pulls the limit down.
+func TestConcurrencyOfMixedRequests(t *testing.T) {
+	limit := func(smooth float64) float64 {
+		s := retry.DefaultConcurrency()
+		s.Smooth, s.Slack = smooth, 4
+		c := retry.NewConcurrency(s, 20)
+		for i := range 2000 {
+			c.Start(0)
+			delay := 0.002
+			if i%10 == 0 {
+				delay = 0.05
+			}
+			c.End(at(float64(i)+delay), at(float64(i)), true)
+		}
+		return c.Limit()
+	}
+	qt.Assert(t, limit(1.0/32), qt.Equals, 20.0)
+	qt.Assert(t, limit(1) < 5, qt.IsTrue)
+}
+
 // Guards against a limit that ignores the delay, and against shedding of the wrong class.
 func TestConcurrencyFollowsDelay(t *testing.T) {
 	c := retry.NewConcurrency(retry.DefaultConcurrency(), 20)
