feat(control): engines that fail or are far slower than their pool are ejected by their owner

Cause: an engine that answered its load reports stayed in service however slow its answers were, or however many failed; a time-out kept one router away for 2 s, and the owner's next report ended that at the owner. Change: each router tells the owner of an engine, with the slot that it frees, whether the answer was good, slow or failed. Slow is more than three times the median time between tokens of the pool, as that router sees it. The owner runs retry.Health over the pool: five bad answers in a row or half of six in 10 s eject, at most a third of the pool, counted over all owners by the pool's sum of loads; then one trial, and slow start after joining, restarting or returning. The others learn of it by the refusal of a slot.

--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -142,7 +142,7 @@
 	result, failure = try(ctx, g, id)
 	if failure != nil {
 		result.Ending = ending(failure)
-		result.Retry = failure.Retry
+		result.Retry, result.Status = failure.Retry, failure.Status
 	}
 	return failure
 }
--- a/hornbeamd/caller/chat.go
+++ b/hornbeamd/caller/chat.go
@@ -123,7 +123,11 @@
 	result := Result{Ending: EndedOK}
 	begin := time.Now()
 	for {
+		asked := time.Now()
 		chunk, err := from.next()
+		if result.Tokens > 0 {
+			result.Paced += time.Since(asked)
+		}
 		if errors.Is(err, engine.ErrEnd) {
 			if err = to.end(); err != nil {
 				return result, callerGone(err)
--- a/hornbeamd/caller/dispatcher.go
+++ b/hornbeamd/caller/dispatcher.go
@@ -95,6 +95,11 @@
 	Tokens, Prompt, Cached, Completion int
 	// First is the time from the grant to the first token, and Duration to the end of the attempt.
 	First, Duration time.Duration
+	// Paced is the part of Duration that was spent waiting for the tokens behind the first; a caller that reads slowly does not
+	// count.
+	Paced time.Duration
+	// Status is the HTTP status with which the backend server failed; 0 if there was none.
+	Status int
 	// Retry is the time to come back that a refusal named, or 0.
 	Retry time.Duration
 	// Resumes is the number of times that the stream was resumed.
--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -277,10 +277,11 @@
 		l.called(g, r)
 		return
 	}
+	v := l.verdict(g.Pool, r)
 	l.send(func(now time.Time) {
-		l.freed(g.Slot, now)
-		switch r.Ending {
-		case caller.EndedUnreachable, caller.EndedTimedOut:
+		l.freed(g.Slot, v, now)
+		// No connection is a sign that the engine is gone; time-outs are left to its health.
+		if r.Ending == caller.EndedUnreachable {
 			l.failed(g.Backend, now)
 		}
 	})
--- a/hornbeamd/control/alone.go
+++ b/hornbeamd/control/alone.go
@@ -49,7 +49,7 @@
 }
 
 // Free implements Peers.
-func (a *Alone) Free(string, string, uint64) {}
+func (a *Alone) Free(string, string, uint64, Verdict) {}
 
 // Held implements Peers.
 func (a *Alone) Held(context.Context, string, uint64) (string, error) { return "", errAlone }
--- a/hornbeamd/control/control.go
+++ b/hornbeamd/control/control.go
@@ -77,6 +77,7 @@
 	services services
 	limits   limits
 	retries  retries
+	paces    paces
 
 	// tracked guards tracker, the suspects and quarantined requests that this router knows.
 	tracked sync.Mutex
--- a/hornbeamd/control/engines.go
+++ b/hornbeamd/control/engines.go
@@ -42,6 +42,7 @@
 		if e.gate != nil && e.stopPoll == nil {
 			l.startPoll(ctx, e)
 		}
+		l.refreshHealth(e, now)
 		if e.gate == nil && e.health == placement.Suspect && !now.Before(e.until) {
 			l.setHealth(e, placement.InService, "time of suspicion is over")
 		}
@@ -215,6 +216,9 @@
 	e.mean = loadsum.Sum{}
 	e.gate = admission.Takeover(now, gateSettings(e.pool))
 	l.memory.drop(e.backend.Name)
+	if h := l.state.health[e.backend.Pool]; h != nil {
+		h.Restart(now, e.backend.Name)
+	}
 	l.record(timeline.Event{Kind: timeline.Member, Backend: e.backend.Name, Text: "engine restarted"})
 }
 
@@ -237,12 +241,14 @@
 
 // failed takes a failure that a request met on an engine. A poll by the owner decides soon; until then requests go elsewhere.
 func (l *Loop) failed(name string, now time.Time) {
-	e, ok := l.state.engines[name]
-	if !ok {
-		return
+	if e, ok := l.state.engines[name]; ok {
+		l.suspect(e, now, "a request failed")
 	}
+}
+
+func (l *Loop) suspect(e *engineState, now time.Time, why string) {
 	e.until = now.Add(hearsay)
-	l.setHealth(e, placement.Suspect, "a request failed")
+	l.setHealth(e, placement.Suspect, why)
 }
 
 // carryOut answers the requests that a gate has decided about.
@@ -268,5 +274,5 @@
 
 // takesWork is false for engines that get no new request from their owner.
 func (l *Loop) takesWork(e *engineState) bool {
-	return e.health == placement.InService && e.backend.State != policy.Leaving && !l.state.drained[e.backend.Name]
+	return e.health == placement.InService && !e.ejected && e.backend.State != policy.Leaving && !l.state.drained[e.backend.Name]
 }
--- a/hornbeamd/control/oversight.go
+++ b/hornbeamd/control/oversight.go
@@ -55,6 +55,9 @@
 	if e.health == placement.Suspect && e.backend.State != policy.Leaving {
 		view.State = "suspect"
 	}
+	if e.ejected {
+		view.State = "ejected"
+	}
 	if e.gate == nil {
 		return
 	}
--- a/hornbeamd/control/peers.go
+++ b/hornbeamd/control/peers.go
@@ -23,8 +23,8 @@
 	Deputy(engine string, silent []string) string
 	// Renew extends slots and returns those that the owner no longer knows.
 	Renew(ctx context.Context, router, engine string, slots []uint64) ([]uint64, error)
-	// Free returns a slot. A message that is lost is made up for by the slot's expiry.
-	Free(router, engine string, slot uint64)
+	// Free returns a slot and tells the owner what its request showed of the engine. A message that is lost is made up for by the slot's expiry.
+	Free(router, engine string, slot uint64, v Verdict)
 	// Held asks the owner of a chat's home which engine holds the context; empty for the home. Note tells it.
 	Held(ctx context.Context, router string, key uint64) (string, error)
 	Note(router string, key uint64, engine string)
@@ -84,6 +84,8 @@
 			if a.Kind == admission.Granted {
 				slot := slotRef{router: router, engine: engine, slot: a.Slot.ID}
 				l.send(func(time.Time) { l.state.remote[ask.Request] = slot })
+			} else if a.Code == outcome.NoBackend {
+				l.send(func(now time.Time) { l.shunned(engine, now) })
 			}
 			return a
 		}
@@ -153,6 +155,7 @@
 		// A gate follows its own load since the last new mean, so the same one is not given twice.
 		if sum, ok := l.Peers.Mean(e.backend.Pool); ok && sum.Count > 0 && sum != e.mean {
 			e.mean = sum
+			l.outOfService(e.backend.Pool, sum.Count)
 			l.carryOut(e, e.gate.Mean(now, admission.Mean{Load: sum.Mean(), Engines: sum.Count}))
 		}
 	}
@@ -190,13 +193,13 @@
 }
 
 // freed returns the slot of a request that has ended, wherever it came from.
-func (l *Loop) freed(request string, now time.Time) {
+func (l *Loop) freed(request string, v Verdict, now time.Time) {
 	if s, ok := l.state.local[request]; ok {
 		delete(l.state.local, request)
-		l.free(s.engine, s.slot, now)
+		l.free(s.engine, s.slot, v, now)
 	}
 	if s, ok := l.state.remote[request]; ok {
 		delete(l.state.remote, request)
-		go l.Peers.Free(s.router, s.engine, s.slot)
+		go l.Peers.Free(s.router, s.engine, s.slot, v)
 	}
 }
--- a/hornbeamd/control/slots.go
+++ b/hornbeamd/control/slots.go
@@ -86,12 +86,16 @@
 			return
 		}
 	}
+	if a, spared := l.spare(e, ask, now); spared {
+		answer <- a
+		return
+	}
 	if code := l.mayStart(now, name, ask); code != "" {
 		answer <- refuse(ask, code)
 		return
 	}
 	// A suspect does not wait: while it did, no other suspect could use the engine.
-	ask.NoQueue = ask.NoQueue || ask.Suspect != nil
+	ask.NoQueue = ask.NoQueue || ask.Suspect != nil || l.trial(e, now)
 	a := e.gate.Offer(now, ask.Ask)
 	if a.Kind == admission.Queued {
 		e.waiters[ask.Request] = waiter{answer: answer, ask: ask}
@@ -167,7 +171,7 @@
 	select {
 	case a := <-answer:
 		if a.Kind == admission.Granted {
-			l.free(name, a.Slot.ID, now)
+			l.free(name, a.Slot.ID, "", now)
 		}
 		return
 	default:
@@ -183,12 +187,12 @@
 	}
 }
 
-// Free returns a slot on an engine that this router owns.
-func (l *Loop) Free(name string, slot uint64) {
-	l.send(func(now time.Time) { l.free(name, slot, now) })
+// Free returns a slot on an engine that this router owns, with what its request showed of the engine.
+func (l *Loop) Free(name string, slot uint64, v Verdict) {
+	l.send(func(now time.Time) { l.free(name, slot, v, now) })
 }
 
-func (l *Loop) free(name string, slot uint64, now time.Time) {
+func (l *Loop) free(name string, slot uint64, v Verdict, now time.Time) {
 	e, ok := l.state.engines[name]
 	if ok && slot&shareBit != 0 && e.share != nil {
 		e.share.Release(slot &^ shareBit)
@@ -198,6 +202,7 @@
 		return
 	}
 	l.forget(e, slot)
+	l.judge(e, v, now)
 	l.carryOut(e, e.gate.Release(now, slot))
 }
 
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -11,6 +11,7 @@
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/routing/admission"
 	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/routing/retry"
 )
 
 // state is the control state. Only the goroutine of Loop.Run touches it.
@@ -20,6 +21,8 @@
 	engines  map[string]*engineState
 	// order holds the keys of engines, sorted, so that runs do not depend on the order of a map.
 	order []string
+	// health judges the owned engines, by pool; the others of a pool count for the cap on ejections.
+	health map[string]*retry.Health
 	// local and remote hold the slots that requests of this router have here and of other routers, by attempt.
 	local, remote map[string]slotRef
 	// drained are the backend servers that an operator took out of service on this router only.
@@ -37,6 +40,8 @@
 	pool    policy.Pool
 	// health is InService or Suspect, by the owner's polls and by what requests met.
 	health placement.State
+	// ejected is true while the health of an owned engine keeps all requests away from it.
+	ejected bool
 	// until is when a suspicion that this router learned from requests alone ends; zero for none.
 	until time.Time
 	// failures counts the polls that failed in a row.
@@ -64,6 +69,7 @@
 func newState() state {
 	return state{
 		engines: map[string]*engineState{},
+		health:  map[string]*retry.Health{},
 		local:   map[string]slotRef{},
 		remote:  map[string]slotRef{},
 		drained: map[string]bool{},
@@ -91,6 +97,7 @@
 		}
 	}
 	l.state.order = slices.Sorted(maps.Keys(l.state.engines))
+	l.setServers(l.Now(), current.Policy)
 	l.services.apply(l.Now(), current.Policy)
 	l.limits.apply(current.Policy)
 	l.enterForce(current)
@@ -117,6 +124,9 @@
 	if e.backend.State == policy.Leaving || s.drained[e.backend.Name] {
 		return placement.Leaving
 	}
+	if e.ejected {
+		return placement.Suspect
+	}
 	return e.health
 }
 
--- a/hornbeamd/daemon/peers.go
+++ b/hornbeamd/daemon/peers.go
@@ -107,11 +107,11 @@
 }
 
 // Free implements control.Peers.
-func (p *peers) Free(router, engine string, slot uint64) {
+func (p *peers) Free(router, engine string, slot uint64, v control.Verdict) {
 	ctx, cancel := context.WithTimeout(context.Background(), takeLimit)
 	defer cancel()
 	// A slot that could not be freed expires.
-	_ = p.node.Free(ctx, router, []string{slotName(engine, slot)})
+	_ = p.node.Free(ctx, router, []string{slotName(engine, slot)}, string(v))
 }
 
 // Held implements control.Peers.
@@ -232,13 +232,13 @@
 }
 
 // Free implements peer.Slots.
-func (s slots) Free(_ context.Context, _ string, names []string) error {
+func (s slots) Free(_ context.Context, _ string, names []string, verdict string) error {
 	for _, name := range names {
 		engine, id, err := parseSlot(name)
 		if err != nil {
 			return err
 		}
-		s.loop.Free(engine, id)
+		s.loop.Free(engine, id, control.Verdict(verdict))
 	}
 	return nil
 }
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -110,6 +110,8 @@
 type wireSlots struct {
 	From  string   `json:"from"`
 	Slots []string `json:"slots"`
+	// Verdict is only sent with freed slots.
+	Verdict string `json:"verdict,omitempty"`
 }
 
 type wireLost struct {
@@ -245,7 +247,7 @@
 			return wireGrant{g.Slot, g.Lease.Milliseconds(), g.Boot, g.Held}, err
 		})
 	case r.Method == "free" && n.Slots != nil:
-		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Free(ctx, w.From, w.Slots) })
+		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Free(ctx, w.From, w.Slots, w.Verdict) })
 	case r.Method == "renew" && n.Slots != nil:
 		return with(r, func(w wireSlots) (wireLost, error) {
 			lost, err := n.Slots.Renew(ctx, w.From, w.Slots)
@@ -385,12 +387,12 @@
 	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond, w.Boot, w.Held}, err
 }
 
-// Free returns slots to the owner that granted them.
-func (n *Node) Free(ctx context.Context, router string, slots []string) error {
+// Free returns slots to the owner that granted them, with a verdict on the engine.
+func (n *Node) Free(ctx context.Context, router string, slots []string, verdict string) error {
 	if router == n.ID && n.Slots != nil {
-		return n.Slots.Free(ctx, n.ID, slots)
+		return n.Slots.Free(ctx, n.ID, slots, verdict)
 	}
-	return n.send(ctx, router, "free", wireSlots{n.ID, slots}, nil)
+	return n.send(ctx, router, "free", wireSlots{n.ID, slots, verdict}, nil)
 }
 
 // Renew renews the leases of slots in a group and returns those that are lost.
@@ -399,7 +401,7 @@
 		return n.Slots.Renew(ctx, n.ID, slots)
 	}
 	var w wireLost
-	err := n.send(ctx, router, "renew", wireSlots{n.ID, slots}, &w)
+	err := n.send(ctx, router, "renew", wireSlots{From: n.ID, Slots: slots}, &w)
 	return w.Lost, err
 }
 
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -23,7 +23,8 @@
 // Slots grants slots on the engines that this router owns. Refusals are *outcome.Error and reach the asking router as such.
 type Slots interface {
 	Take(ctx context.Context, from string, ask SlotAsk) (SlotGrant, error)
-	Free(ctx context.Context, from string, slots []string) error
+	// Free takes slots back. The verdict says what their requests showed of the engine: "ok", "slow", "failed" or nothing.
+	Free(ctx context.Context, from string, slots []string, verdict string) error
 	// Renew returns the slots that are no longer held.
 	Renew(ctx context.Context, from string, slots []string) (lost []string, err error)
 }
--- a/hornbeamd/peer/peer_test.go
+++ b/hornbeamd/peer/peer_test.go
@@ -88,7 +88,7 @@
 	return peer.SlotGrant{Slot: from + "/" + a.Request, Lease: 10 * time.Second}, nil
 }
 
-func (f *fake) Free(_ context.Context, _ string, slots []string) error {
+func (f *fake) Free(_ context.Context, _ string, slots []string, _ string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.freed = append(f.freed, slots...)
@@ -205,7 +205,7 @@
 	var refused *outcome.Error
 	c.Assert(errors.As(err, &refused), quicktest.IsTrue)
 	c.Assert(refused.Retry, quicktest.Equals, time.Second)
-	c.Assert(f.nodes[0].Free(ctx, "r2", []string{"a"}), quicktest.IsNil)
+	c.Assert(f.nodes[0].Free(ctx, "r2", []string{"a"}, ""), quicktest.IsNil)
 	lost, err := f.nodes[0].Renew(ctx, "r2", []string{"a", "b"})
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(lost, quicktest.DeepEquals, []string{"b"})
--- a/routing/retry/health.go
+++ b/routing/retry/health.go
@@ -190,6 +190,9 @@
 	return max(0.1, float64(age)/float64(h.settings.SlowStart))
 }
 
+// Len returns the number of servers.
+func (h *Health) Len() int { return len(h.servers) }
+
 // Ejected returns the servers that are ejected or on trial, the longest ejected first.
 func (h *Health) Ejected() []string {
 	var ids []string
