refactor(control): jittered backoff before asking again, and one function for waiting

Cause: requests that were refused together asked again together after 50 ms, and went on every 50 ms. coord/lease, coord/order and the daemon each had a wait of their own. A returning chat waited 500 ms for the context's owner even if it was known to be silent. Change: retry.Backoff (80 ms doubling to 400 ms, full jitter) where a request waits for room, another suspect or an owner; the limit for an owner is now 5 s by the clock in place of 100 turns. coord/pause replaces four functions; a change of the desired state that met another one is repeated after a random time in place of 10 ms. The claim log is left: it waits for its pace, a rate. Silent owners are not asked for a context. Requests for a slot already go to the deputy of a silent owner (remote), so nothing was changed there. The time that a request queues at one engine (requeue) is no wait before asking again and stays as it is. Figures: TestSilentOwnerIsNotAskedForTheContext: one lookup for three requests; the time of a request was not measured.

--- a/coord/lease/holder.go
+++ b/coord/lease/holder.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/platform/objectapi"
 )
 
@@ -222,8 +223,8 @@
 			// An earlier write of this process, given up by its caller, took effect late.
 			o.Version = now.Version
 		}
-		if err := sleep(ctx, h.term()/100); err != nil {
-			return 0, err
+		if err := pause.For(ctx, h.term()/100); err != nil {
+			return 0, &objectapi.UnavailableError{Cause: err}
 		}
 	}
 }
@@ -259,14 +260,3 @@
 	}
 	return DefaultGap
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return &objectapi.UnavailableError{Cause: ctx.Err()}
-	}
-}
--- a/coord/order/keeper.go
+++ b/coord/order/keeper.go
@@ -4,14 +4,19 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
 
 	"hornbeamstep.example/coord/lease"
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/platform/objectapi"
 )
 
+// setPause is the greatest wait before a change of the desired state is repeated that met another one.
+const setPause = 20 * time.Millisecond
+
 // Lease is this router's lease.
 type Lease interface {
 	// Valid returns nil if the lease is held now.
@@ -90,7 +95,7 @@
 		if !errors.As(err, &conflict) {
 			return err
 		}
-		if err := sleep(ctx, 10*time.Millisecond); err != nil {
+		if err := pause.For(ctx, rand.N(setPause)); err != nil {
 			return err
 		}
 	}
@@ -296,7 +301,7 @@
 			}
 			return o, w, &SupersededError{Engine: t.Name}
 		}
-		if err := sleep(ctx, 100*time.Millisecond); err != nil {
+		if err := pause.For(ctx, 100*time.Millisecond); err != nil {
 			return o, w, err
 		}
 	}
--- a/coord/order/rate.go
+++ b/coord/order/rate.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/platform/objectapi"
 )
 
@@ -40,7 +41,7 @@
 		if err != nil {
 			return err
 		}
-		if err := sleep(ctx, r.Interval); err != nil {
+		if err := pause.For(ctx, r.Interval); err != nil {
 			return err
 		}
 		o.Value = []byte(r.Router)
@@ -52,14 +53,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/routing/admission"
 	"hornbeamstep.example/routing/outcome"
 	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/routing/retry"
 	"hornbeamstep.example/timeline"
 )
 
@@ -22,16 +26,18 @@
 	// so that requests which wait long do not fill the links with questions.
 	requeue     = 30 * time.Millisecond
 	mostDoubled = 5
-	// turnWait is the time after which a request asks again that has to wait for another one or for a new owner, and
-	// mostMoves bounds the wait for an owner to the 5 s in which a lost router is suspected.
-	turnWait  = 50 * time.Millisecond
-	mostMoves = 100
+	// moveWait is how long a request waits for a new owner: the time in which a lost router is suspected.
+	moveWait = 5 * time.Second
 	// outageWait is how long a request waits while no engine takes work; suspicion by hearsay ends sooner.
 	outageWait = 3 * time.Second
 	// comeBack is the time after which a caller is asked to repeat a request that met no engine in service.
 	comeBack = 2 * time.Second
 )
 
+// turnWait is the wait before a request asks again that has to wait for another one, for room or for a new owner. Its jitter
+// keeps requests that were refused together from asking together.
+var turnWait = retry.Backoff{Base: 80 * time.Millisecond, Most: 400 * time.Millisecond}
+
 // Admit implements caller.Dispatcher.
 func (l *Loop) Admit(ctx context.Context, a caller.Ask) (caller.Grant, error) {
 	if e := l.admissible(a); e != nil {
@@ -113,8 +119,10 @@
 	walk *placement.Walk
 	// found is true once the owner of the home was asked where the context is.
 	found bool
-	// moves counts the refusals because ownership moved, and waits those after a wait in a queue.
-	moves, waits int
+	// turns counts the waits before asking again, and waits the refusals after a wait in a queue.
+	turns, waits int
+	// moved is when the owner was first found to have changed; zero if it was not.
+	moved time.Time
 }
 
 func (l *Loop) begin(a caller.Ask) *attempt {
@@ -143,7 +151,14 @@
 	}
 	p.found = true
 	owner := l.Peers.Owners().Engine(step.Home)
+	// A silent owner is not asked: the lookup saves a cache miss at most, and would cost its time limit.
+	if slices.Contains(l.silent.list(l.Now()), owner) {
+		return false
+	}
 	held, err := l.Peers.Held(ctx, owner, p.key)
+	if err != nil && ctx.Err() == nil && owner != l.Settings.ID {
+		l.silent.add(l.Now(), owner)
+	}
 	if err != nil || held == "" {
 		return false
 	}
@@ -199,18 +214,19 @@
 // request has to give up.
 func (l *Loop) waitTurn(ctx context.Context, p *attempt, code outcome.Code) bool {
 	if code == notOwner {
-		p.moves++
-		if p.moves > mostMoves {
+		if p.moved.IsZero() {
+			p.moved = l.Now()
+		}
+		if l.Now().Sub(p.moved) > moveWait {
 			return false
 		}
 	}
-	select {
-	case <-ctx.Done():
+	p.turns++
+	if pause.For(ctx, turnWait.Delay(p.turns, rand.Float64())) != nil {
 		return false
-	case <-time.After(turnWait):
-		l.look(p)
-		return true
 	}
+	l.look(p)
+	return true
 }
 
 // waitEngine waits for an engine to come back into service: after a crash several may be suspect until their next report.
--- a/hornbeamd/control/crashes.go
+++ b/hornbeamd/control/crashes.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/routing/outcome"
 	"hornbeamstep.example/routing/quarantine"
@@ -123,7 +124,7 @@
 			return boot != "" && report.Boot != boot
 		case dead(err):
 			return true
-		case !pause(ctx, wait.Delay(n, rand.Float64())):
+		case pause.For(ctx, wait.Delay(n, rand.Float64())) != nil:
 			return false
 		}
 	}
@@ -146,16 +147,6 @@
 	return false
 }
 
-// pause waits and is false if the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // spread tells the other routers of suspects and quarantined requests.
 func (l *Loop) spread(entries []quarantine.Entry) {
 	for _, e := range entries {
--- /dev/null
+++ b/hornbeamd/control/silent_test.go
@@ -0,0 +1,57 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/hornbeamd/control"
+	"hornbeamstep.example/policy"
+)
+
+// mute is a fleet in which no owner answers and another router stands in.
+type mute struct {
+	parted
+
+	lookups int
+}
+
+func (m *mute) Owners() *owner.Snapshot {
+	return owner.Compute(owner.Input{
+		Self: "r1", Routers: []owner.Router{{ID: "lost", Zone: "z"}},
+		Engines: []owner.Engine{{ID: "e1", Zone: "z"}, {ID: "e2", Zone: "z"}},
+	}).WithTrust(true)
+}
+
+func (m *mute) Held(context.Context, string, uint64) (string, error) {
+	m.lookups++
+	return "", errors.New("no answer")
+}
+
+var _ control.Peers = (*mute)(nil)
+
+// Guards against a returning chat that waits for an owner that is known not to answer, when its context is looked up.
+func TestSilentOwnerIsNotAskedForTheContext(t *testing.T) {
+	m := &mute{parted: parted{Alone: alone()}}
+	l, force := start(t, m)
+	next := configuration(2, policy.InService)
+	b := next.Policy.Backends["e1"]
+	b.Name = "e2"
+	next.Policy.Backends["e2"] = b
+	force.Accept(next)
+	for l.Policy().Revision < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 3 {
+		q := ask(fmt.Sprint("q", i))
+		q.Context, q.Avoid = 100, []string{l.Where("a", "m", "", q.Chat).Home}
+		_, err := l.Admit(t.Context(), q)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Check(t, m.lookups, qt.Equals, 1)
+}
--- a/hornbeamd/daemon/claims.go
+++ b/hornbeamd/daemon/claims.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"hornbeamstep.example/coord/claim"
+	"hornbeamstep.example/coord/pause"
 )
 
 // ownerLimit is how long the owner of a shard may take before this router writes the shard itself.
@@ -93,7 +94,7 @@
 // tidyClaims removes old segments while this router owns the first shard, and forgets shards that moved to other routers.
 func (d *Daemon) tidyClaims(ctx context.Context) error {
 	<-d.node.Ready()
-	for pause(ctx, sweepEvery); ctx.Err() == nil; pause(ctx, sweepEvery) {
+	for pause.For(ctx, sweepEvery) == nil {
 		owners := d.node.Owners()
 		for shard := range claim.Shards {
 			if owners.Trusted && !owners.OwnsShard(shard) {
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hornbeamstep.example/coord/claim"
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/hornbeamd/control"
 	"hornbeamstep.example/hornbeamd/engine"
@@ -220,7 +221,7 @@
 		return nil
 	}
 	failed := false
-	for pause(ctx, keysEvery); ctx.Err() == nil; pause(ctx, keysEvery) {
+	for pause.For(ctx, keysEvery) == nil {
 		err := d.node.Keys.Reload()
 		if err != nil && !failed {
 			d.Log.Error("certificates of peers could not be read again; the old ones stay in use", zap.Error(err))
--- a/hornbeamd/daemon/orders.go
+++ b/hornbeamd/daemon/orders.go
@@ -15,6 +15,7 @@
 
 	"hornbeamstep.example/coord/lease"
 	"hornbeamstep.example/coord/order"
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/engine"
 	"hornbeamstep.example/hornbeamd/exchange"
 	"hornbeamstep.example/hornbeamd/operator"
@@ -47,7 +48,7 @@
 		if ctx.Err() == nil {
 			d.Log.Info("lease for orders ended", zap.Error(err))
 		}
-		pause(ctx, retryLeast+rand.N(retryMost))
+		_ = pause.For(ctx, retryLeast+rand.N(retryMost))
 	}
 	return nil
 }
@@ -126,7 +127,7 @@
 		if err := k.cover(ctx); err == nil {
 			k.repair(ctx)
 		}
-		pause(ctx, repairEvery/2+rand.N(repairEvery))
+		_ = pause.For(ctx, repairEvery/2+rand.N(repairEvery))
 	}
 	release, stop := context.WithTimeout(context.WithoutCancel(ctx), checkLimit)
 	defer stop()
@@ -146,7 +147,7 @@
 		if errors.As(err, &held) {
 			wait = max(retryLeast, held.Retry)
 		}
-		pause(ctx, wait+rand.N(retryLeast))
+		_ = pause.For(ctx, wait+rand.N(retryLeast))
 	}
 }
 
--- a/hornbeamd/daemon/usage.go
+++ b/hornbeamd/daemon/usage.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/peer"
 	"hornbeamstep.example/routing/limit"
 )
@@ -37,7 +38,7 @@
 func (d *Daemon) shareLimits(ctx context.Context) error {
 	<-d.node.Ready()
 	period := limit.Defaults().Period
-	for pause(ctx, period); ctx.Err() == nil; pause(ctx, period) {
+	for pause.For(ctx, period) == nil {
 		d.usages.expire()
 		members := d.node.Members().Members
 		byRouter := map[string][]limit.Demand{}
--- a/hornbeamd/daemon/watch.go
+++ b/hornbeamd/daemon/watch.go
@@ -10,6 +10,7 @@
 
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/coord/revision"
 	"hornbeamstep.example/platform/instancelist"
 	"hornbeamstep.example/policy"
@@ -37,13 +38,13 @@
 	after := int64(0)
 	for ctx.Err() == nil {
 		if !d.node.Owners().Relay() {
-			pause(ctx, assignEvery)
+			_ = pause.For(ctx, assignEvery)
 			continue
 		}
 		next, err := d.follow(ctx, after)
 		if err != nil {
 			d.Log.Debug("configuration could not be read", zap.Error(err))
-			pause(ctx, retryLeast+rand.N(retryMost-retryLeast))
+			_ = pause.For(ctx, retryLeast+rand.N(retryMost-retryLeast))
 			continue
 		}
 		after = next
@@ -142,7 +143,7 @@
 			revision = s.Revision.Number
 			d.node.Assign(assigned(s.Policy))
 		}
-		pause(ctx, assignEvery)
+		_ = pause.For(ctx, assignEvery)
 	}
 	return nil
 }
@@ -168,7 +169,7 @@
 		list, err := d.list.List(ctx)
 		if err != nil {
 			d.Log.Debug("instance list could not be read", zap.Error(err))
-			pause(ctx, retryLeast+rand.N(retryMost-retryLeast))
+			_ = pause.For(ctx, retryLeast+rand.N(retryMost-retryLeast))
 			continue
 		}
 		d.node.Listed(routers(list))
@@ -176,7 +177,7 @@
 		if d.node.Owners().Relay() || len(d.node.Members().Members) < 2 {
 			every = listEvery
 		}
-		pause(ctx, every/2+rand.N(every))
+		_ = pause.For(ctx, every/2+rand.N(every))
 	}
 	return nil
 }
@@ -190,10 +191,3 @@
 	}
 	return out
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
