--- a/hornbeamd/daemon/claims.go
+++ b/hornbeamd/daemon/claims.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"hornbeamstep.example/coord/claim"
+	"hornbeamstep.example/coord/pause"
 )
 
 // ownerLimit is how long the owner of a shard may take before this router writes the shard itself.
@@ -95,7 +96,7 @@
 	if !d.joined(ctx) {
 		return nil
 	}
-	for pause(ctx, sweepEvery); ctx.Err() == nil; pause(ctx, sweepEvery) {
+	for pause.For(ctx, sweepEvery) == nil {
 		owners := d.node.Owners()
 		for shard := range claim.Shards {
 			if owners.Trusted && !owners.OwnsShard(shard) {
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hornbeamstep.example/coord/claim"
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/hornbeamd/control"
 	"hornbeamstep.example/hornbeamd/engine"
@@ -251,7 +252,7 @@
 		reload["callers"] = d.certificate.Reload
 	}
 	failed := map[string]bool{}
-	for pause(ctx, keysEvery); ctx.Err() == nil && len(reload) > 0; pause(ctx, keysEvery) {
+	for len(reload) > 0 && pause.For(ctx, keysEvery) == nil {
 		for side, read := range reload {
 			err := read()
 			if err != nil && !failed[side] {
--- a/hornbeamd/daemon/standing.go
+++ b/hornbeamd/daemon/standing.go
@@ -14,6 +14,7 @@
 
 	"hornbeamstep.example/coord/agreed"
 	"hornbeamstep.example/coord/member"
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/hornbeamd/control"
 	"hornbeamstep.example/hornbeamd/operator"
@@ -287,7 +288,7 @@
 				answered <- struct{}{}
 				return
 			}
-			pause(ctx, retryLeast)
+			_ = pause.For(ctx, retryLeast)
 		}
 	}
 	for range confirmPeers {
--- a/hornbeamd/daemon/store.go
+++ b/hornbeamd/daemon/store.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hornbeamstep.example/coord/agreed"
+	"hornbeamstep.example/coord/pause"
 )
 
 const (
@@ -87,14 +88,14 @@
 		case <-s.kick:
 		}
 		for ctx.Err() == nil && !s.write(ctx) {
-			pause(ctx, retryLeast+rand.N(retryMost-retryLeast))
+			_ = pause.For(ctx, retryLeast+rand.N(retryMost-retryLeast))
 		}
 	}
 	return nil
 }
 
 func (s *standing) beat(ctx context.Context) {
-	for ; ctx.Err() == nil; pause(ctx, beatEvery) {
+	for next := time.Duration(0); pause.For(ctx, next) == nil; next = beatEvery {
 		s.gate.Beat(time.Now())
 	}
 }
@@ -139,9 +140,13 @@
 
 // follow looks for changes in the object API: as a relay, and until this router has read it once.
 func (s *standing) follow(ctx context.Context) {
-	<-s.node.Ready()
+	select {
+	case <-s.node.Ready():
+	case <-ctx.Done():
+		return
+	}
 	next := map[agreed.Kind]time.Time{}
-	for ; ctx.Err() == nil; pause(ctx, assignEvery) {
+	for wait := time.Duration(0); pause.For(ctx, wait) == nil; wait = assignEvery {
 		s.mu.Lock()
 		restored := s.restored
 		s.mu.Unlock()
--- a/hornbeamd/daemon/usage.go
+++ b/hornbeamd/daemon/usage.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hornbeamstep.example/coord/owner"
+	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/peer"
 	"hornbeamstep.example/routing/limit"
 )
@@ -39,7 +40,7 @@
 		return nil
 	}
 	period := limit.Defaults().Period
-	for pause(ctx, period); ctx.Err() == nil; pause(ctx, period) {
+	for pause.For(ctx, period) == nil {
 		d.usages.expire()
 		members := d.node.Members().Members
 		byRouter := map[string][]limit.Demand{}
