feat(control): contexts of chats are moved between engines by the daemon

A chat that spilled, went back to its home or lost its home to a drain read its whole prompt again.

Change: after the grant of a slot the router copies the context from the source to the granted engine, if placement says that this costs less than computing it again. It gives up after the time to compute it again, at most 250 ms, and the request starts without. The owner of a leaving engine moves its contexts to their next homes, last used first, one at a time, at most 50,000 tokens/s and 32 MiB/s, and looks before each move whether it still owns the engine. The owner of an engine tells a granted request whether the engine ran the chat before (warm), so that a context is not moved again for each turn while the old home still leaves.

The interface of engines hands the cache to who exports it, so it passes through the router as a stream and is not held there. A setting, engine.moves, turns moves off; placement then does not count on them.

The stand-in engine gets KV caches of a given size and four faults of exports and imports.

Checked: go test -race ./hornbeamd/control ./hornbeamd/engine ./hornbeamd/daemon ./hornbeamd/peer ./hornbeamd/settings ./hornbeambench/endtoend ./hornbeambench/standin/... pass. Without the look at the ownership TestEvacuationEndsWithOwnership fails.

Conclusion: moves work against the stand-in; reuse and first-token time are measured next.

--- a/hornbeambench/endtoend/fleet_test.go
+++ b/hornbeambench/endtoend/fleet_test.go
@@ -152,6 +152,11 @@
 		Code    string `json:"code"`
 		Outcome string `json:"outcome"`
 	} `json:"error"`
+	Usage struct {
+		Details struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
 	Choices []struct {
 		Message struct {
 			Content string `json:"content"`
--- a/hornbeambench/standin/modelengine/control.go
+++ b/hornbeambench/standin/modelengine/control.go
@@ -188,39 +188,3 @@
 	e.mu.Unlock()
 	reply(w, state)
 }
-
-// kv is an exported KV cache: the prefixes of a chat.
-type kv struct {
-	Chat   string  `json:"chat"`
-	Prefix []block `json:"prefix"`
-}
-
-// serveExport is POST /v1/kv/export.
-func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
-	var asked kv
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&asked); err != nil {
-		http.Error(w, "the request is malformed", http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	prefix, ok := e.cache.byChat[asked.Chat]
-	e.mu.Unlock()
-	if !ok {
-		http.Error(w, "nothing is cached for the chat", http.StatusNotFound)
-		return
-	}
-	reply(w, kv{Chat: asked.Chat, Prefix: prefix})
-}
-
-// serveImport is POST /v1/kv/import.
-func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
-	var given kv
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&given); err != nil {
-		http.Error(w, "the KV cache is malformed", http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	e.cache.store(given.Chat, given.Prefix, time.Now())
-	e.mu.Unlock()
-	w.WriteHeader(http.StatusNoContent)
-}
--- a/hornbeambench/standin/modelengine/engine.go
+++ b/hornbeambench/standin/modelengine/engine.go
@@ -29,6 +29,8 @@
 	Prefill int
 	// Cache is the memory for cached prefixes, in tokens. Default 65536.
 	Cache int
+	// KV is the size of an exported KV cache in bytes for each token; 0 exports the names of the prefixes alone.
+	KV int
 	// Models are the models loaded at the start.
 	Models []string
 	// Fence is true if orders with an old fencing number are refused.
@@ -88,6 +90,8 @@
 	orders  orderState
 	reports []report
 	started map[string]int
+	// imports counts the KV caches taken by chat, over all lives.
+	imports map[string]int
 	conns   map[net.Conn]*connection
 	opened  int
 	closed  bool
@@ -96,7 +100,7 @@
 // Start starts a stand-in.
 func Start(c Config) (*Engine, error) {
 	c = c.withDefaults()
-	e := &Engine{config: c, address: c.Address, started: map[string]int{}}
+	e := &Engine{config: c, address: c.Address, started: map[string]int{}, imports: map[string]int{}}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e, e.startLocked()
--- a/hornbeambench/standin/modelengine/fault.go
+++ b/hornbeambench/standin/modelengine/fault.go
@@ -38,8 +38,20 @@
 	Burst FaultKind = "burst"
 	// Hangup closes the connection when the request has been read, before anything starts.
 	Hangup FaultKind = "hangup"
+	// ExportSlow waits for Delay before the second half of an exported KV cache, and ExportCut closes the connection there.
+	ExportSlow FaultKind = "export slow"
+	ExportCut  FaultKind = "export cut"
+	// ImportRefuse answers an import with Code.
+	ImportRefuse FaultKind = "import refuse"
+	// ImportSlow waits for Delay before an import is taken.
+	ImportSlow FaultKind = "import slow"
 )
 
+// ofKV is true for the faults that act on exports and imports only.
+func (k FaultKind) ofKV() bool {
+	return k == ExportSlow || k == ExportCut || k == ImportRefuse || k == ImportSlow
+}
+
 // Fault is a fault to act out. The zero value is none.
 type Fault struct {
 	Kind FaultKind `json:"kind"`
@@ -105,7 +117,7 @@
 func (e *Engine) takeFault(prompt string) Fault {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.left == 0 || e.fault.Kind == "" || e.fault.Kind == Hang {
+	if e.left == 0 || e.fault.Kind == "" || e.fault.Kind == Hang || e.fault.Kind.ofKV() {
 		return Fault{}
 	}
 	if !strings.Contains(prompt, e.fault.Marker) {
@@ -117,6 +129,19 @@
 	return e.fault
 }
 
+// takeKVFault returns the fault that acts on an export or import.
+func (e *Engine) takeKVFault() Fault {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.left == 0 || !e.fault.Kind.ofKV() {
+		return Fault{}
+	}
+	if e.left > 0 {
+		e.left--
+	}
+	return e.fault
+}
+
 // crashAndRestart acts out a crash.
 func (e *Engine) crashAndRestart(f Fault) {
 	e.Crash()
--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -66,7 +66,9 @@
 		answer := l.slot(ctx, p, step)
 		switch {
 		case answer.Kind == admission.Granted:
-			return l.admitted(p, step, answer), nil
+			grant := l.admitted(p, step, answer)
+			l.fetch(ctx, p, step, answer)
+			return grant, nil
 		case ctx.Err() != nil || answer.Code == gone:
 			return caller.Grant{}, leftQueue(ctx)
 		case l.mayWait(p, step, answer):
@@ -113,6 +115,8 @@
 	walk *placement.Walk
 	// found is true once the owner of the home was asked where the context is.
 	found bool
+	// held is the engine that the owner of the home named as the one with the context; empty for none.
+	held string
 	// moves counts the refusals because ownership moved, and waits those after a wait in a queue.
 	moves, waits int
 }
@@ -147,6 +151,7 @@
 	if err != nil || held == "" {
 		return false
 	}
+	p.held = held
 	p.walk.Held(l.Now(), held)
 	return true
 }
@@ -156,6 +161,7 @@
 	switch {
 	case a.Held != "":
 		p.found = true
+		p.held = a.Held
 		p.walk.Held(now, a.Held)
 	case a.Code == outcome.Overloaded && !step.Queue:
 		p.walk.Full(step.Engine, max(a.Wait, time.Millisecond))
--- a/hornbeamd/control/control.go
+++ b/hornbeamd/control/control.go
@@ -54,8 +54,10 @@
 	Claims Claims
 	// Engine returns a client for the control traffic with a backend server.
 	Engine func(policy.Backend) Engine
-	Ring   *timeline.Ring
-	Log    *zap.Logger
+	// Mover copies KV caches between engines; nil if none are moved.
+	Mover Mover
+	Ring  *timeline.Ring
+	Log   *zap.Logger
 	// Registry takes the metrics.
 	Registry prometheus.Registerer
 	// InForce holds the configuration; the loop applies each new revision.
@@ -77,6 +79,7 @@
 	services services
 	limits   limits
 	retries  retries
+	moves    moves
 
 	// tracked guards tracker, the suspects and quarantined requests that this router knows.
 	tracked sync.Mutex
@@ -103,13 +106,14 @@
 		l.events = make(chan func(time.Time), commands)
 		l.stopped = make(chan struct{})
 		l.metrics = newMetrics(l.Registry)
+		l.moves = newMoves(l.Registry)
 		l.memory = newMemory()
 		l.services.init()
 		l.limits.init(l.Now())
 		l.retries.init()
 		l.tracker = quarantine.New(quarantine.Defaults())
 		l.state = newState()
-		l.snap.Store(&snapshot{rule: placement.New(placement.Defaults())})
+		l.snap.Store(&snapshot{rule: l.placementRule()})
 	})
 }
 
@@ -158,6 +162,7 @@
 		l.state.exchanged = now
 		l.renew(now)
 		l.measure()
+		l.evacuations(ctx, now)
 	}
 	l.publish(now)
 }
--- a/hornbeamd/control/engines.go
+++ b/hornbeamd/control/engines.go
@@ -156,6 +156,7 @@
 		return
 	}
 	for _, event := range events {
+		e.contexts.take(event, now)
 		if event.Chat == "" {
 			continue
 		}
@@ -211,6 +212,7 @@
 func (l *Loop) restarted(e *engineState, now time.Time) {
 	l.empty(e)
 	clear(e.stored)
+	e.warm, e.contexts = newWarm(), newContexts()
 	e.evicted = time.Time{}
 	e.mean = loadsum.Sum{}
 	e.gate = admission.Takeover(now, gateSettings(e.pool))
--- a/hornbeamd/control/memory.go
+++ b/hornbeamd/control/memory.go
@@ -68,6 +68,14 @@
 // Note records where the context of a chat is whose home this router owns; empty for the home.
 func (l *Loop) Note(key uint64, engine string) {
 	l.init()
+	if engine != "" && l.snap.Load().owned[engine] {
+		// Only the control loop itself notes the home by an empty name, so this does not wait for its own caller.
+		l.send(func(now time.Time) {
+			if e, ok := l.state.engines[engine]; ok {
+				e.warm.put(now, key)
+			}
+		})
+	}
 	l.memory.mu.Lock()
 	defer l.memory.mu.Unlock()
 	if engine == "" {
--- a/hornbeamd/control/slots.go
+++ b/hornbeamd/control/slots.go
@@ -41,6 +41,8 @@
 	Wait time.Duration
 	// Held is set in place of a slot: the engine that holds the chat's context.
 	Held string
+	// Warm is true if the engine had run the chat before, or got its context.
+	Warm bool
 }
 
 // refuse returns a refusal that the gate did not make.
@@ -147,15 +149,17 @@
 
 // answer gives a request the decision of the gate, and remembers its slot.
 func (l *Loop) answer(e *engineState, w waiter, a admission.Action) {
+	reply := Answer{Action: a, Boot: e.boot}
 	if a.Kind == admission.Granted {
 		e.granted[a.Slot.ID] = w.ask
-		if w.ask.Home {
+		reply.Warm = e.ran(l.Now(), w.ask.Chat)
+		// An entry that names the home stays: it says that the context is not on an engine that left.
+		if w.ask.Home && l.Held(w.ask.Chat) != e.backend.Name {
 			l.Note(w.ask.Chat, "")
 		}
 	} else {
 		l.over(w.ask.Fingerprint, e.backend.Name, false)
 	}
-	reply := Answer{Action: a, Boot: e.boot}
 	if a.Kind == admission.Refused && e.gate != nil {
 		reply.Wait = e.gate.Expected(l.Now())
 	}
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -59,6 +59,9 @@
 	evicted time.Time
 	// granted holds the requests that have a slot of gate, by slot.
 	granted map[uint64]SlotAsk
+	// warm and contexts tell which chats have their context here.
+	warm     warm
+	contexts contexts
 }
 
 func newState() state {
@@ -100,7 +103,7 @@
 func (s *state) update(name string, b policy.Backend, pool policy.Pool) {
 	e, ok := s.engines[name]
 	if !ok {
-		e = &engineState{waiters: map[string]waiter{}, granted: map[uint64]SlotAsk{}, stored: map[string]int64{}}
+		e = &engineState{waiters: map[string]waiter{}, granted: map[uint64]SlotAsk{}, stored: map[string]int64{}, warm: newWarm(), contexts: newContexts()}
 		s.engines[name] = e
 	}
 	if ok && e.backend.Address != b.Address && e.stopPoll != nil {
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -115,6 +115,9 @@
 		Settings: d.Settings, Peers: peers, Claims: &claims{owner: d.shardOwner, remote: d.node, local: d.claims}, Engine: d.engine, Ring: d.ring, Log: d.Log,
 		Registry: d.registry, InForce: d.inForce,
 	}
+	if d.Settings.Engine.Moves {
+		d.loop.Mover = &mover{connect: d.Settings.Engine.Connect}
+	}
 	d.node.Slots = slots{loop: d.loop}
 	d.node.Loads = peers
 	d.node.Revisions = revisions{inForce: d.inForce, loader: &folder.Loader{}}
--- /dev/null
+++ b/hornbeamd/daemon/moves.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hornbeamstep.example/hornbeamd/engine"
+	"hornbeamstep.example/hornbeamd/exchange"
+	"hornbeamstep.example/policy"
+)
+
+// mover copies KV caches between engines with connections of its own, so that neither streams nor load reports wait behind them. It
+// implements control.Mover. The interface of engines hands a cache to who exports it and takes one from who imports it, so each
+// passes through this router, but is not held there.
+type mover struct {
+	connect time.Duration
+
+	mu      sync.Mutex
+	clients map[string]moveClient
+}
+
+type moveClient struct {
+	address string
+	*engine.HTTP
+}
+
+// Move implements control.Mover.
+func (m *mover) Move(ctx context.Context, from, to policy.Backend, chat string) (int64, error) {
+	return m.client(to).Fetch(ctx, m.client(from), chat)
+}
+
+// client returns the client of an engine, a new one if its address has changed.
+func (m *mover) client(b policy.Backend) *engine.HTTP {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, ok := m.clients[b.Name]
+	if ok && c.address == b.Address {
+		return c.HTTP
+	}
+	if ok {
+		c.Close()
+	}
+	if m.clients == nil {
+		m.clients = map[string]moveClient{}
+	}
+	client := engine.New(b.Name+" moves", b.Address, engine.Options{Options: exchange.Options{Dial: m.connect, Idle: 2}})
+	m.clients[b.Name] = moveClient{address: b.Address, HTTP: client}
+	return client
+}
--- a/hornbeamd/daemon/peers.go
+++ b/hornbeamd/daemon/peers.go
@@ -75,7 +75,7 @@
 	}
 	return control.Answer{
 		Action: admission.Action{Kind: admission.Granted, Ask: ask.Ask, Slot: admission.Slot{ID: id}},
-		Boot:   grant.Boot,
+		Boot:   grant.Boot, Warm: grant.Warm,
 	}, nil
 }
 
@@ -228,7 +228,7 @@
 			Message: "no slot on engine " + ask.Engine, Remedy: "send the request again after the retry time",
 		}
 	}
-	return peer.SlotGrant{Slot: slotName(ask.Engine, a.Slot.ID), Lease: admission.Defaults().Lease, Boot: a.Boot}, nil
+	return peer.SlotGrant{Slot: slotName(ask.Engine, a.Slot.ID), Lease: admission.Defaults().Lease, Boot: a.Boot, Warm: a.Warm}, nil
 }
 
 // Free implements peer.Slots.
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -58,6 +58,8 @@
 	Boot string
 	// Held is set in place of a slot: the engine that holds the chat's context.
 	Held string
+	// Warm is true if the engine had the chat's context before.
+	Warm bool
 }
 
 // Notice is something that every router should know soon.
@@ -105,6 +107,7 @@
 	Lease int64  `json:"lease"`
 	Boot  string `json:"boot,omitempty"`
 	Held  string `json:"held,omitempty"`
+	Warm  bool   `json:"warm,omitempty"`
 }
 
 type wireSlots struct {
@@ -242,7 +245,7 @@
 	case r.Method == "slot" && n.Slots != nil:
 		return with(r, func(w wireAsk) (wireGrant, error) {
 			g, err := n.Slots.Take(ctx, w.From, w.ask())
-			return wireGrant{g.Slot, g.Lease.Milliseconds(), g.Boot, g.Held}, err
+			return wireGrant{g.Slot, g.Lease.Milliseconds(), g.Boot, g.Held, g.Warm}, err
 		})
 	case r.Method == "free" && n.Slots != nil:
 		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Free(ctx, w.From, w.Slots) })
@@ -382,7 +385,7 @@
 		Chat: a.Chat, Home: a.Home, Share: a.Share, Over: a.Over, Age: a.Age.Milliseconds(),
 	}
 	err := n.send(ctx, router, "slot", params, &w)
-	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond, w.Boot, w.Held}, err
+	return SlotGrant{w.Slot, time.Duration(w.Lease) * time.Millisecond, w.Boot, w.Held, w.Warm}, err
 }
 
 // Free returns slots to the owner that granted them.
--- a/hornbeamd/settings/settings.go
+++ b/hornbeamd/settings/settings.go
@@ -75,6 +75,7 @@
 	First    time.Duration `help:"Longest time without progress before the first token." default:"10s"`
 	Progress time.Duration `help:"Longest time without progress between tokens." default:"3s"`
 	Poll     time.Duration `help:"Time between load reports read from an owned engine." default:"200ms"`
+	Moves    bool          `help:"Move KV caches between engines when that is cheaper than computing them again." default:"true" negatable:""`
 }
 
 // Orders holds the settings of the orders to model engines.
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -19,6 +19,7 @@
 	Member      Kind = "member"
 	Owner       Kind = "owner"
 	Order       Kind = "order"
+	Moved       Kind = "moved"
 	Drained     Kind = "drained"
 	Quarantined Kind = "quarantined"
 )
