feat(daemon): one router plans adapters and versions by demand

Cause: each adapter was loaded on a third of a pool's engines by hashing, whatever its demand and size; placement took every engine for one that has every adapter; and a new version was unloaded and loaded on all engines at once.

Change: the owner of the first engine plans under a lease of its own (record /planner). It asks each router for its demand and for what its engines report, runs routing/adapters.Planner for each pool, and writes one object, /plan of kind desired. Owners of engines read it before each repair and give the orders as before, under their own lease and fencing numbers. Placement sends requests only where the plan says that a model or adapter is served. A copy stops serving 25 s before it is unloaded, so that every router has read the plan (10 s); if the other copies leave meanwhile it serves again.

Each write of the plan is conditional on the planner's own last one, and a new planner writes first. So a planner that was paused between its last check of the lease and its write fails at the write.

Pools get a setting, memory, for what weights may take on one engine. policy/folder's example lists it among the known keys; its expected output changes for that reason only.

Each of these makes a test of hornbeamd/daemon fail: no time before an unload, plans without most engines known, loads before the memory is free, copies that serve while they retire, no taking back of a last copy.

Conclusion: planning in place of hashing. Engines need memory and sizes from the weight store for it to bound memory.

--- /dev/null
+++ b/coord/order/plan_test.go
@@ -0,0 +1,69 @@
+package order_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/coord/lease"
+	"hornbeamstep.example/coord/order"
+	"hornbeamstep.example/platform/objectapi"
+)
+
+// pausedLease passes a last check and then stands still, as a planner that is paused between the check and its write.
+type pausedLease struct {
+	order.PlanLease
+
+	err error
+}
+
+func (l pausedLease) Valid() error { return l.err }
+
+func planOf(artifact string) order.Plan {
+	return order.Plan{Engines: map[string]order.Planned{"e-1": {Loaded: []string{artifact}}}}
+}
+
+// planner takes the lease of planners as one process.
+func planner(t *testing.T, store objectapi.Store, o *lease.Observer, boot string, now func() time.Time) (*order.Planner, *lease.Holder) {
+	h := &lease.Holder{Store: store, Router: "/planner", Boot: boot, Now: now}
+	qt.Assert(t, h.Acquire(ctx, o, nil), qt.IsNil)
+	return &order.Planner{Store: store, Lease: h}, h
+}
+
+// Guards against a planner that was paused, goes on after its lease has ended, and writes over the plan of the next one; and against
+// two planners at once.
+func TestPausedPlannerChangesNothing(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	clock := func() time.Time { return now }
+	store := &objectapi.Memory{}
+	observer := &lease.Observer{Store: store, Now: clock}
+	first, held := planner(t, store, observer, "b1", clock)
+	_, err := first.TakeOver(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, first.Write(ctx, planOf("m@1")), qt.IsNil)
+
+	second := &lease.Holder{Store: store, Router: "/planner", Boot: "b2", Now: clock}
+	var busy *lease.HeldError
+	qt.Assert(t, errors.As(second.Acquire(ctx, observer, nil), &busy), qt.IsTrue)
+	now = now.Add(time.Minute)
+	next, _ := planner(t, store, observer, "b2", clock)
+	stands, err := next.TakeOver(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, stands.Engines, qt.DeepEquals, planOf("m@1").Engines)
+
+	qt.Check(t, first.Write(ctx, planOf("stale")), qt.IsNotNil)
+	// The check itself came before the pause.
+	first.Lease = pausedLease{PlanLease: held}
+	var lost *order.PlanLostError
+	qt.Check(t, errors.As(first.Write(ctx, planOf("stale")), &lost), qt.IsTrue)
+	_, err = first.TakeOver(ctx)
+	qt.Check(t, errors.As(err, &lost), qt.IsTrue)
+
+	qt.Assert(t, next.Write(ctx, planOf("m@2")), qt.IsNil)
+	plan, _, err := order.ReadPlan(ctx, store)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, plan.Engines, qt.DeepEquals, planOf("m@2").Engines)
+	qt.Check(t, plan.Fence > held.Fence(), qt.IsTrue)
+}
--- a/hornbeambench/endtoend/fleet_test.go
+++ b/hornbeambench/endtoend/fleet_test.go
@@ -35,7 +35,7 @@
 
 // world is a platform, engines, one service and routers.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	ctx      context.Context
 	platform *platformapi.Server
 	address  string
@@ -43,11 +43,17 @@
 	service  *plainservice.Service
 	routers  []*daemon.Daemon
 	listed   []instancelist.Instance
+	// adjust changes the settings of each router before it starts.
+	adjust func(*settings.Settings)
 }
 
-func newWorld(t *testing.T, engines, routers int, config modelengine.Config) *world {
+func newWorld(t testing.TB, engines, routers int, config modelengine.Config) *world {
+	return newAdjusted(t, engines, routers, config, func(*settings.Settings) {})
+}
+
+func newAdjusted(t testing.TB, engines, routers int, config modelengine.Config, adjust func(*settings.Settings)) *world {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	w := &world{t: t, ctx: ctx, platform: platformapi.New()}
+	w := &world{t: t, ctx: ctx, platform: platformapi.New(), adjust: adjust}
 	t.Cleanup(cancel)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -100,6 +106,7 @@
 	s.Caller.Listen, s.Peer.Listen, s.Operator.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Caller.Lifetime = 100 * time.Millisecond
 	s.Platform.Objects, s.Platform.Instances = w.address, w.address
+	w.adjust(&s)
 	d := &daemon.Daemon{Settings: s}
 	qt.Assert(w.t, d.Open(), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/hornbeambench/standin/modelengine/control.go
+++ b/hornbeambench/standin/modelengine/control.go
@@ -175,6 +175,13 @@
 	return e.orders.applied
 }
 
+// Loaded returns the models and adapters that are loaded.
+func (e *Engine) Loaded() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders.models)
+}
+
 // serveState is GET /v1/state.
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
--- a/hornbeamctl/config/config_test.go
+++ b/hornbeamctl/config/config_test.go
@@ -79,7 +79,7 @@
 	}
 	expect(config.ExitNotFound, "", "history")
 	b.write("pools: {p: {bond: 1}}")
-	expect(config.ExitInvalid, "use one of bound, queue, wait", "check", b.dir)
+	expect(config.ExitInvalid, "use one of bound, memory, queue, wait", "check", b.dir)
 	expect(config.ExitInvalid, "", "push", b.dir, "-m", "x", "--base", "0")
 	b.write("pools: {p: {bound: 2}}")
 	expect(0, "1 values", "check", b.dir)
--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -38,6 +38,7 @@
 		return caller.Grant{}, e
 	}
 	l.retries.request(a)
+	l.demand.request(l.Now(), a)
 	admit := l.admitEngine
 	if a.Service != "" {
 		admit = l.admitService
--- a/hornbeamd/control/control.go
+++ b/hornbeamd/control/control.go
@@ -80,6 +80,7 @@
 	limits   limits
 	retries  retries
 	moves    moves
+	demand   demand
 
 	// tracked guards tracker, the suspects and quarantined requests that this router knows.
 	tracked sync.Mutex
@@ -107,6 +108,7 @@
 		l.stopped = make(chan struct{})
 		l.metrics = newMetrics(l.Registry)
 		l.moves = newMoves(l.Registry)
+		l.demand = newDemand()
 		l.memory = newMemory()
 		l.services.init()
 		l.limits.init(l.Now())
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -29,6 +29,8 @@
 	// view is the last one published; dirty is set if its engines have changed.
 	view  placement.View
 	dirty bool
+	// serving holds what the plan says that each engine serves.
+	serving map[string][]string
 }
 
 // engineState is what the loop knows of one engine.
@@ -161,6 +163,7 @@
 func (l *Loop) placedEngines() []placement.Engine {
 	var engines []placement.Engine
 	models := map[string][2][]string{}
+	anywhere := l.state.anywhere()
 	for _, name := range l.state.order {
 		e := l.state.engines[name]
 		pool := e.backend.Pool
@@ -169,12 +172,13 @@
 			models[pool] = [2][]string{m, a}
 		}
 		served := models[pool]
-		if len(served[0]) == 0 {
+		m, a := l.state.served(name, served[0], served[1], anywhere)
+		if len(m) == 0 {
 			continue
 		}
 		engines = append(engines, placement.Engine{
 			ID: name, Zone: e.backend.Zone, Pool: pool, Weight: e.backend.Weight,
-			State: l.state.placed(e), Models: served[0], Adapters: served[1],
+			State: l.state.placed(e), Models: m, Adapters: a,
 		})
 	}
 	return engines
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -56,6 +56,9 @@
 	// stopped is closed when an operator drains the daemon.
 	stopped  chan struct{}
 	stopOnce sync.Once
+	// planVersion is that of the plan that placement follows.
+	planMu      sync.Mutex
+	planVersion int64
 }
 
 // Open binds the address for callers and builds the parts. Run calls it if it was not called.
@@ -128,6 +131,7 @@
 	d.usages = newUsages()
 	d.node.Usages = d.usages
 	d.node.Contexts = d.loop
+	d.node.Inventories = inventories{loop: d.loop}
 	return nil
 }
 
@@ -197,8 +201,10 @@
 	group.Go(func() error { return d.shareLimits(parts) })
 	group.Go(func() error { return d.tidyClaims(parts) })
 	group.Go(func() error { return d.reloadKeys(parts) })
+	group.Go(func() error { return d.followPlan(parts) })
 	if d.Settings.Orders.Enable {
 		group.Go(func() error { return d.keepEngines(parts) })
+		group.Go(func() error { return d.planAdapters(parts) })
 	}
 	d.Log.Info("daemon started", zap.String("callers", d.Settings.Caller.Address))
 	select {
--- a/hornbeamd/daemon/orders.go
+++ b/hornbeamd/daemon/orders.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -20,7 +19,6 @@
 	"hornbeamstep.example/hornbeamd/operator"
 	"hornbeamstep.example/platform/weightstore"
 	"hornbeamstep.example/policy"
-	"hornbeamstep.example/routing/placement"
 	"hornbeamstep.example/timeline"
 )
 
@@ -30,14 +28,11 @@
 	// repairLimit is the longest time for one look, and parallelRepairs the number of engines that are looked at together.
 	repairLimit     = 2 * time.Minute
 	parallelRepairs = 4
-	// adapterShare is the part of a pool's engines that loads an adapter, and adapterLeast the least number of them.
-	adapterShare = 0.34
-	adapterLeast = 2
 	// keptOrders is the number of past orders that operators can see.
 	keptOrders = 64
 )
 
-// keepEngines brings the engines that this router owns to the state that the configuration asks for, under a lease.
+// keepEngines brings the engines that this router owns to the state that the plan and the configuration ask for, under a lease.
 func (d *Daemon) keepEngines(ctx context.Context) error {
 	<-d.node.Ready()
 	boot := strconv.FormatInt(time.Now().UnixNano(), 36) + strconv.FormatUint(rand.Uint64(), 36)
@@ -163,6 +158,11 @@
 
 func (k *keeper) repair(ctx context.Context) {
 	p := k.daemon.loop.Policy()
+	// Read each time: an older plan than the one that the engines' previous owner has followed would undo loads.
+	plan, err := k.daemon.readPlan(ctx)
+	if err != nil {
+		return
+	}
 	slots := make(chan struct{}, parallelRepairs)
 	var group sync.WaitGroup
 	for _, name := range k.daemon.node.Owners().Owned() {
@@ -175,16 +175,16 @@
 		go func() {
 			defer group.Done()
 			defer func() { <-slots }()
-			k.repairEngine(ctx, p, b)
+			k.repairEngine(ctx, p, b, plan)
 		}()
 	}
 	group.Wait()
 }
 
-func (k *keeper) repairEngine(ctx context.Context, p policy.Policy, b policy.Backend) {
+func (k *keeper) repairEngine(ctx context.Context, p policy.Policy, b policy.Backend, plan order.Plan) {
 	ctx, cancel := context.WithTimeout(ctx, repairLimit)
 	defer cancel()
-	want := desired(p, b)
+	want := desired(p, b, plan)
 	have, _, err := k.keeper.Desired(ctx, b.Name)
 	if err != nil {
 		return
@@ -208,24 +208,6 @@
 	return a.Role == b.Role && a.Drain == b.Drain && slices.Equal(a.Loaded, b.Loaded)
 }
 
-// desired is what the configuration asks of an engine: the models of its pool, and its share of their adapters.
-func desired(p policy.Policy, b policy.Backend) order.State {
-	var loaded []string
-	for _, name := range slices.Sorted(maps.Keys(p.Models)) {
-		m := p.Models[name]
-		if m.Pool != b.Pool {
-			continue
-		}
-		loaded = append(loaded, artifact(name, m.Version))
-		for _, a := range m.Adapters {
-			if slices.Contains(adapterEngines(p, b.Pool, name, a), b.Name) {
-				loaded = append(loaded, artifact(name+":"+a, m.Version))
-			}
-		}
-	}
-	return order.State{Drain: b.State == policy.Leaving}.WithLoaded(loaded...)
-}
-
 func artifact(name, version string) string {
 	if version == "" {
 		return name
@@ -233,19 +215,6 @@
 	return name + "@" + version
 }
 
-// adapterEngines returns the engines of a pool that load an adapter. Rendezvous hashing makes every router compute the same
-// ones, so that placement needs no message about them.
-func adapterEngines(p policy.Policy, pool, model, adapter string) []string {
-	var engines []placement.Engine
-	for name, b := range p.Backends {
-		if b.Pool == pool {
-			engines = append(engines, placement.Engine{ID: name, Weight: b.Weight})
-		}
-	}
-	n := max(adapterLeast, int(adapterShare*float64(len(engines))+0.5))
-	return placement.NewView(engines).Chain(nil, placement.Request{Model: model, Chat: "adapter " + adapter}, n)
-}
-
 // orders adapts the client of an engine. It implements order.Engine.
 type orders struct{ client *engine.HTTP }
 
--- /dev/null
+++ b/hornbeamd/daemon/planning_test.go
@@ -0,0 +1,208 @@
+package daemon
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/coord/order"
+	"hornbeamstep.example/hornbeamd/peer"
+	"hornbeamstep.example/platform/weightstore"
+	"hornbeamstep.example/policy"
+)
+
+// planWorld applies plans as the owners of the engines do: what is planned is there one step later. Routers follow a plan that is up
+// to two steps old.
+type planWorld struct {
+	t      *testing.T
+	now    time.Time
+	state  *planning
+	policy policy.Policy
+	store  weightstore.Catalogue
+	have   map[string][]string
+	plan   order.Plan
+	// past holds the latest plans, newest last.
+	past   []order.Plan
+	demand map[string]float64
+	loads  int
+}
+
+const planStep = planRead / 2
+
+func newPlanWorld(t *testing.T, engines, memory int) *planWorld {
+	w := &planWorld{
+		t: t, now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), state: newPlanning(), have: map[string][]string{},
+		store: weightstore.Catalogue{Rate: 1, Burst: 4}, demand: map[string]float64{},
+	}
+	w.policy.Pools = map[string]policy.Pool{"p": {Name: "p", Memory: memory}}
+	w.policy.Backends = map[string]policy.Backend{}
+	for i := range engines {
+		name := fmt.Sprint("e", i)
+		w.policy.Backends[name] = policy.Backend{Name: name, Pool: "p", State: policy.InService}
+		w.have[name] = nil
+	}
+	for _, v := range []string{"1", "2"} {
+		w.store.Artifacts = append(w.store.Artifacts,
+			weightstore.Artifact{Model: "m", Version: v, Size: 50}, weightstore.Artifact{Model: "m", Adapter: "a", Version: v, Size: 20})
+	}
+	w.version("1")
+	return w
+}
+
+func (w *planWorld) version(v string) {
+	w.policy.Models = map[string]policy.Model{"m": {Name: "m", Pool: "p", Adapters: []string{"a"}, Version: v}}
+}
+
+func (w *planWorld) step() {
+	w.now = w.now.Add(planStep)
+	w.past = append(w.past, w.plan)
+	w.plan = w.state.next(w.now, w.policy, w.store, peer.Inventory{Demand: w.demand, Engines: w.have}, w.plan)
+	for name := range w.have {
+		want := desired(w.policy, w.policy.Backends[name], w.plan).Loaded
+		for _, a := range want {
+			if !slices.Contains(w.have[name], a) {
+				w.loads++
+			}
+		}
+		w.have[name] = want
+	}
+}
+
+// holds reports whether an engine has any version of a name.
+func (w *planWorld) holds(engine, name string) bool {
+	return slices.ContainsFunc(w.have[engine], func(a string) bool { return a == name || strings.HasPrefix(a, name+"@") })
+}
+
+// check fails if a request that follows one of the latest plans meets an engine without what it needs, or finds none.
+func (w *planWorld) check(names ...string) {
+	for _, plan := range w.past[max(0, len(w.past)-2):] {
+		for _, name := range names {
+			serving := 0
+			for engine, p := range plan.Engines {
+				if !slices.Contains(p.Serving, name) {
+					continue
+				}
+				serving++
+				qt.Assert(w.t, w.holds(engine, name), qt.IsTrue, qt.Commentf("%s at %s", name, engine))
+			}
+			qt.Assert(w.t, serving > 0, qt.IsTrue, qt.Commentf("%s is served nowhere", name))
+		}
+	}
+}
+
+func (w *planWorld) count(a string) (n int) {
+	for _, have := range w.have {
+		if slices.Contains(have, a) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a roll-out of a version that leaves a model or an adapter without an engine, that takes it from an engine to which
+// routers still send requests, that gives up more than one engine's cache at once, exceeds the engines' memory, or stops; also if
+// another planner goes on with it.
+func TestPlanRollsOutVersionWithoutGap(t *testing.T) {
+	for name, test := range map[string]struct {
+		memory  int
+		planner int
+	}{
+		"room for both versions":   {},
+		"room for one version":     {memory: 90},
+		"planner replaced at work": {planner: 7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newPlanWorld(t, 4, test.memory)
+			w.demand["m:a"] = 8
+			for range 8 {
+				w.step()
+			}
+			qt.Assert(t, w.count("m@1"), qt.Equals, 4)
+			qt.Assert(t, w.count("m:a@1") >= 2, qt.IsTrue)
+			w.version("2")
+			for i := range 150 {
+				if test.planner > 0 && i%test.planner == 0 {
+					w.state = newPlanning()
+				}
+				before := w.count("m@1")
+				w.step()
+				w.check("m", "m:a")
+				qt.Assert(t, before-w.count("m@1") <= 1, qt.IsTrue)
+				for _, have := range w.have {
+					used := 0
+					for _, a := range have {
+						used += map[bool]int{true: 20, false: 50}[strings.Contains(a, ":")]
+					}
+					qt.Assert(t, test.memory == 0 || used <= test.memory, qt.IsTrue)
+				}
+			}
+			qt.Check(t, []int{w.count("m@1"), w.count("m:a@1"), w.count("m@2")}, qt.DeepEquals, []int{0, 0, 4})
+			qt.Check(t, w.count("m:a@2") >= 2, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a copy that retires and so stops serving while the other copies leave.
+func TestPlanTakesBackLastCopy(t *testing.T) {
+	w := newPlanWorld(t, 3, 90)
+	for range 8 {
+		w.step()
+	}
+	w.version("2")
+	w.step()
+	kept := -1
+	for i := range 3 {
+		if name := fmt.Sprint("e", i); !slices.Contains(w.plan.Engines[name].Serving, "m") {
+			kept = i
+		}
+	}
+	qt.Assert(t, kept >= 0, qt.IsTrue)
+	for i := range 3 {
+		b := w.policy.Backends[fmt.Sprint("e", i)]
+		if i != kept {
+			b.State = policy.Leaving
+		}
+		w.policy.Backends[b.Name] = b
+	}
+	for range 20 {
+		w.step()
+		qt.Assert(t, w.plan.Engines[fmt.Sprint("e", kept)].Serving, qt.Contains, "m")
+	}
+}
+
+// Guards against plans that load everything onto the few engines that are reported while routers do not answer, against demand that
+// has no effect, and against a copy that is unloaded while routers still send requests there.
+func TestPlanFollowsDemandOfKnownEngines(t *testing.T) {
+	w := newPlanWorld(t, 6, 0)
+	for range 8 {
+		w.step()
+	}
+	qt.Assert(t, w.count("m:a@1"), qt.Equals, 2)
+	w.demand["m:a"] = 22
+	full := w.have
+	w.have = map[string][]string{}
+	for name, have := range full {
+		if len(have) == 1 && len(w.have) < 3 {
+			w.have[name] = have
+		}
+	}
+	before := maps.Clone(w.plan.Engines)
+	w.step()
+	qt.Check(t, w.plan.Engines, qt.DeepEquals, before)
+	w.have = full
+	for range 8 {
+		w.step()
+	}
+	qt.Check(t, w.count("m:a@1"), qt.Equals, 5)
+	w.demand["m:a"] = 2
+	for range 20 {
+		w.step()
+		w.check("m", "m:a")
+	}
+	qt.Check(t, w.count("m:a@1"), qt.Equals, 2)
+}
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -270,6 +270,8 @@
 		return with(r, n.handleHeld)
 	case r.Method == "note" && n.Contexts != nil:
 		return with(r, n.handleNote)
+	case r.Method == "inventory" && n.Inventories != nil:
+		return n.Inventories.Inventory(), nil
 	case r.Method == "usage" && n.Usages != nil:
 		return with(r, n.handleUsage)
 	default:
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -91,6 +91,8 @@
 	Claims    Claims
 	Usages    Usages
 	Contexts  Contexts
+	// Inventories is nil on routers that tell nothing to the planner.
+	Inventories Inventories
 
 	once    sync.Once
 	ready   chan struct{}
--- a/policy/folder/example_test.go
+++ b/policy/folder/example_test.go
@@ -21,5 +21,5 @@
 	fmt.Println(err)
 	// Output:
 	// 1.5 20-harvest.yaml 2 over 1.25
-	// a.yaml:2: pools.letters.bond: key is unknown; use one of bound, queue, wait
+	// a.yaml:2: pools.letters.bond: key is unknown; use one of bound, memory, queue, wait
 }
--- a/policy/folder/fields.go
+++ b/policy/folder/fields.go
@@ -23,7 +23,7 @@
 
 // defaults are the values of fields that no file sets, as they are written.
 var defaults = map[string]map[string]string{
-	"pools":    {"bound": number(policy.DefaultBound), "queue": strconv.Itoa(policy.DefaultQueue), "wait": policy.DefaultWait.String()},
+	"pools":    {"bound": number(policy.DefaultBound), "queue": strconv.Itoa(policy.DefaultQueue), "wait": policy.DefaultWait.String(), "memory": "0"},
 	"models":   {"adapters": "[]", "version": ""},
 	"backends": {"zone": "", "weight": number(policy.DefaultWeight), "state": string(policy.InService), "fence": "false"},
 	"services": {"repeat": "false", "checks": "false", "timeout": DefaultTimeout.String()},
@@ -54,6 +54,8 @@
 		"bound": decimal(1, 1000, func(i *item) *float64 { return &i.pool.Bound }),
 		"queue": integer(0, 1_000_000, func(i *item) *int { return &i.pool.Queue }),
 		"wait":  duration(0, func(i *item) *time.Duration { return &i.pool.Wait }),
+		// Up to 10 TB.
+		"memory": integer(0, 10_000_000_000_000, func(i *item) *int { return &i.pool.Memory }),
 	},
 	"models": {
 		"pool":     word(func(i *item) *string { return &i.model.Pool }),
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,6 +45,8 @@
 	Queue int
 	// Wait is the longest time that a request waits for admission.
 	Wait time.Duration
+	// Memory is what the weights on one engine may take in bytes; 0 for no limit.
+	Memory int
 }
 
 // Model is a name that callers request.
