feat(control): contexts follow chats home after a drain; routers read only new versions of the plan

Cause: an engine that was taken back into service was the home of its chats again at once, and what they had said meanwhile stayed on their second homes. Each router read the whole plan every few seconds, which at 600 engines is more than the control budget.

The plan has a kind of its own, and routers list its version before they read it. It holds what is not served in place of what is, which is nothing most of the time.

Without the time of joining TestContextReturnsHome fails.

--- a/coord/order/plan.go
+++ b/coord/order/plan.go
@@ -5,13 +5,19 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"hornbeamstep.example/platform/objectapi"
 )
 
-// planName is the object that holds the plan of the whole fleet. No engine has this name.
-const planName = "/plan"
+// planKind and planName name the object that holds the plan of the whole fleet. It has a kind of its own, so that a list of the kind
+// tells its version without its value.
+const (
+	planKind = "plan"
+	planName = "fleet"
+)
 
 // planRetry is the wait before a takeover of the plan is tried again.
 const planRetry = 100 * time.Millisecond
@@ -20,8 +26,21 @@
 type Planned struct {
 	// Loaded are the artifacts that the engine is to have, sorted.
 	Loaded []string `json:"loaded,omitempty"`
-	// Serving are the names, without versions, that requests may be sent there for, sorted.
-	Serving []string `json:"serving,omitempty"`
+	// Idle are those of them that requests must not be sent for: they load, or will be unloaded. Sorted.
+	Idle []string `json:"idle,omitempty"`
+}
+
+// Serving returns the names, without versions, that requests may be sent there for, sorted.
+func (p Planned) Serving() []string {
+	var names []string
+	for _, a := range p.Loaded {
+		if !slices.Contains(p.Idle, a) {
+			name, _, _ := strings.Cut(a, "@")
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
 }
 
 // Plan says which artifacts are to be loaded where. It is written as a whole, so that a router never sees half of a change.
@@ -31,9 +50,18 @@
 	Engines map[string]Planned `json:"engines"`
 }
 
+// PlanVersion returns the version of the plan, 0 if there is none, without reading it.
+func PlanVersion(ctx context.Context, store objectapi.Store) (int64, error) {
+	list, err := store.List(ctx, planKind)
+	if err != nil || len(list) == 0 {
+		return 0, err
+	}
+	return list[0].Version, nil
+}
+
 // ReadPlan returns the plan and its version, 0 if there is none. Versions only grow.
 func ReadPlan(ctx context.Context, store objectapi.Store) (Plan, int64, error) {
-	o, err := store.Get(ctx, desiredKind, planName)
+	o, err := store.Get(ctx, planKind, planName)
 	var missing *objectapi.NotFoundError
 	if errors.As(err, &missing) {
 		return Plan{}, 0, nil
@@ -43,7 +71,7 @@
 	}
 	var p Plan
 	if err := json.Unmarshal(o.Value, &p); err != nil {
-		return Plan{}, 0, fmt.Errorf("the plan is unreadable; delete object %s of kind %s: %w", planName, desiredKind, err)
+		return Plan{}, 0, fmt.Errorf("the plan is unreadable; delete object %s of kind %s: %w", planName, planKind, err)
 	}
 	return p, o.Version, nil
 }
@@ -100,7 +128,7 @@
 	if err := p.Lease.Valid(); err != nil {
 		return err
 	}
-	version, err := p.Store.Put(ctx, objectapi.Object{Kind: desiredKind, Name: planName, Version: p.version, Value: value})
+	version, err := p.Store.Put(ctx, objectapi.Object{Kind: planKind, Name: planName, Version: p.version, Value: value})
 	var conflict *objectapi.ConflictError
 	var ambiguous *objectapi.AmbiguousError
 	switch {
--- a/hornbeamd/control/control.go
+++ b/hornbeamd/control/control.go
@@ -153,6 +153,7 @@
 // step advances everything that depends on time.
 func (l *Loop) step(ctx context.Context, now time.Time) {
 	l.applyPolicy()
+	l.joins(now)
 	l.reconcile(ctx, now)
 	for _, name := range l.state.order {
 		if e := l.state.engines[name]; e.gate != nil {
--- a/hornbeamd/control/moves_test.go
+++ b/hornbeamd/control/moves_test.go
@@ -151,6 +151,37 @@
 	qt.Check(t, moved, qt.Equals, 2)
 }
 
+// Guards against a chat that reads its prompt again on its home after a drain, because what it said meanwhile is on its second home.
+func TestContextReturnsHome(t *testing.T) {
+	w := startMover(t, 0)
+	for i, state := range []policy.State{policy.Leaving, policy.InService} {
+		w.force.Accept(twoEngines(int64(i+2), state))
+		for w.loop.Policy().Revision < int64(i+2) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	go func() {
+		for t.Context().Err() == nil {
+			select {
+			case w.mover.through <- nil:
+			case <-t.Context().Done():
+			}
+		}
+	}()
+	for i := range 20 {
+		q := ask(fmt.Sprint("q", i))
+		q.Chat, q.Context = fmt.Sprint("chat", i), 3000
+		grant, err := w.loop.Admit(t.Context(), q)
+		qt.Assert(t, err, qt.IsNil)
+		w.loop.Release(grant, caller.Result{Ending: caller.EndedOK, Request: q.Request, Fingerprint: q.Fingerprint})
+		if len(w.mover.begun) > 0 {
+			qt.Check(t, <-w.mover.begun, qt.Equals, "e1")
+			return
+		}
+	}
+	t.Fatal("no context was moved")
+}
+
 // Guards against a move that holds its request back behind the limit, or that goes on for a request whose caller has left.
 func TestMoveEndsWithLimitAndCaller(t *testing.T) {
 	for name, leaves := range map[string]bool{"limit": false, "caller leaves": true} {
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -29,6 +29,8 @@
 	// view is the last one published; dirty is set if its engines have changed.
 	view  placement.View
 	dirty bool
+	// started is true once the engines of a first configuration are known.
+	started bool
 	// serving holds what the plan says that each engine serves.
 	serving map[string][]string
 }
@@ -61,6 +63,10 @@
 	evicted time.Time
 	// granted holds the requests that have a slot of gate, by slot.
 	granted map[uint64]SlotAsk
+	// joined is when the engine came into service, zero if that is long ago; left and seen tell whether it was leaving at the last
+	// look, and whether there was one.
+	joined     time.Time
+	left, seen bool
 	// warm and contexts tell which chats have their context here.
 	warm     warm
 	contexts contexts
@@ -122,6 +128,9 @@
 	if e.backend.State == policy.Leaving || s.drained[e.backend.Name] {
 		return placement.Leaving
 	}
+	if e.health == placement.InService && !e.joined.IsZero() {
+		return placement.Joining
+	}
 	return e.health
 }
 
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hornbeamstep.example/coord/claim"
+	"hornbeamstep.example/coord/order"
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/hornbeamd/control"
 	"hornbeamstep.example/hornbeamd/engine"
@@ -56,8 +57,9 @@
 	// stopped is closed when an operator drains the daemon.
 	stopped  chan struct{}
 	stopOnce sync.Once
-	// planVersion is that of the plan that placement follows.
+	// plan is the latest that was read, which placement follows, and planVersion its version.
 	planMu      sync.Mutex
+	plan        order.Plan
 	planVersion int64
 }
 
--- a/hornbeamd/daemon/planner.go
+++ b/hornbeamd/daemon/planner.go
@@ -156,7 +156,7 @@
 
 func equalPlans(a, b order.Plan) bool {
 	return maps.EqualFunc(a.Engines, b.Engines, func(x, y order.Planned) bool {
-		return slices.Equal(x.Loaded, y.Loaded) && slices.Equal(x.Serving, y.Serving)
+		return slices.Equal(x.Loaded, y.Loaded) && slices.Equal(x.Idle, y.Idle)
 	})
 }
 
@@ -172,21 +172,26 @@
 	return nil
 }
 
-// readPlan reads the plan. The placement of requests follows it, and never goes back to an older one.
+// readPlan returns the plan that stands now, which is read only if its version is a new one. The placement of requests follows it, and
+// never goes back to an older one.
 func (d *Daemon) readPlan(ctx context.Context) (order.Plan, error) {
-	plan, version, err := order.ReadPlan(ctx, d.store)
+	latest, err := order.PlanVersion(ctx, d.store)
 	if err != nil {
-		return plan, err
+		return order.Plan{}, err
 	}
 	d.planMu.Lock()
 	defer d.planMu.Unlock()
-	if version <= d.planVersion {
-		return plan, nil
+	if latest <= d.planVersion {
+		return d.plan, nil
+	}
+	plan, version, err := order.ReadPlan(ctx, d.store)
+	if err != nil {
+		return plan, err
 	}
-	d.planVersion = version
+	d.plan, d.planVersion = plan, version
 	serving := map[string][]string{}
 	for name, p := range plan.Engines {
-		serving[name] = p.Serving
+		serving[name] = p.Serving()
 	}
 	d.loop.SetServing(serving)
 	return plan, nil
--- a/hornbeamd/daemon/planning.go
+++ b/hornbeamd/daemon/planning.go
@@ -80,7 +80,7 @@
 		}
 		t.engines = append(t.engines, name)
 		if planned, ok := old.Engines[name]; ok {
-			t.plan[name] = order.Planned{Loaded: slices.Clone(planned.Loaded), Serving: planned.Serving}
+			t.plan[name] = order.Planned{Loaded: slices.Clone(planned.Loaded), Idle: planned.Idle}
 			continue
 		}
 		if reported, ok := t.in.Engines[name]; ok {
@@ -295,20 +295,18 @@
 	delete(t.retiring, retired{o.Engine, artifact(o.Name, o.Version)})
 }
 
-// serve sets the names that an engine serves: what it has and what does not retire. An engine of which nothing is known keeps its own.
+// serve sets what an engine does not serve yet or any more: what it has not, and what retires. An engine of which nothing is known keeps its own.
 func (t *poolTurn) serve(engine string) {
 	planned, ok := t.plan[engine]
 	if _, known := t.in.Engines[engine]; !ok || !known {
 		return
 	}
-	planned.Serving = nil
+	planned.Idle = nil
 	for _, a := range planned.Loaded {
-		if name, _ := splitArtifact(a); t.serves(engine, a, name) {
-			planned.Serving = append(planned.Serving, name)
+		if name, _ := splitArtifact(a); !t.serves(engine, a, name) {
+			planned.Idle = append(planned.Idle, a)
 		}
 	}
-	slices.Sort(planned.Serving)
-	planned.Serving = slices.Compact(planned.Serving)
 	t.plan[engine] = planned
 }
 
--- a/hornbeamd/daemon/planning_test.go
+++ b/hornbeamd/daemon/planning_test.go
@@ -84,7 +84,7 @@
 		for _, name := range names {
 			serving := 0
 			for engine, p := range plan.Engines {
-				if !slices.Contains(p.Serving, name) {
+				if !slices.Contains(p.Serving(), name) {
 					continue
 				}
 				serving++
@@ -157,7 +157,7 @@
 	w.step()
 	kept := -1
 	for i := range 3 {
-		if name := fmt.Sprint("e", i); !slices.Contains(w.plan.Engines[name].Serving, "m") {
+		if name := fmt.Sprint("e", i); !slices.Contains(w.plan.Engines[name].Serving(), "m") {
 			kept = i
 		}
 	}
@@ -171,7 +171,7 @@
 	}
 	for range 20 {
 		w.step()
-		qt.Assert(t, w.plan.Engines[fmt.Sprint("e", kept)].Serving, qt.Contains, "m")
+		qt.Assert(t, w.plan.Engines[fmt.Sprint("e", kept)].Serving(), qt.Contains, "m")
 	}
 }
 
