merge: moves of contexts between engines and planned adapters in the daemon

Cause: the daemon left contexts behind at each change of engine, and placed adapters without regard to demand.

--- a/hornbeambench/endtoend/fleet_test.go
+++ b/hornbeambench/endtoend/fleet_test.go
@@ -36,7 +36,7 @@
 
 // world is a platform, engines, one service and routers.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	ctx      context.Context
 	platform *platformapi.Server
 	address  string
@@ -46,11 +46,17 @@
 	listed   []instancelist.Instance
 	// stops end the routers and wait for their end.
 	stops map[*daemon.Daemon]func()
+	// adjust changes the settings of each router before it starts.
+	adjust func(*settings.Settings)
 }
 
-func newWorld(t *testing.T, engines, routers int, config modelengine.Config) *world {
+func newWorld(t testing.TB, engines, routers int, config modelengine.Config) *world {
+	return newAdjusted(t, engines, routers, config, func(*settings.Settings) {})
+}
+
+func newAdjusted(t testing.TB, engines, routers int, config modelengine.Config, adjust func(*settings.Settings)) *world {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	w := &world{t: t, ctx: ctx, platform: platformapi.New(), stops: map[*daemon.Daemon]func(){}}
+	w := &world{t: t, ctx: ctx, platform: platformapi.New(), stops: map[*daemon.Daemon]func(){}, adjust: adjust}
 	t.Cleanup(cancel)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -103,6 +109,7 @@
 	s.Caller.Listen, s.Peer.Listen, s.Operator.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Caller.Lifetime = 100 * time.Millisecond
 	s.Platform.Objects, s.Platform.Instances = w.address, w.address
+	w.adjust(&s)
 	d := &daemon.Daemon{Settings: s}
 	qt.Assert(w.t, d.Open(), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -156,6 +163,11 @@
 		Code    string `json:"code"`
 		Outcome string `json:"outcome"`
 	} `json:"error"`
+	Usage struct {
+		Details struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
 	Choices []struct {
 		Message struct {
 			Content string `json:"content"`
--- a/hornbeamd/control/control.go
+++ b/hornbeamd/control/control.go
@@ -54,8 +54,10 @@
 	Claims Claims
 	// Engine returns a client for the control traffic with a backend server.
 	Engine func(policy.Backend) Engine
-	Ring   *timeline.Ring
-	Log    *zap.Logger
+	// Mover copies KV caches between engines; nil if none are moved.
+	Mover Mover
+	Ring  *timeline.Ring
+	Log   *zap.Logger
 	// Registry takes the metrics.
 	Registry prometheus.Registerer
 	// InForce holds the configuration; the loop applies each new revision.
@@ -78,6 +80,8 @@
 	limits   limits
 	retries  retries
 	paces    paces
+	moves    moves
+	demand   demand
 
 	// tracked guards tracker, the suspects and quarantined requests that this router knows.
 	tracked sync.Mutex
@@ -104,13 +108,15 @@
 		l.events = make(chan func(time.Time), commands)
 		l.stopped = make(chan struct{})
 		l.metrics = newMetrics(l.Registry)
+		l.moves = newMoves(l.Registry)
+		l.demand = newDemand()
 		l.memory = newMemory()
 		l.services.init()
 		l.limits.init(l.Now())
 		l.retries.init()
 		l.tracker = quarantine.New(quarantine.Defaults())
 		l.state = newState()
-		l.snap.Store(&snapshot{rule: placement.New(placement.Defaults())})
+		l.snap.Store(&snapshot{rule: l.placementRule()})
 	})
 }
 
@@ -148,6 +154,7 @@
 // step advances everything that depends on time.
 func (l *Loop) step(ctx context.Context, now time.Time) {
 	l.applyPolicy()
+	l.joins(now)
 	l.reconcile(ctx, now)
 	for _, name := range l.state.order {
 		if e := l.state.engines[name]; e.gate != nil {
@@ -159,6 +166,7 @@
 		l.state.exchanged = now
 		l.renew(now)
 		l.measure()
+		l.evacuations(ctx, now)
 	}
 	l.publish(now)
 }
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -32,6 +32,10 @@
 	// view is the last one published; dirty is set if its engines have changed.
 	view  placement.View
 	dirty bool
+	// started is true once the engines of a first configuration are known.
+	started bool
+	// serving holds what the plan says that each engine serves.
+	serving map[string][]string
 }
 
 // engineState is what the loop knows of one engine.
@@ -64,6 +68,13 @@
 	evicted time.Time
 	// granted holds the requests that have a slot of gate, by slot.
 	granted map[uint64]SlotAsk
+	// joined is when the engine came into service, zero if that is long ago; left and seen tell whether it was leaving at the last
+	// look, and whether there was one.
+	joined     time.Time
+	left, seen bool
+	// warm and contexts tell which chats have their context here.
+	warm     warm
+	contexts contexts
 }
 
 func newState() state {
@@ -107,7 +118,7 @@
 func (s *state) update(name string, b policy.Backend, pool policy.Pool) {
 	e, ok := s.engines[name]
 	if !ok {
-		e = &engineState{waiters: map[string]waiter{}, granted: map[uint64]SlotAsk{}, stored: map[string]int64{}}
+		e = &engineState{waiters: map[string]waiter{}, granted: map[uint64]SlotAsk{}, stored: map[string]int64{}, warm: newWarm(), contexts: newContexts()}
 		s.engines[name] = e
 	}
 	if ok && e.backend.Address != b.Address && e.stopPoll != nil {
@@ -127,6 +138,9 @@
 	if e.ejected {
 		return placement.Suspect
 	}
+	if e.health == placement.InService && !e.joined.IsZero() {
+		return placement.Joining
+	}
 	return e.health
 }
 
@@ -168,6 +182,7 @@
 func (l *Loop) placedEngines() []placement.Engine {
 	var engines []placement.Engine
 	models := map[string][2][]string{}
+	anywhere := l.state.anywhere()
 	for _, name := range l.state.order {
 		e := l.state.engines[name]
 		pool := e.backend.Pool
@@ -176,12 +191,13 @@
 			models[pool] = [2][]string{m, a}
 		}
 		served := models[pool]
-		if len(served[0]) == 0 {
+		m, a := l.state.served(name, served[0], served[1], anywhere)
+		if len(m) == 0 {
 			continue
 		}
 		engines = append(engines, placement.Engine{
 			ID: name, Zone: e.backend.Zone, Pool: pool, Weight: e.backend.Weight,
-			State: l.state.placed(e), Models: served[0], Adapters: served[1],
+			State: l.state.placed(e), Models: m, Adapters: a,
 		})
 	}
 	return engines
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hornbeamstep.example/coord/claim"
+	"hornbeamstep.example/coord/order"
 	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/hornbeamd/control"
@@ -60,6 +61,10 @@
 	// stopped is closed when an operator drains the daemon.
 	stopped  chan struct{}
 	stopOnce sync.Once
+	// plan is the latest that was read, which placement follows, and planVersion its version.
+	planMu      sync.Mutex
+	plan        order.Plan
+	planVersion int64
 }
 
 // Open binds the address for callers and builds the parts. Run calls it if it was not called.
@@ -126,6 +131,9 @@
 		Settings: d.Settings, Peers: peers, Claims: &claims{owner: d.shardOwner, remote: d.node, local: d.claims}, Engine: d.engine, Ring: d.ring, Log: d.Log,
 		Registry: d.registry, InForce: d.inForce,
 	}
+	if d.Settings.Engine.Moves {
+		d.loop.Mover = &mover{connect: d.Settings.Engine.Connect}
+	}
 	d.node.Slots = slots{loop: d.loop, standing: d.standing}
 	d.node.Loads = peers
 	d.node.Revisions = revisions{inForce: d.inForce, loader: &folder.Loader{}}
@@ -138,6 +146,7 @@
 	d.usages = newUsages()
 	d.node.Usages = d.usages
 	d.node.Contexts = d.loop
+	d.node.Inventories = inventories{loop: d.loop}
 	return nil
 }
 
@@ -222,8 +231,10 @@
 	group.Go(func() error { return d.shareLimits(parts) })
 	group.Go(func() error { return d.tidyClaims(parts) })
 	group.Go(func() error { return d.reloadKeys(parts) })
+	group.Go(func() error { return d.followPlan(parts) })
 	if d.Settings.Orders.Enable {
 		group.Go(func() error { return d.keepEngines(parts) })
+		group.Go(func() error { return d.planAdapters(parts) })
 	}
 	d.Log.Info("daemon started", zap.String("callers", d.Settings.Caller.Address))
 	select {
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -93,6 +93,8 @@
 	Usages    Usages
 	Contexts  Contexts
 	Agreed    Agreed
+	// Inventories is nil on routers that tell nothing to the planner.
+	Inventories Inventories
 
 	once    sync.Once
 	ready   chan struct{}
