--- a/coord/agreed/log.go
+++ b/coord/agreed/log.go
@@ -22,6 +22,10 @@
 	retryMost  = 200 * time.Millisecond
 )
 
+// LookEvery is the time between two looks by a relay for changes of drains in the object API. A drain has to be known within 5 s also
+// where its messages do not arrive. With 14 relays these are 14 reads/s.
+const LookEvery = time.Second
+
 // Log keeps records in the object API. Set Store before use. Its methods may be called from any goroutine.
 type Log struct {
 	Store objectapi.Store
--- a/hornbeambench/control/virtual.go
+++ b/hornbeambench/control/virtual.go
@@ -70,6 +70,8 @@
 	engines    []owner.Engine
 	pools      []string
 	err        error
+	// leaving adds faults and the spread of an operator's order; nil without.
+	leaving *leaving
 }
 
 type virtualNode struct {
@@ -79,6 +81,10 @@
 	view    *member.View
 	owners  *owner.Snapshot
 	next    time.Time
+	// order is what the router knows of operators' orders, and resumes is when its process goes on after a pause; both are for
+	// leaving only.
+	order   orderNode
+	resumes time.Time
 }
 
 type delivery struct {
@@ -160,24 +166,55 @@
 }
 
 // send counts a message and delivers it after 1 to 5 ms.
-func (w *world) send(message any, deliver func()) {
+func (w *world) send(from, to *virtualNode, message any, deliver func()) {
 	kind, size, err := peer.EncodedSize(message)
 	if err != nil {
 		w.err = err
 		return
 	}
 	w.bytes[kind] += size
-	w.later(time.Millisecond+time.Duration(w.rnd.Int64N(int64(4*time.Millisecond))), deliver)
+	w.deliver(from, to, deliver)
+}
+
+func (w *world) deliver(from, to *virtualNode, run func()) {
+	if w.leaving != nil && w.leaving.lost(w, from, to) {
+		return
+	}
+	w.later(time.Millisecond+time.Duration(w.rnd.Int64N(int64(4*time.Millisecond))), func() { w.awake(to, run) })
+}
+
+// awake runs an event of a router once its process is not paused.
+func (w *world) awake(n *virtualNode, run func()) {
+	if rest := n.resumes.Sub(w.now); rest > 0 {
+		w.later(rest, func() { w.awake(n, run) })
+		return
+	}
+	run()
 }
 
 func (w *world) tick(n *virtualNode) {
 	w.do(n, n.members.Tick(w.now))
-	w.assign(n)
+	if w.leaving == nil {
+		w.assign(n)
+	}
 	if !w.now.Before(n.next) {
 		n.next = w.now.Add(time.Second)
-		w.report(n)
+		w.second(n)
+	}
+	if w.leaving != nil {
+		w.leaving.tick(w, n)
+	}
+	w.later(100*time.Millisecond, func() { w.awake(n, func() { w.tick(n) }) })
+}
+
+// second runs every second. With lost messages the view changes all the time, and only the relays matter there: the ownership is then
+// computed no more often.
+func (w *world) second(n *virtualNode) {
+	if w.leaving != nil {
+		w.assign(n)
+		return
 	}
-	w.later(100*time.Millisecond, func() { w.tick(n) })
+	w.report(n)
 }
 
 // assign computes the ownership of a router for a new view.
@@ -211,10 +248,10 @@
 			continue
 		}
 		to := w.byAddress[m.Address]
-		w.send(send.Report, func() {
+		w.send(n, to, send.Report, func() {
 			reply := to.loads.Handle(w.now, send.Report)
 			if send.Report.Zone == "" {
-				w.send(reply, func() { n.loads.Answered(w.now, reply) })
+				w.send(to, n, reply, func() { n.loads.Answered(w.now, reply) })
 			}
 		})
 	}
@@ -226,16 +263,14 @@
 		switch {
 		case to == nil:
 		case a.Kind == member.SendPing:
-			w.send(a.Ping, func() {
-				ack, more := to.members.HandlePing(w.now, a.Ping)
-				w.do(to, more)
-				w.send(ack, func() { w.do(n, n.members.Acked(w.now, a.Seq, ack)) })
-			})
+			w.ping(n, to, a)
+		case a.Kind == member.SendProbe && w.leaving != nil:
+			w.probe(n, to, a)
 		case a.Kind == member.SendSync:
-			w.send(a.Sync, func() {
+			w.send(n, to, a.Sync, func() {
 				reply, more := to.members.HandleSync(w.now, a.Sync)
 				w.do(to, more)
-				w.send(reply, func() {
+				w.send(to, n, reply, func() {
 					if len(a.Sync.Digests) > 0 {
 						w.do(n, n.members.Synced(w.now, a.To, reply))
 					}
@@ -244,3 +279,33 @@
 		}
 	}
 }
+
+func (w *world) ping(n, to *virtualNode, a member.Action) {
+	answered, members := false, n.members
+	digest := w.digest(n)
+	w.send(n, to, a.Ping, func() {
+		ack, more := to.members.HandlePing(w.now, a.Ping)
+		w.do(to, more)
+		w.differs(to, n, digest)
+		own := w.digest(to)
+		w.send(to, n, ack, func() {
+			if n.members != members || answered {
+				return
+			}
+			answered = true
+			w.do(n, n.members.Acked(w.now, a.Seq, ack))
+			w.differs(n, to, own)
+		})
+	})
+	if w.leaving == nil {
+		return
+	}
+	w.later(member.DefaultDirect, func() {
+		w.awake(n, func() {
+			if n.members == members && !answered {
+				answered = true
+				w.do(n, n.members.Failed(w.now, a.Seq))
+			}
+		})
+	})
+}
--- a/hornbeamd/daemon/standing.go
+++ b/hornbeamd/daemon/standing.go
@@ -92,13 +92,16 @@
 }
 
 // Merge implements peer.Agreed.
-func (s *standing) Merge(records []agreed.Record) {
+func (s *standing) Merge(records []agreed.Record) { s.merge(records) }
+
+func (s *standing) merge(records []agreed.Record) []agreed.Change {
 	s.applying.Lock()
 	defer s.applying.Unlock()
 	s.mu.Lock()
 	changed := s.set.Merge(time.Now(), records)
 	s.mu.Unlock()
 	s.apply(changed)
+	return changed
 }
 
 // Notice implements peer.Notices.
@@ -201,7 +204,7 @@
 	return r
 }
 
-// toNotice is the notice of an operator's order.
+// toNotice is the notice of a decision.
 func toNotice(r agreed.Record) peer.Notice {
 	n := peer.Notice{Kind: "release", Fingerprint: r.Name, Account: r.Account, Reason: r.Reason, At: time.Unix(0, r.Last()).UTC()}
 	if r.Kind == agreed.Drain {
@@ -209,6 +212,13 @@
 		if r.InForce() {
 			n.Kind = "drain"
 		}
+		return n
+	}
+	if r.InForce() {
+		n.Kind, n.At = "quarantine", time.Unix(0, r.On).UTC()
+		for mark := range r.Marks {
+			n.Engine, n.Boot, _ = strings.Cut(mark, " ")
+		}
 	}
 	return n
 }
--- a/hornbeamd/daemon/store.go
+++ b/hornbeamd/daemon/store.go
@@ -15,10 +15,10 @@
 	// restoreLimit is the longest wait of a starting router for what was agreed on before. Without an answer it starts all the same
 	// and learns of it later: an outage of the object API during a restart of all routers must not last longer than the outage.
 	restoreLimit = 5 * time.Second
-	// drainsEvery and crashesEvery are the times between two looks by a relay for changes in the object API. A drain has to be
-	// known within 5 s also where its messages do not arrive. With 14 relays these are 17 reads/s.
-	drainsEvery  = time.Second
+	// crashesEvery is the time between two looks by a relay for changes of the quarantine; agreed.LookEvery that for drains.
 	crashesEvery = 5 * time.Second
+	// mostTold bounds the decisions of one look that a relay tells its availability zone of.
+	mostTold = 8
 )
 
 // restore takes over what was agreed on before this process started, from the object API or else from another router.
@@ -61,8 +61,9 @@
 	return group.Wait()
 }
 
-func (s *standing) loaded(kind agreed.Kind, records []agreed.Record, version int64) {
-	s.Merge(records)
+// loaded takes what was read and returns what was not known.
+func (s *standing) loaded(kind agreed.Kind, records []agreed.Record, version int64) []agreed.Change {
+	changed := s.merge(records)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.saved[kind] = max(s.saved[kind], version)
@@ -71,9 +72,10 @@
 	for _, r := range s.set.Records(kind) {
 		if old, ok := stored.Get(kind, r.Name); !ok || !old.Equal(r) {
 			s.save(kind)
-			return
+			break
 		}
 	}
+	return changed
 }
 
 // run writes what is unsaved, looks for changes in the object API while this router is a relay, and keeps the signs of life.
@@ -149,7 +151,7 @@
 			continue
 		}
 		complete := true
-		for kind, every := range map[agreed.Kind]time.Duration{agreed.Drain: drainsEvery, agreed.Quarantine: crashesEvery} {
+		for kind, every := range map[agreed.Kind]time.Duration{agreed.Drain: agreed.LookEvery, agreed.Quarantine: crashesEvery} {
 			if time.Now().Before(next[kind]) {
 				continue
 			}
@@ -191,6 +193,19 @@
 	if err != nil {
 		return err
 	}
-	s.loaded(kind, records, version)
+	changed := s.loaded(kind, records, version)
+	if known {
+		s.tellZone(ctx, changed)
+	}
 	return nil
 }
+
+// tellZone tells the routers of this availability zone of decisions that a relay read: when the zone is cut off from the others, few
+// pings go from one of its routers to another. The rest is left to the digests of pings.
+func (s *standing) tellZone(ctx context.Context, changed []agreed.Change) {
+	for _, c := range changed[:min(len(changed), mostTold)] {
+		if c.On > 0 || c.Off > 0 {
+			go s.node.TellZone(ctx, toNotice(c.Record))
+		}
+	}
+}
--- a/hornbeamd/peer/agreed.go
+++ b/hornbeamd/peer/agreed.go
@@ -90,3 +90,27 @@
 		})
 	}()
 }
+
+// TellZone tells the routers of this availability zone of a notice, and repeats it where it is not answered.
+func (n *Node) TellZone(ctx context.Context, s Notice) {
+	n.Spread(s)
+	s.At = s.At.Round(0)
+	for _, m := range n.Members().Members {
+		if m.ID == n.ID || m.Zone != n.Zone {
+			continue
+		}
+		go func() {
+			for range zoneTries {
+				call, cancel := context.WithTimeout(ctx, directLimit)
+				err := n.send(call, m.ID, "crash", wireNotice(s), nil)
+				cancel()
+				if err == nil || ctx.Err() != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// zoneTries bounds the calls to each router by TellZone.
+const zoneTries = 3
