fix: a slot whose caller has gone is freed at once

Cause: when a caller left while its router waited for another router's slot, a grant on its way back reached nobody and kept the engine's room until the lease of 10 s expired; a queued question stayed in the queue.

Change: the router sends abandon with the request to the owner, which frees the slot or takes the request out of the queue. A question that arrives after the message is refused. hornbeam_control_slots_abandoned_total counts freed slots.

Conclusion: expiry is left for lost messages only.

--- a/hornbeamd/control/alone.go
+++ b/hornbeamd/control/alone.go
@@ -51,6 +51,9 @@
 // Free implements Peers.
 func (a *Alone) Free(string, string, uint64) {}
 
+// Abandon implements Peers.
+func (a *Alone) Abandon(string, string, string) {}
+
 // Held implements Peers.
 func (a *Alone) Held(context.Context, string, uint64) (string, error) { return "", errAlone }
 
--- a/hornbeamd/control/metrics.go
+++ b/hornbeamd/control/metrics.go
@@ -4,10 +4,10 @@
 
 // metrics of the control loop.
 type metrics struct {
-	slotCalls, shares, expired, lost, quarantined prometheus.Counter
-	load, limit                                   *prometheus.GaugeVec
-	slots, waiting                                prometheus.Gauge
-	revision                                      prometheus.Gauge
+	slotCalls, shares, expired, lost, abandoned, quarantined prometheus.Counter
+	load, limit                                              *prometheus.GaugeVec
+	slots, waiting                                           prometheus.Gauge
+	revision                                                 prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -34,6 +34,7 @@
 		shares:      counter("shares_total", "Requests admitted by the conservative share, because the engine's owner did not answer."),
 		expired:     counter("slots_expired_total", "Slots that were taken back because their holder did not renew them."),
 		lost:        counter("slots_lost_total", "Slots of requests in progress that their owner no longer knew."),
+		abandoned:   counter("slots_abandoned_total", "Slots that were taken back because the caller left before the grant reached it."),
 		quarantined: counter("quarantined_total", "Requests that this router quarantined because engines crashed when they ran them."),
 		load:        engines("engine_load", "Estimated load of an owned engine, in the engine's own unit."),
 		limit:       engines("engine_load_limit", "Load above which an owned engine gets no request, in the engine's own unit."),
--- a/hornbeamd/control/peers.go
+++ b/hornbeamd/control/peers.go
@@ -25,6 +25,9 @@
 	Renew(ctx context.Context, router, engine string, slots []uint64) ([]uint64, error)
 	// Free returns a slot. A message that is lost is made up for by the slot's expiry.
 	Free(router, engine string, slot uint64)
+	// Abandon tells a router that the caller of a request left before its answer came. A message that is lost is made up for by the
+	// slot's expiry.
+	Abandon(router, engine, request string)
 	// Held asks the owner of a chat's home which engine holds the context; empty for the home. Note tells it.
 	Held(ctx context.Context, router string, key uint64) (string, error)
 	Note(router string, key uint64, engine string)
@@ -88,7 +91,8 @@
 			return a
 		}
 		if ctx.Err() != nil {
-			// The router may have granted the slot; it expires there.
+			// The router may have granted the slot, or may still do so.
+			go l.Peers.Abandon(router, engine, ask.Request)
 			return refuse(ask, gone)
 		}
 		l.silent.add(l.Now(), router)
--- a/hornbeamd/control/slots.go
+++ b/hornbeamd/control/slots.go
@@ -68,6 +68,9 @@
 func (l *Loop) offered(name string, ask SlotAsk, answer chan<- Answer, now time.Time) {
 	e, ok := l.state.engines[name]
 	switch {
+	case l.state.left(name, ask.Request):
+		answer <- refuse(ask, gone)
+		return
 	case ok && e.gate == nil && ask.Share:
 		answer <- l.standIn(e, ask, now)
 		return
--- a/hornbeamd/control/state.go
+++ b/hornbeamd/control/state.go
@@ -24,6 +24,8 @@
 	local, remote map[string]slotRef
 	// drained are the backend servers that an operator took out of service, whether or not the configuration names them.
 	drained map[string]bool
+	// gone are requests whose callers left before their questions for a slot arrived here, with the times to forget them.
+	gone map[string]time.Time
 	// exchanged is when slots were last renewed and loads last sent.
 	exchanged time.Time
 	// view is the last one published; dirty is set if its engines have changed.
@@ -67,6 +69,7 @@
 		local:   map[string]slotRef{},
 		remote:  map[string]slotRef{},
 		drained: map[string]bool{},
+		gone:    map[string]time.Time{},
 	}
 }
 
--- a/hornbeamd/daemon/peers.go
+++ b/hornbeamd/daemon/peers.go
@@ -116,6 +116,14 @@
 	_ = p.node.Free(ctx, router, []string{slotName(engine, slot)})
 }
 
+// Abandon implements control.Peers.
+func (p *peers) Abandon(router, engine, request string) {
+	ctx, cancel := context.WithTimeout(context.Background(), takeLimit)
+	defer cancel()
+	// A slot that could not be given up expires.
+	_ = p.node.Abandon(ctx, router, []string{engine + "/" + request})
+}
+
 // Held implements control.Peers.
 func (p *peers) Held(ctx context.Context, router string, key uint64) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, takeLimit)
@@ -253,6 +261,18 @@
 	return nil
 }
 
+// Abandon implements peer.Slots.
+func (s slots) Abandon(_ context.Context, from string, names []string) error {
+	for _, name := range names {
+		engine, request, ok := strings.Cut(name, "/")
+		if !ok {
+			return fmt.Errorf("request %q of router %s has no engine; use the same version on all daemons", name, from)
+		}
+		s.loop.Abandon(engine, request)
+	}
+	return nil
+}
+
 // Renew implements peer.Slots.
 func (s slots) Renew(ctx context.Context, _ string, names []string) ([]string, error) {
 	byEngine := map[string][]uint64{}
--- a/hornbeamd/peer/handlers.go
+++ b/hornbeamd/peer/handlers.go
@@ -250,6 +250,8 @@
 		})
 	case r.Method == "free" && n.Slots != nil:
 		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Free(ctx, w.From, w.Slots) })
+	case r.Method == "abandon" && n.Slots != nil:
+		return with(r, func(w wireSlots) (any, error) { return nil, n.Slots.Abandon(ctx, w.From, w.Slots) })
 	case r.Method == "renew" && n.Slots != nil:
 		return with(r, func(w wireSlots) (wireLost, error) {
 			lost, err := n.Slots.Renew(ctx, w.From, w.Slots)
@@ -400,6 +402,11 @@
 	return n.send(ctx, router, "free", wireSlots{n.ID, slots}, nil)
 }
 
+// Abandon tells a router that the callers of requests left before its answers came. Each request is engine/request.
+func (n *Node) Abandon(ctx context.Context, router string, requests []string) error {
+	return n.send(ctx, router, "abandon", wireSlots{n.ID, requests}, nil)
+}
+
 // Renew renews the leases of slots in a group and returns those that are lost.
 func (n *Node) Renew(ctx context.Context, router string, slots []string) ([]string, error) {
 	if router == n.ID && n.Slots != nil {
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -24,6 +24,8 @@
 type Slots interface {
 	Take(ctx context.Context, from string, ask SlotAsk) (SlotGrant, error)
 	Free(ctx context.Context, from string, slots []string) error
+	// Abandon ends what requests have whose callers left before an answer came. Requests are named like slots, as engine/request.
+	Abandon(ctx context.Context, from string, requests []string) error
 	// Renew returns the slots that are no longer held.
 	Renew(ctx context.Context, from string, slots []string) (lost []string, err error)
 }
--- a/hornbeamd/peer/peer_test.go
+++ b/hornbeamd/peer/peer_test.go
@@ -95,6 +95,8 @@
 	return nil
 }
 
+func (f *fake) Abandon(context.Context, string, []string) error { return nil }
+
 func (f *fake) Renew(_ context.Context, _ string, slots []string) ([]string, error) {
 	return slots[1:], nil
 }
--- a/hornbeamd/peer/silent_test.go
+++ b/hornbeamd/peer/silent_test.go
@@ -154,5 +154,7 @@
 	}
 }
 
-func (s *slow) Free(context.Context, string, []string) error              { return nil }
+func (s *slow) Free(context.Context, string, []string) error    { return nil }
+func (s *slow) Abandon(context.Context, string, []string) error { return nil }
+
 func (s *slow) Renew(context.Context, string, []string) ([]string, error) { return nil, nil }
--- a/routing/admission/share.go
+++ b/routing/admission/share.go
@@ -40,6 +40,15 @@
 	return true
 }
 
+// Abandon frees the slot if a request holds it, and reports whether it did.
+func (s *Share) Abandon(request string) bool {
+	held := request != "" && s.request == request
+	if held {
+		s.request = ""
+	}
+	return held
+}
+
 // Release frees the slot.
 func (s *Share) Release(id uint64) {
 	if s.slot.ID == id {
