feat: metrics of claims, leases, orders and of drains and quarantine

Cause: only the calls to the object API were counted, not what they were for.

Change: hornbeam_claim_writes_total and hornbeam_claim_wait_seconds, hornbeam_lease_writes_total and _refusals_total, hornbeam_order_writes_total and _results_total, hornbeam_agreed_writes_total, each by result: ok, conflict, ambiguous, retry, and expired, paused, lost, fenced, superseded, wait. Package lease and order count in Counters that the daemon keeps over the leases.

Conclusion: conflicts, retries, waits and fenced refusals are seen.

--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -43,6 +43,8 @@
 	Limit time.Duration
 	// Seal is the size, in bytes, at which a head record is sealed; DefaultSeal if 0.
 	Seal int
+	// Waited is told how long each operation waited for its result, ended or not; nil for nobody. It must not block.
+	Waited func(time.Duration)
 
 	mu     sync.Mutex
 	shards [Shards]*shard
@@ -55,6 +57,8 @@
 	Writes, Seals int64
 	// Conflicts are head writes that lost to another router, and Ambiguous those whose reply was lost.
 	Conflicts, Ambiguous int64
+	// Retries are rounds of a batch after its first.
+	Retries int64
 	// Rebuilds are readings of a shard by a router that did not know its state.
 	Rebuilds int64
 	// Abandoned are claims that were recorded after their caller had gone, and then released.
@@ -209,6 +213,9 @@
 func (t *Table) submit(ctx context.Context, n int, o *op) result {
 	ctx, cancel := context.WithTimeout(ctx, t.limit())
 	defer cancel()
+	if t.Waited != nil {
+		defer func(begin time.Time) { t.Waited(time.Since(begin)) }(time.Now())
+	}
 	if !t.enqueue(t.shard(n), o) {
 		return result{err: &DownError{Retry: time.Second, Cause: errBusy}}
 	}
@@ -252,7 +259,10 @@
 	doubt := false
 	end := time.Now().Add(settleLimit)
 	err := errUnsettled
-	for time.Now().Before(end) {
+	for round := 0; time.Now().Before(end); round++ {
+		if round > 0 {
+			t.count(func(st *Stats) { st.Retries++ })
+		}
 		// The wait comes before the load: a router that waited after it would lose every race against another one.
 		t.wait(s)
 		if !s.loaded {
--- a/coord/lease/holder.go
+++ b/coord/lease/holder.go
@@ -21,6 +21,8 @@
 	Gap time.Duration
 	// Now is a clock with a monotonic reading; time.Now if nil.
 	Now func() time.Time
+	// Counters may be shared with other holders; nil for none.
+	Counters *Counters
 
 	// writing serializes the writes of the record.
 	writing sync.Mutex
@@ -123,6 +125,30 @@
 
 // Valid returns nil if the lease is held now, or *ExpiredError, *PausedError or *LostError. It is asked right before each action.
 func (h *Holder) Valid() error {
+	err := h.valid()
+	var expired *ExpiredError
+	var paused *PausedError
+	var lost *LostError
+	switch c := h.counters(); {
+	case errors.As(err, &expired):
+		c.Expired.Add(1)
+	case errors.As(err, &paused):
+		c.Paused.Add(1)
+	case errors.As(err, &lost):
+		c.Lost.Add(1)
+	}
+	return err
+}
+
+// counters is never nil.
+func (h *Holder) counters() *Counters {
+	if h.Counters == nil {
+		return &Counters{}
+	}
+	return h.Counters
+}
+
+func (h *Holder) valid() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
@@ -200,11 +226,23 @@
 // put writes the record and settles lost replies. Until the version has moved on, the same write is sent again: exactly one of them
 // can succeed.
 func (h *Holder) put(ctx context.Context, o objectapi.Object, next wireRecord) (int64, error) {
-	for {
+	count := h.counters()
+	for round := 0; ; round++ {
+		if round > 0 {
+			count.Retries.Add(1)
+		}
 		version, err := h.Store.Put(ctx, o)
 		var conflict *objectapi.ConflictError
 		var ambiguous *objectapi.AmbiguousError
-		if err == nil || (!errors.As(err, &conflict) && !errors.As(err, &ambiguous)) {
+		switch {
+		case err == nil:
+			count.Writes.Add(1)
+			return version, nil
+		case errors.As(err, &conflict):
+			count.Conflicts.Add(1)
+		case errors.As(err, &ambiguous):
+			count.Ambiguous.Add(1)
+		default:
 			return version, err
 		}
 		now, readErr := h.Store.Get(ctx, Kind, h.Router)
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -32,6 +32,7 @@
 		m := &objectapi.Memory{}
 		o := &lease.Observer{Store: m}
 		h := holder(m, "a")
+		h.Counters = &lease.Counters{}
 		var expired *lease.ExpiredError
 		c.Assert(errors.As(h.Valid(), &expired), qt.IsTrue)
 		c.Assert(h.Acquire(ctx, o, []string{"e-2", "e-1"}), qt.IsNil)
@@ -59,6 +60,8 @@
 		var lost *lease.LostError
 		c.Assert(errors.As(h.Renew(ctx), &lost), qt.IsTrue)
 		c.Assert(errors.As(h.Valid(), &lost), qt.IsTrue)
+		n := h.Counters
+		c.Assert([]int64{n.Writes.Load(), n.Conflicts.Load(), n.Expired.Load(), n.Paused.Load(), n.Lost.Load()}, qt.DeepEquals, []int64{3, 1, 1, 1, 1})
 
 		next := holder(m, "b")
 		c.Assert(next.Acquire(ctx, o, nil), qt.IsNil)
--- a/coord/order/keeper.go
+++ b/coord/order/keeper.go
@@ -48,6 +48,8 @@
 	Loads Limiter
 	// Now is a clock with a monotonic reading; time.Now if nil.
 	Now func() time.Time
+	// Counters may be shared with other keepers; nil for none.
+	Counters *Counters
 
 	mu   sync.Mutex
 	turn int64
@@ -86,10 +88,12 @@
 		}
 		o.Value = value
 		_, err = k.Store.Put(ctx, o)
+		k.counters().written(err)
 		var conflict *objectapi.ConflictError
 		if !errors.As(err, &conflict) {
 			return err
 		}
+		k.counters().Retries.Add(1)
 		if err := sleep(ctx, 10*time.Millisecond); err != nil {
 			return err
 		}
@@ -106,6 +110,12 @@
 // until it sends none, and now and then afterwards. It is not called for one engine at the same time. Errors: those of Lease.Valid, *WaitingError, *SupersededError, *StaleError, and those of the object API and of
 // the engine.
 func (k *Keeper) Repair(ctx context.Context, t Target) ([]Order, error) {
+	sent, err := k.repair(ctx, t)
+	k.counters().repaired(sent, err)
+	return sent, err
+}
+
+func (k *Keeper) repair(ctx context.Context, t Target) ([]Order, error) {
 	if err := k.allowed(t); err != nil {
 		return nil, err
 	}
@@ -280,6 +290,7 @@
 	o.Value = value
 	for {
 		version, err := k.Store.Put(ctx, o)
+		k.counters().written(err)
 		var conflict *objectapi.ConflictError
 		var ambiguous *objectapi.AmbiguousError
 		if err == nil {
@@ -299,6 +310,7 @@
 		if err := sleep(ctx, 100*time.Millisecond); err != nil {
 			return o, w, err
 		}
+		k.counters().Retries.Add(1)
 	}
 }
 
--- a/coord/order/order_test.go
+++ b/coord/order/order_test.go
@@ -239,6 +239,7 @@
 		e := &engine{fenced: true, state: before}
 		p := &pause{at: 2, resume: make(chan struct{})}
 		a := newRouter(t, "a", m, pausedEngine{e, p}, true)
+		a.keeper.Counters = &order.Counters{}
 		qt.Assert(t, a.keeper.Set(ctx, "e-1", want), qt.IsNil)
 		done := make(chan error)
 		go func() {
@@ -252,6 +253,7 @@
 		close(p.resume)
 		var stale *order.StaleError
 		qt.Assert(t, errors.As(<-done, &stale), qt.IsTrue)
+		qt.Assert(t, a.keeper.Counters.Fenced.Load(), qt.Equals, int64(1))
 		qt.Assert(t, p.where, qt.Equals, "before an order")
 		qt.Assert(t, e.state, qt.DeepEquals, before)
 	})
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -45,6 +45,7 @@
 	inForce  *history.InForce
 	claims   *claim.Table
 	standing *standing
+	counters counters
 	usages   *usages
 	node     *peer.Node
 	loop     *control.Loop
@@ -97,6 +98,7 @@
 	d.inForce = &history.InForce{}
 	d.claims = &claim.Table{Store: d.store}
 	d.standing = newStanding(d.store, d.Log)
+	d.measureState()
 }
 
 func (d *Daemon) openPeers() error {
--- /dev/null
+++ b/hornbeamd/daemon/metrics.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hornbeamstep.example/coord/lease"
+	"hornbeamstep.example/coord/order"
+)
+
+// counters are those of the keepers of orders, which are replaced with each lease.
+type counters struct {
+	leases lease.Counters
+	orders order.Counters
+}
+
+// measureState registers the metrics of everything that this daemon writes to the object API for the fleet.
+func (d *Daemon) measureState() {
+	waits := prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "hornbeam_claim_wait_seconds", Help: "Time from a claim or its end to its result, in seconds.",
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 11),
+	})
+	d.claims.Waited = func(wait time.Duration) { waits.Observe(wait.Seconds()) }
+	d.registry.MustRegister(waits)
+	l, o := &d.counters.leases, &d.counters.orders
+	const writes, events = "Conditional writes by result, and writes that were sent again.", "Refusals and waits by reason."
+	for name, group := range map[string]struct {
+		help   string
+		values map[string]func() int64
+	}{
+		"claim_writes_total": {"Claim log: " + writes, map[string]func() int64{
+			"ok":        func() int64 { return d.claims.Stats().Writes },
+			"conflict":  func() int64 { return d.claims.Stats().Conflicts },
+			"ambiguous": func() int64 { return d.claims.Stats().Ambiguous },
+			"retry":     func() int64 { return d.claims.Stats().Retries },
+			"segment":   func() int64 { return d.claims.Stats().Seals },
+			"rebuild":   func() int64 { return d.claims.Stats().Rebuilds },
+			"abandoned": func() int64 { return d.claims.Stats().Abandoned },
+		}},
+		"lease_writes_total": {"Leases: " + writes, map[string]func() int64{
+			"ok": l.Writes.Load, "conflict": l.Conflicts.Load, "ambiguous": l.Ambiguous.Load, "retry": l.Retries.Load,
+		}},
+		"lease_refusals_total": {"Leases: " + events, map[string]func() int64{
+			"expired": l.Expired.Load, "paused": l.Paused.Load, "lost": l.Lost.Load,
+		}},
+		"order_writes_total": {"Desired states of engines: " + writes, map[string]func() int64{
+			"ok": o.Writes.Load, "conflict": o.Conflicts.Load, "ambiguous": o.Ambiguous.Load, "retry": o.Retries.Load,
+		}},
+		"order_results_total": {"Orders to engines: applied ones. " + events, map[string]func() int64{
+			"applied": o.Sent.Load, "fenced": o.Fenced.Load, "superseded": o.Superseded.Load, "wait": o.Waits.Load,
+		}},
+		"agreed_writes_total": {"Drains and quarantined requests: " + writes, map[string]func() int64{
+			"ok":        func() int64 { return d.standing.log.Stats().Writes },
+			"conflict":  func() int64 { return d.standing.log.Stats().Conflicts },
+			"ambiguous": func() int64 { return d.standing.log.Stats().Ambiguous },
+		}},
+	} {
+		for result, read := range group.values {
+			d.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+				Name: "hornbeam_" + name, Help: group.help, ConstLabels: prometheus.Labels{"result": result},
+			}, func() float64 { return float64(read()) }))
+		}
+	}
+}
--- a/hornbeamd/daemon/orders.go
+++ b/hornbeamd/daemon/orders.go
@@ -61,12 +61,13 @@
 }
 
 func (d *Daemon) newKeeper(boot string) *keeper {
-	holder := &lease.Holder{Store: d.store, Router: d.Settings.ID, Boot: boot}
+	holder := &lease.Holder{Store: d.store, Router: d.Settings.ID, Boot: boot, Counters: &d.counters.leases}
 	observer := &lease.Observer{Store: d.store}
 	return &keeper{
 		daemon: d, holder: holder, observer: observer,
 		keeper: &order.Keeper{
 			Store: d.store, Lease: holder, Leases: observer, Router: d.Settings.ID, Boot: boot, Loads: d.loads(),
+			Counters: &d.counters.orders,
 		},
 	}
 }
