--- a/hornbeambench/control/virtual.go
+++ b/hornbeambench/control/virtual.go
@@ -73,6 +73,8 @@
 	err        error
 	// drill is nil unless faults are injected and revisions are spread.
 	drill *drill
+	// leaving adds faults and the spread of an operator's order; nil without.
+	leaving *leaving
 }
 
 type virtualNode struct {
@@ -92,6 +94,10 @@
 	revisions *revision.State
 	// placed is the ownership that revisions know.
 	placed *owner.Snapshot
+	// order is what the router knows of operators' orders, and resumes is when its process goes on after a pause; both are for
+	// leaving only.
+	order   orderNode
+	resumes time.Time
 }
 
 type delivery struct {
@@ -174,7 +180,7 @@
 	return float64(bytes) / w.Window.Seconds() / float64(w.Routers)
 }
 
-// send counts a message and delivers it after 1 to 5 ms, unless the link is cut or an end dies meanwhile.
+// send counts a message and delivers it after 1 to 5 ms, unless faults lose it.
 func (w *world) send(from, to *virtualNode, message any, deliver func()) {
 	kind, size, err := peer.EncodedSize(message)
 	if err != nil {
@@ -185,34 +191,60 @@
 	w.carry(from, to, deliver)
 }
 
-// carry delivers a message after 1 to 5 ms. In drills it is lost if the link is cut or an end dies meanwhile.
+// carry delivers a message after 1 to 5 ms. Faults lose it if the link is cut or an end dies meanwhile.
 func (w *world) carry(from, to *virtualNode, deliver func()) {
-	if w.drill != nil && !w.drill.reaches(from, to) {
+	if w.drill != nil && !w.drill.reaches(from, to) || w.leaving != nil && w.leaving.lost(w, from, to) {
 		return
 	}
 	start, life := from.life, to.life
 	w.later(time.Millisecond+time.Duration(w.rnd.Int64N(int64(4*time.Millisecond))), func() {
-		if w.drill == nil || (from.life == start && to.life == life && !to.dead) {
-			deliver()
-		}
+		w.awake(to, func() {
+			if w.drill == nil || (from.life == start && to.life == life && !to.dead) {
+				deliver()
+			}
+		})
 	})
 }
 
+// awake runs an event of a router once its process is not paused.
+func (w *world) awake(n *virtualNode, run func()) {
+	if rest := n.resumes.Sub(w.now); rest > 0 {
+		w.later(rest, func() { w.awake(n, run) })
+		return
+	}
+	run()
+}
+
 func (w *world) tick(n *virtualNode) {
 	if n.dead {
 		w.later(100*time.Millisecond, func() { w.tick(n) })
 		return
 	}
 	w.do(n, n.members.Tick(w.now))
-	w.assign(n)
+	if w.leaving == nil {
+		w.assign(n)
+	}
 	if !w.now.Before(n.next) {
 		n.next = w.now.Add(time.Second)
-		w.report(n)
+		w.second(n)
 	}
 	if w.drill != nil {
 		w.drill.tick(n)
 	}
-	w.later(100*time.Millisecond, func() { w.tick(n) })
+	if w.leaving != nil {
+		w.leaving.tick(w, n)
+	}
+	w.later(100*time.Millisecond, func() { w.awake(n, func() { w.tick(n) }) })
+}
+
+// second runs every second. With lost messages the view changes all the time, and only the relays matter there: the ownership is then
+// computed no more often.
+func (w *world) second(n *virtualNode) {
+	if w.leaving != nil {
+		w.assign(n)
+		return
+	}
+	w.report(n)
 }
 
 // assign computes the ownership of a router for a new view.
@@ -263,9 +295,15 @@
 			w.drill.lost(n, a.To)
 		case to == nil, w.drill != nil && w.drill.without == Rejoin && (a.To.Status == member.Removed || a.To.ID == ""):
 		case a.Kind == member.SendPing:
+			if w.leaving != nil {
+				w.pingWithOrders(n, to, a)
+				break
+			}
 			w.ping(n, to, a.Ping, func(ack member.Ack) { w.do(n, n.members.Acked(w.now, a.Seq, ack)) })
 		case a.Kind == member.SendProbe && w.drill != nil:
 			w.drill.probe(n, to, a)
+		case a.Kind == member.SendProbe && w.leaving != nil:
+			w.probe(n, to, a)
 		case a.Kind == member.SendSync:
 			w.send(n, to, a.Sync, func() {
 				reply, more := to.members.HandleSync(w.now, a.Sync)
--- a/hornbeamd/control/metrics.go
+++ b/hornbeamd/control/metrics.go
@@ -9,13 +9,12 @@
 
 // metrics of the control loop.
 type metrics struct {
-	slotCalls, shares, expired, lost, quarantined prometheus.Counter
-	limited                                       prometheus.Counter
-	ejections, returns                            *prometheus.CounterVec
-	serviceLimit                                  *prometheus.GaugeVec
-	load, limit                                   *prometheus.GaugeVec
-	slots, waiting                                prometheus.Gauge
-	revision                                      prometheus.Gauge
+	slotCalls, shares, expired, lost, abandoned, quarantined, limited prometheus.Counter
+	ejections, returns                                                *prometheus.CounterVec
+	serviceLimit                                                      *prometheus.GaugeVec
+	load, limit                                                       *prometheus.GaugeVec
+	slots, waiting                                                    prometheus.Gauge
+	revision                                                          prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -47,6 +46,7 @@
 		shares:       counter("shares_total", "Requests admitted by the conservative share, because the engine's owner did not answer."),
 		expired:      counter("slots_expired_total", "Slots that were taken back because their holder did not renew them."),
 		lost:         counter("slots_lost_total", "Slots of requests in progress that their owner no longer knew."),
+		abandoned:    counter("slots_abandoned_total", "Slots that were taken back because the caller left before the grant reached it."),
 		quarantined:  counter("quarantined_total", "Requests that this router quarantined because engines crashed when they ran them."),
 		limited:      counter("limited_total", "Calls of plain services refused because every replica was at its limit."),
 		ejections:    kinds("ejections_total", "Backend servers that this router ejected because they failed or were far slower than their pool."),
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -25,6 +25,8 @@
 	Take(ctx context.Context, from string, ask SlotAsk) (SlotGrant, error)
 	// Free takes slots back. The verdict says what their requests showed of the engine: "ok", "slow", "failed" or nothing.
 	Free(ctx context.Context, from string, slots []string, verdict string) error
+	// Abandon ends what requests have whose callers left before an answer came. Requests are named like slots, as engine/request.
+	Abandon(ctx context.Context, from string, requests []string) error
 	// Renew returns the slots that are no longer held.
 	Renew(ctx context.Context, from string, slots []string) (lost []string, err error)
 }
