perf: the mean load goes every 100 ms in small fleets with few pools

Cause: gates granted by means that were 200 to 300 ms old, because reports every 200 ms met ticks of 100 ms.

--- a/hornbeambench/replay/fleet.go
+++ b/hornbeambench/replay/fleet.go
@@ -47,7 +47,7 @@
 		Engines: 9, Routers: 6, Zones: 3,
 		Step: 3 * time.Millisecond, Chunk: 30, Batch: 16, Cache: 120000,
 		Between: 1500 * time.Microsecond, Client: 3 * time.Millisecond,
-		Mean: 200 * time.Millisecond, Report: 100 * time.Millisecond, Lag: 50 * time.Millisecond, List: time.Second,
+		Mean: 100 * time.Millisecond, Report: 100 * time.Millisecond, Lag: 50 * time.Millisecond, List: time.Second,
 		Patience: 20 * time.Second, Sends: 4,
 		Placement: placement.Defaults(), Admission: admission.Defaults(), Tries: 9, Requeue: 30 * time.Millisecond,
 	}
--- a/hornbeamd/peer/loop.go
+++ b/hornbeamd/peer/loop.go
@@ -14,14 +14,17 @@
 )
 
 const (
-	// tickEvery is short against the time for the answer to a ping.
-	tickEvery = 100 * time.Millisecond
+	// tickEvery is short against the time for the answer to a ping, and half of loadMost.
+	tickEvery = 50 * time.Millisecond
 	// loadEvery is the period of load reports, tidyEvery that of the look for idle and silent connections. In a fleet of up to
 	// smallFleet routers loads go every loadOften: a mean that is a second old admits requests above the bound, and the
-	// messages of so few routers fit the budget for control traffic.
+	// messages of so few routers fit the budget for control traffic. With up to fewPools pools they go every loadMost: the
+	// messages grow with the pools, and with nine of them this period would need more than the budget.
 	loadEvery  = time.Second
 	loadOften  = 200 * time.Millisecond
+	loadMost   = 100 * time.Millisecond
 	smallFleet = 16
+	fewPools   = 3
 	tidyEvery  = time.Second
 	// directLimit is the time for the answer to a ping, exchangeLimit that for other control messages.
 	directLimit   = member.DefaultDirect
@@ -96,7 +99,8 @@
 	l.do(now, l.members.Tick(now))
 	l.spread(now, l.revisions.Tick(now))
 	if !now.Before(l.nextLoad) {
-		l.nextLoad = now.Add(l.loadPeriod())
+		// Half a tick less, so that a tick which comes early does not miss the period.
+		l.nextLoad = now.Add(l.loadPeriod() - tickEvery/2)
 		l.reportLoads(now)
 	}
 	if !now.Before(l.nextTidy) {
@@ -107,10 +111,13 @@
 }
 
 func (l *loop) loadPeriod() time.Duration {
-	if len(l.view.Members) <= smallFleet {
+	switch {
+	case len(l.view.Members) > smallFleet:
+		return loadEvery
+	case len(l.pools) > fewPools:
 		return loadOften
 	}
-	return loadEvery
+	return loadMost
 }
 
 func (l *loop) gauge() {
