perf: a further request on an engine needs a mean with room for a fall

Cause: new requests needed a mean as high as the engine's load for 100 ms, and no more than the bound afterwards; engines were above the bound at the next fall of the mean, mostly by less than one request in the pool. Change: Settings.Spare replaces Even: the mean has to be above what the bound needs by Spare times the root of the load, which falls evenly to zero over Level and on below it. In a surge the others count as having waited longer (Head) in place of no rule. Low is 100 ms, since means come that often.

--- a/routing/admission/admission.go
+++ b/routing/admission/admission.go
@@ -22,18 +22,20 @@
 type Settings struct {
 	// Bound is the greatest load as a multiple of the pool's mean; at least 1.
 	Bound float64
-	// Even is the multiple of the mean up to which a new request is granted a slot. A value of 1 keeps the engines level,
-	// so that a fall of the mean leaves few above the bound; below 1 the pool cannot grow. 0 turns the rule off.
-	Even float64
+	// Spare is how far the mean has to be above what the bound needs for a new request on an engine with a load of one request,
+	// in requests. It keeps the engines level, so that a fall of the mean leaves few above the bound. On fuller engines it
+	// grows with the square root of the load, as the random changes of the number of running requests do. 0 turns it off.
+	Spare float64
 	// Yield is how far below the mean the load has to be for a request of a surging account, in requests.
 	Yield float64
-	// Surge is how long after a request of a surging account Even does not apply to the others, who then need not wait
-	// for level engines: the requests that yield fill the gaps.
-	Surge time.Duration
-	// Low is the time over which Even uses the lowest mean: a request that is granted at a peak of the mean leaves its engine
-	// above the others when the mean falls.
+	// Surge is how long after a request of a surging account the others count as having waited longer by Head, so that they
+	// need not wait for level engines: the requests that yield fill the gaps.
+	Surge, Head time.Duration
+	// Low is the time over which Spare is measured from the lowest mean: a request that is granted at a peak of the mean leaves
+	// its engine above the others when the mean falls.
 	Low time.Duration
-	// Level is the time since the request first asked during which Even applies; after it only the bound does.
+	// Level is the time since the request first asked in which Spare falls to zero. It falls on below zero, so that in the end
+	// the bound alone decides, however far the mean that is known differs from the true one.
 	Level time.Duration
 	// SmallPool is the number of engines up to which a pool has an allowance of one request above the bound. In larger
 	// pools the bound is rounded up to whole requests.
@@ -61,11 +63,12 @@
 func Defaults() Settings {
 	return Settings{
 		Bound:     1.25,
-		Even:      1,
+		Spare:     0.40,
 		Yield:     0.5,
 		Surge:     200 * time.Millisecond,
-		Low:       300 * time.Millisecond,
-		Level:     100 * time.Millisecond,
+		Head:      150 * time.Millisecond,
+		Low:       100 * time.Millisecond,
+		Level:     220 * time.Millisecond,
 		SmallPool: 16,
 		Reserve:   0.25,
 		Lease:     10 * time.Second,
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -229,17 +229,24 @@
 	if load+ask.Cost > g.limit(now, ask.Cost, load)+1e-9 {
 		return false
 	}
-	level := waited < g.settings.Level && g.settings.Even > 0 && g.mean.Engines > 1
-	if level && (ask.Over || now.Sub(g.surged) > g.settings.Surge) {
-		most := g.settings.Even * g.lowest(now, load)
-		if ask.Over {
-			most -= g.settings.Yield * ask.Cost
-		}
-		if load > max(0, most)+1e-9 {
-			return false
-		}
+	return g.spares(now, ask, waited, load) && g.fair(ask, load)
+}
+
+// spares is true if the mean is high enough for a further request even if it falls a little afterwards.
+func (g *Gate) spares(now time.Time, ask Ask, waited time.Duration, load float64) bool {
+	s := g.settings
+	if s.Spare <= 0 || s.Level <= 0 || g.mean.Engines <= 1 {
+		return true
+	}
+	mean := g.lowest(now, load)
+	switch {
+	case ask.Over:
+		mean = max(0, mean-s.Yield*ask.Cost)
+	case now.Sub(g.surged) <= s.Surge:
+		waited += s.Head
 	}
-	return g.fair(ask, load)
+	left := 1 - float64(waited)/float64(s.Level)
+	return load/s.Bound+s.Spare*math.Sqrt(load*ask.Cost)*left <= mean+1e-9
 }
 
 // meanWith is the mean load with a further request of the given cost. The mean includes the engine itself, so it moves by
