feat(replay): retry budget, deadline of the first token and health of engines

Cause: the replay retried without a budget and had no health, so that storm tested neither; and health judged alone did harm that only a replay shows. Change: the fakes of the routers use retry.Budget, a deadline for the first token, at most three attempts, and retry.Health with the verdicts that the daemon sends; --no-budget and --no-health switch them off; scenario retries. The pace of a pool moved to routing/retry, for both. TestRetriesStayWithinTheBudget fails its first bound when the budget is off.

--- a/hornbeambench/replay/attempt.go
+++ b/hornbeambench/replay/attempt.go
@@ -6,11 +6,8 @@
 	"hornbeamstep.example/routing/placement"
 )
 
-// Progress deadlines of an attempt, in wall time.
-const (
-	firstToken = 5 * time.Second
-	nextToken  = time.Second
-)
+// nextToken is the progress deadline behind the first token.
+const nextToken = time.Second
 
 // start sends the request to its engine, after the import of its KV cache if there is one to move.
 func (r *router) start(q *call) {
@@ -104,7 +101,7 @@
 		q.waited = s.now - q.arrival
 	}
 	r.remember(q, e)
-	r.watch(q, attempt, e, n, -1, firstToken)
+	r.watch(q, attempt, e, n, -1, s.First)
 }
 
 // remember tells the owner of the home where the context is from now on.
@@ -134,9 +131,9 @@
 
 // refused handles a connection that the engine did not accept: the request did not run.
 func (r *router) refused(q *call, e *engine) {
-	r.unhold(q, false)
+	r.unhold(q, noVerdict)
 	r.observe(e.id)
-	if q.attempts > 2*len(r.fleet.engines) {
+	if !r.retry(q) {
 		r.releaseClaim(q)
 		r.refuse(q, time.Second, notRun)
 		return
@@ -157,7 +154,7 @@
 		s.measure.crossed++
 	}
 	r.first(q)
-	r.unhold(q, true)
+	r.unhold(q, r.paced(q))
 	q.attempt = ""
 	if !q.req.Repeat {
 		if c := s.claims[q.fingerprint()]; c != nil {
@@ -169,20 +166,29 @@
 
 // broken handles a stream that ended early.
 func (r *router) broken(q *call, e *engine) {
-	r.unhold(q, false)
 	r.observe(e.id)
+	r.failed(q)
+}
+
+// failed handles an attempt that may have run and has no answer.
+func (r *router) failed(q *call) {
+	r.unhold(q, r.late())
 	q.run = nil
 	switch {
 	case !q.req.Repeat:
 		r.refuse(q, 0, unknown)
-	case q.first == 0:
+	case q.first == 0 && r.retry(q):
 		r.place(q)
 	default:
-		// Tokens were delivered: the caller is told, and sends the request again as a new one.
+		// The caller is told, and sends the request again as a new one: at once if it had tokens, else after the time to come back.
+		wait := 2 * r.fleet.Client
+		if q.first == 0 && !r.fleet.Impatient {
+			wait += time.Second
+		}
 		q.attempt, q.first = "", 0
 		r.fleet.measure.broken++
 		sends := q.sends
-		r.fleet.after(2*r.fleet.Client, func() {
+		r.fleet.after(wait, func() {
 			if q.sends == sends {
 				r.fleet.sendOr(q, interrupted)
 			}
@@ -222,8 +228,9 @@
 				r.watch(q, attempt, e, n, -1, nextToken)
 				return
 			}
+			// An engine that is late is left to its health; the same request goes to another one.
 			e.cancel(n)
-			r.broken(q, e)
+			r.failed(q)
 		})
 	})
 }
@@ -251,6 +258,6 @@
 			g.Abandon(q.attempt)
 		}
 	}
-	r.unhold(q, false)
+	r.unhold(q, noVerdict)
 	q.attempt = ""
 }
--- a/hornbeambench/replay/call.go
+++ b/hornbeambench/replay/call.go
@@ -26,6 +26,8 @@
 	attempts int
 	// asks counts the questions to gates, so that one without an answer is noticed.
 	asks int
+	// tries counts the attempts on an engine in this send.
+	tries int
 	// rounds counts the waits in this send.
 	rounds int
 	router *router
@@ -120,7 +122,7 @@
 		return
 	}
 	q.sends++
-	q.rounds = 0
+	q.rounds, q.tries = 0, 0
 	sends := q.sends
 	at := int(s.chance("route", q.req.Chat, fmt.Sprint(q.req.Turn), fmt.Sprint(sends)) * float64(len(s.routers)))
 	for i := range s.routers {
@@ -199,6 +201,7 @@
 	if q.asked == 0 {
 		q.asked = s.now
 	}
+	r.budget.Request()
 	q.over = r.surges.Request(q.req.Account)
 	if r.placer == nil && r.quarantine.State(s.wall(), q.fingerprint()) == quarantine.Quarantined {
 		r.refuse(q, time.Second, quarantined)
@@ -409,11 +412,24 @@
 		r.send(from, func() { from.useShare(q, a) })
 		return
 	}
+	if r.spares(step.Engine, g) {
+		r.send(from, func() {
+			if q.attempt == a.Request && q.state == open && !q.holding {
+				from.shun(q, step.Engine)
+			}
+		})
+		return
+	}
 	if !r.quarantine.Start(s.wall(), q.fingerprint(), step.Engine) {
 		r.send(from, func() { from.keptApart(q, a, step.Engine, r) })
 		return
 	}
-	got := g.Offer(s.wall(), a)
+	var got admission.Action
+	if a.NoQueue && r.starts(step.Engine, g) {
+		got = admission.Action{Kind: admission.Refused, Ask: a, Code: outcome.Overloaded}
+	} else {
+		got = g.Offer(s.wall(), a)
+	}
 	if got.Kind == admission.Refused {
 		r.quarantine.End(q.fingerprint(), step.Engine, false)
 	}
@@ -480,7 +496,7 @@
 		if q.attempt == a.Ask.Request && q.slot == a.Slot.ID && q.owner == owner {
 			return
 		}
-		r.free(engine, owner, a.Slot.ID, q.fingerprint(), false)
+		r.free(engine, owner, a.Slot.ID, q.fingerprint(), noVerdict)
 	case stale:
 	case a.Kind == admission.Refused && a.Code == outcome.NoBackend:
 		r.place(q)
@@ -500,7 +516,7 @@
 	}
 }
 
-func (r *router) free(engine string, owner *router, slot uint64, fingerprint string, ok bool) {
+func (r *router) free(engine string, owner *router, slot uint64, fingerprint string, v verdict) {
 	s := r.fleet
 	if owner == nil {
 		if share := r.shares[engine]; share != nil {
@@ -509,7 +525,8 @@
 		return
 	}
 	r.send(owner, func() {
-		owner.quarantine.End(fingerprint, engine, ok)
+		owner.quarantine.End(fingerprint, engine, v == good)
+		owner.judge(engine, v)
 		if g := owner.gates[engine]; g != nil {
 			owner.deliver(engine, g.Release(s.wall(), slot))
 		}
@@ -517,11 +534,11 @@
 }
 
 // unhold frees the slot of the current attempt.
-func (r *router) unhold(q *call, ok bool) {
+func (r *router) unhold(q *call, v verdict) {
 	if !q.holding {
 		return
 	}
 	q.holding = false
 	delete(r.slots, q.attempt)
-	r.free(q.engine, q.owner, q.slot, q.fingerprint(), ok)
+	r.free(q.engine, q.owner, q.slot, q.fingerprint(), v)
 }
--- a/hornbeambench/replay/command.go
+++ b/hornbeambench/replay/command.go
@@ -15,6 +15,8 @@
 type Command struct {
 	Scenario string `arg:"" help:"Name of a built-in scenario, see list."`
 	Seed     uint64 `default:"1" help:"Seed of the trace and of the fakes."`
+	NoBudget bool   `help:"Switch the retry budget of the routers off."`
+	NoHealth bool   `help:"Switch the ejection of engines off."`
 	JSON     string `name:"json" help:"Write the figures to this file as JSON." placeholder:"FILE"`
 	Trace    string `help:"Replay the requests of this file in place of the generated ones." placeholder:"FILE"`
 	Faults   string `help:"Inject the faults of this file in place of the scenario's." placeholder:"FILE"`
@@ -36,6 +38,8 @@
 		if err != nil {
 			return err
 		}
+		s.Fleet.Budget = s.Fleet.Budget && !c.NoBudget
+		s.Fleet.Health = s.Fleet.Health && !c.NoHealth
 		r := Judge(s, requests, faults, c.Seed)
 		if err := r.write(w); err != nil {
 			return err
--- a/hornbeambench/replay/fleet.go
+++ b/hornbeambench/replay/fleet.go
@@ -11,6 +11,7 @@
 	"hornbeamstep.example/routing/admission"
 	"hornbeamstep.example/routing/baseline"
 	"hornbeamstep.example/routing/placement"
+	"hornbeamstep.example/routing/retry"
 )
 
 // Fleet describes the fakes of a replay.
@@ -31,6 +32,15 @@
 	// Patience is how long a caller waits for the first token before it sends the request again, up to Sends times in all.
 	Patience time.Duration
 	Sends    int
+	// First is how long a router waits for the first token of an attempt, and Attempts how many it makes of one sending.
+	First    time.Duration
+	Attempts int
+	// Budget limits the retries of a router to RetryShare of its requests and RetryBurst at once; without it only Attempts does.
+	Budget     bool
+	RetryShare float64
+	RetryBurst int
+	// Health is true if the owners eject engines that fail or are slow.
+	Health bool
 	// Impatient callers ignore the retry time of a refusal.
 	Impatient bool
 	Placement placement.Settings
@@ -49,6 +59,7 @@
 		Between: 1500 * time.Microsecond, Client: 3 * time.Millisecond,
 		Mean: 200 * time.Millisecond, Report: 100 * time.Millisecond, Lag: 50 * time.Millisecond, List: time.Second,
 		Patience: 20 * time.Second, Sends: 4,
+		First: 5 * time.Second, Attempts: 3, Budget: true, RetryShare: 0.1, RetryBurst: 32, Health: true,
 		Placement: placement.Defaults(), Admission: admission.Defaults(), Tries: 9, Requeue: 30 * time.Millisecond,
 	}
 	f.Admission.Capacity = float64(f.Batch)
@@ -227,13 +238,23 @@
 	}
 }
 
+// ejected is true for an engine that its owner has ejected; it is not in service.
+func (s *fleet) ejected(id string) bool {
+	for _, r := range s.routers {
+		if r.gates[id] != nil {
+			return r.health.Circuit(s.wall(), id) == retry.Open
+		}
+	}
+	return false
+}
+
 // means sends the mean over the engines in service to every router. What the cache events say of evictions takes the same
 // time.
 func (s *fleet) means() {
 	sum, n := 0.0, 0
 	evicted := map[string]float64{}
 	for _, e := range s.engines {
-		if e.up && !e.leaving {
+		if e.up && !e.leaving && !s.ejected(e.id) {
 			sum += e.load()
 			n++
 			if e.cache.evicted > 0 {
--- a/hornbeambench/replay/measure.go
+++ b/hornbeambench/replay/measure.go
@@ -46,6 +46,10 @@
 	Crashes int `json:"crashes"`
 	// Broken counts streams that ended early after their first token.
 	Broken int `json:"broken"`
+	// Starts counts the attempts that began to run on an engine.
+	Starts int `json:"starts"`
+	// Ejections counts the engines that their owners ejected for failures or slow answers.
+	Ejections int `json:"ejections"`
 	// Moved is the number of tokens whose KV cache was moved.
 	Moved int `json:"moved"`
 	// Sends counts what callers sent.
@@ -82,6 +86,8 @@
 	moved   int
 	crashes int
 	starts  int
+	// ejections counts the engines that their owners ejected.
+	ejections int
 	// elsewhere counts tokens that another engine had.
 	elsewhere int
 }
@@ -167,7 +173,7 @@
 func (m *measure) figures(surge Surge) Figures {
 	f := Figures{
 		Placer: m.fleet.placer, Above: m.above, Granted: m.granted, Calls: len(m.calls), Crossed: m.crossed,
-		Broken: m.broken, Moved: m.moved, Crashes: m.crashes, Wait: map[string]Quantiles{},
+		Broken: m.broken, Moved: m.moved, Crashes: m.crashes, Ejections: m.ejections, Starts: m.starts, Wait: map[string]Quantiles{},
 	}
 	if m.sumMean > 0 {
 		f.Skew = m.sumMax / m.sumMean
--- a/hornbeambench/replay/replay_test.go
+++ b/hornbeambench/replay/replay_test.go
@@ -57,3 +57,20 @@
 	qt.Assert(t, b.String(), qt.Contains, "short: o: seen")
 	qt.Assert(t, c.finish(r), qt.Equals, ErrShort)
 }
+
+// Guards against retries above the budget when the engines of a whole pool are late.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	s := retries()
+	s.Shape.Length, s.Shape.Rate = 30, 30
+	s.Fleet.RetryBurst = 1
+	list := trace.Generate(s.Shape, 1)
+	for i := range s.Faults {
+		s.Faults[i].At = 10
+	}
+	with := Run(s.Fleet, Project, list, s.Faults, 1, Surge{})
+	s.Fleet.Budget = false
+	without := Run(s.Fleet, Project, list, s.Faults, 1, Surge{})
+	// Each first attempt of a sending may run, a tenth of them once more, and one more on each of six routers.
+	qt.Assert(t, float64(with.Starts) <= 1.1*float64(with.Sends)+6, qt.IsTrue, qt.Commentf("%d of %d", with.Starts, with.Sends))
+	qt.Assert(t, float64(without.Starts) > 1.1*float64(without.Sends)+6, qt.IsTrue, qt.Commentf("%d of %d", without.Starts, without.Sends))
+}
--- a/hornbeambench/replay/router.go
+++ b/hornbeambench/replay/router.go
@@ -9,6 +9,7 @@
 	"hornbeamstep.example/routing/limit"
 	"hornbeamstep.example/routing/placement"
 	"hornbeamstep.example/routing/quarantine"
+	"hornbeamstep.example/routing/retry"
 )
 
 // router is the fake of a router: it runs the decision packages on its own view of engines and members.
@@ -38,6 +39,10 @@
 	lastMean    admission.Mean
 	quarantine  *quarantine.Tracker
 	surges      *limit.Surges
+	// health judges the owned engines, pace the answers that this router relayed, and budget allows its retries.
+	health *retry.Health
+	pace   *retry.Pace
+	budget *retry.Budget
 	// slots are those held by this router, for renewal.
 	slots map[string]*call
 }
@@ -63,6 +68,7 @@
 	r.quarantine = quarantine.New(quarantine.Defaults())
 	r.surges = limit.NewSurges(limit.DefaultSurge())
 	r.backlog = nil
+	r.resetHealth()
 }
 
 // do runs an event at the router, now or when it resumes.
@@ -203,6 +209,7 @@
 	case placement.Joining:
 		if g != nil && was != placement.Joining {
 			r.gates[id] = admission.Takeover(r.fleet.wall(), r.fleet.Admission)
+			r.health.Restart(r.fleet.wall(), id)
 			r.gates[id].Mean(r.fleet.wall(), r.lastMean)
 		}
 	}
--- a/hornbeambench/replay/scenario.go
+++ b/hornbeambench/replay/scenario.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"fmt"
 	"time"
 
 	"hornbeamstep.example/hornbeambench/trace"
@@ -39,7 +40,7 @@
 
 // Scenarios returns the built-in scenarios in a fixed order.
 func Scenarios() []Scenario {
-	return []Scenario{calm(), churn(), surge(), crash(), poison(), storm(), zone(), pause(), scaled()}
+	return []Scenario{calm(), churn(), surge(), crash(), poison(), storm(), retries(), zone(), pause(), scaled()}
 }
 
 func calm() Scenario {
@@ -116,6 +117,26 @@
 	}
 }
 
+// retries has a deadline for the first token so short that attempts fail while the engines are slow. Each is then made again on
+// an engine without the chat's context, which takes longer still.
+func retries() Scenario {
+	shape := trace.Umgeni()
+	shape.Rate, shape.Wave, shape.Turns = 65, 0, 1.5
+	shape.Length, shape.Gap = 90, 90
+	f := Small()
+	f.Patience, f.Sends = 3*time.Second, 12
+	f.First, f.Attempts, f.RetryBurst = 120*time.Millisecond, 8, 4
+	var faults []trace.Fault
+	for i := range f.Engines {
+		faults = append(faults, trace.Fault{At: 40, Kind: trace.Slow, Target: fmt.Sprintf("e%d", i+1), For: 20, Value: 4})
+	}
+	return Scenario{
+		Name: "retries", About: "all engines are four times slower for 20 s while routers try late requests again",
+		Fleet: f, Shape: shape, Control: true, Faults: faults,
+		Outcomes: append(sound(), recovers(6)),
+	}
+}
+
 func zone() Scenario {
 	return Scenario{
 		Name: "zone", About: "a zone with a third of the engines and routers is lost for 60 s",
--- a/hornbeamd/control/health.go
+++ b/hornbeamd/control/health.go
@@ -6,6 +6,7 @@
 
 	"hornbeamstep.example/hornbeamd/caller"
 	"hornbeamstep.example/policy"
+	"hornbeamstep.example/routing/admission"
 	"hornbeamstep.example/routing/outcome"
 	"hornbeamstep.example/routing/retry"
 )
@@ -24,14 +25,8 @@
 )
 
 const (
-	// slowness is how many times the median time between tokens of its pool makes an answer slow. The load bound keeps the
-	// batches of a pool alike, so that a greater difference comes from the engine.
-	slowness = 3
-	// paced is the least number of tokens of an answer that tells an engine's pace, and known the number of answers after
-	// which a router knows the pool's.
-	paced, known = 8, 20
-	// fastStep and slowStep are the factors by which an answer moves the median, before and after known answers.
-	fastStep, slowStep = 1.1, 1.02
+	// paced is the least number of tokens of an answer that tells an engine's pace.
+	paced = 8
 	// requestError and serverError are the least statuses of faults of the request and of the engine.
 	requestError, serverError = 400, 500
 )
@@ -41,6 +36,10 @@
 	s := retry.DefaultHealth()
 	s.Least = 6
 	s.Cap = 0.34
+	// A trial costs one slow answer; a longer ejection costs the chats of the engine their contexts.
+	s.MostEject = 10 * time.Second
+	// As long as a gate takes to ramp up.
+	s.SlowStart = admission.Defaults().Ramp
 	return s
 }
 
@@ -48,57 +47,55 @@
 // few answers of each engine to judge it, but enough of the whole pool to know its pace.
 type paces struct {
 	mu    sync.Mutex
-	pools map[string]*pace
+	pools map[string]*retry.Pace
 }
 
-type pace struct {
-	median  float64
-	answers int
+// outlier takes the end of an attempt, and is true for a failure that most of the pool's attempts do not share.
+func (p *paces) outlier(pool string, failed bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.of(pool).Outlier(failed)
+}
+
+// of returns the estimate of a pool. The caller holds the lock.
+func (p *paces) of(pool string) *retry.Pace {
+	if p.pools == nil {
+		p.pools = map[string]*retry.Pace{}
+	}
+	if p.pools[pool] == nil {
+		p.pools[pool] = retry.NewPace(retry.DefaultPace())
+	}
+	return p.pools[pool]
 }
 
 // slow takes the mean time between an answer's tokens, and reports whether it is far above the pool's.
 func (p *paces) slow(pool string, gap time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.pools == nil {
-		p.pools = map[string]*pace{}
-	}
-	v := p.pools[pool]
-	if v == nil {
-		v = &pace{median: float64(gap)}
-		p.pools[pool] = v
-	}
-	slow := v.answers >= known && float64(gap) > slowness*v.median
-	step := slowStep
-	if v.answers < known {
-		step = fastStep
-	}
-	v.answers++
-	switch {
-	case float64(gap) > v.median:
-		v.median *= step
-	case float64(gap) < v.median:
-		v.median /= step
-	}
-	return slow
+	return p.of(pool).Slow(float64(gap))
 }
 
 // verdict judges an engine by an attempt. Refusals before the start, cancellations and faults of the request say nothing.
+// A failed connection does neither: the owner's next load report decides, and a crash is no reason to keep an engine out that
+// is back.
 func (l *Loop) verdict(pool string, r caller.Result) Verdict {
+	failed := false
 	switch r.Ending {
 	case caller.EndedOK:
+		l.paces.outlier(pool, false)
 		// The pause of a connection that went silent is not the engine's.
 		if r.Tokens >= paced && r.Resumes == 0 && l.paces.slow(pool, r.Paced/time.Duration(r.Tokens)) {
 			return Slow
 		}
 		return Good
-	case caller.EndedUnreachable, caller.EndedCrashed, caller.EndedTimedOut, caller.EndedMalformed:
-		return Bad
+	case caller.EndedCrashed, caller.EndedTimedOut, caller.EndedMalformed:
+		failed = true
 	case caller.EndedFailed:
 		// A stream that the engine ended with an error has a status below those of errors.
-		if r.Status >= serverError || r.Status < requestError {
-			return Bad
-		}
+		failed = r.Status >= serverError || r.Status < requestError
+	}
+	if failed && l.paces.outlier(pool, true) {
+		return Bad
 	}
 	return ""
 }
@@ -165,7 +162,8 @@
 		return Answer{}, false
 	}
 	weight := h.Weight(now, name)
-	if weight >= 1 || float64(e.gate.Slots()) < max(1, weight*e.gate.Limit(now)) {
+	// A request that asks to wait has found no room on any engine.
+	if weight >= 1 || !ask.NoQueue || float64(e.gate.Slots()) < max(1, weight*e.gate.Limit(now)) {
 		return Answer{}, false
 	}
 	a := refuse(ask, outcome.Overloaded)
--- a/routing/retry/health.go
+++ b/routing/retry/health.go
@@ -92,11 +92,12 @@
 // servers are judged in several places.
 func (h *Health) SetElsewhere(n int) { h.elsewhere = max(0, n) }
 
-// Restart begins a slow start of a server that lost its state. What it did before does not count, except for an ejection.
+// Restart takes a server that started anew. What it did before counts only for the time of its next ejection; a present one ends.
+// The slow start of a server without state is the caller's: a gate that is taken over ramps up from one slot.
 func (h *Health) Restart(now time.Time, id string) {
 	if s := h.servers[id]; s != nil {
-		s.since, s.window = now, now
-		s.ok, s.failed, s.consecutive = 0, 0, 0
+		h.restore(now, s)
+		s.since = time.Time{}
 	}
 }
 
--- a/routing/retry/retry_test.go
+++ b/routing/retry/retry_test.go
@@ -93,6 +93,30 @@
 	h.Record(at(70), "s0", true)
 	qt.Assert(t, fail(at(70), "s0"), qt.IsTrue)
 	qt.Assert(t, h.Circuit(at(75), "s0"), qt.Equals, retry.Half)
+	// A server that starts anew is not held to what it did before.
+	h.Restart(at(75), "s0")
+	qt.Assert(t, h.Circuit(at(75), "s0"), qt.Equals, retry.Closed)
+}
+
+// Guards against an ejection for what a whole pool does: slow or failed answers under an overload, which tell nothing of a server.
+func TestPaceOfAPool(t *testing.T) {
+	p := retry.NewPace(retry.DefaultPace())
+	for i := range 200 {
+		p.Slow(3 + 0.01*float64(i%3))
+		p.Outlier(false)
+	}
+	qt.Assert(t, p.Slow(8), qt.IsFalse)
+	qt.Assert(t, p.Slow(12), qt.IsTrue)
+	qt.Assert(t, p.Outlier(true), qt.IsTrue)
+	alone := 0
+	for range 200 {
+		p.Slow(12)
+		if p.Outlier(true) {
+			alone++
+		}
+	}
+	qt.Assert(t, p.Slow(12), qt.IsFalse)
+	qt.Assert(t, alone < 20, qt.IsTrue, qt.Commentf("%d", alone))
 }
 
 // Guards against a slow kind of request among fast ones that is taken for an overload, and pulls the limit down.
