--- a/hornbeambench/replay/measure.go
+++ b/hornbeambench/replay/measure.go
@@ -51,6 +51,10 @@
 	GivenUp int `json:"givenup"`
 	// Stray counts engines that had not exactly one owner among the routers that reach them, 10 s after regions parted or rejoined.
 	Stray int `json:"stray"`
+	// Starts counts the attempts that began to run on an engine.
+	Starts int `json:"starts"`
+	// Ejections counts the engines that their owners ejected for failures or slow answers.
+	Ejections int `json:"ejections"`
 	// Moved is the number of tokens whose KV cache was moved.
 	Moved int `json:"moved"`
 	// Sends counts what callers sent.
@@ -90,6 +94,8 @@
 	starts  int
 	givenUp int
 	stray   int
+	// ejections counts the engines that their owners ejected.
+	ejections int
 	// elsewhere counts tokens that another engine had.
 	elsewhere int
 }
@@ -185,7 +191,7 @@
 	all, worst := m.lost()
 	f := Figures{
 		Placer: m.fleet.placer, Above: m.above, Granted: m.granted, Calls: len(m.calls), Crossed: m.crossed,
-		Broken: m.broken, Moved: m.moved, Worst: worst, Crashes: all, GivenUp: m.givenUp, Stray: m.stray, Wait: map[string]Quantiles{},
+		Broken: m.broken, Moved: m.moved, Worst: worst, Crashes: all, GivenUp: m.givenUp, Stray: m.stray, Ejections: m.ejections, Starts: m.starts, Wait: map[string]Quantiles{},
 	}
 	if m.sumMean > 0 {
 		f.Skew = m.sumMax / m.sumMean
