fix(daemon): the planner's lease is not renewed behind its release

Cause: the planner released its lease while the renewal of the lease still ran, which could take it again with nobody to plan under it for a term. Daemons without engines asked for the version of the plan with each repair.

Change: the renewal ends before the release. A router without engines skips the repair.

Checked: go test -race ./hornbeamd/daemon. The order of the two is not covered by a test.

--- a/hornbeamd/daemon/orders.go
+++ b/hornbeamd/daemon/orders.go
@@ -157,7 +157,10 @@
 }
 
 func (k *keeper) repair(ctx context.Context) {
-	p := k.daemon.loop.Policy()
+	p, owned := k.daemon.loop.Policy(), k.daemon.node.Owners().Owned()
+	if len(owned) == 0 {
+		return
+	}
 	// Read each time: an older plan than the one that the engines' previous owner has followed would undo loads.
 	plan, err := k.daemon.readPlan(ctx)
 	if err != nil {
@@ -165,7 +168,7 @@
 	}
 	slots := make(chan struct{}, parallelRepairs)
 	var group sync.WaitGroup
-	for _, name := range k.daemon.node.Owners().Owned() {
+	for _, name := range owned {
 		b, ok := p.Backends[name]
 		if !ok {
 			continue
--- a/hornbeamd/daemon/planner.go
+++ b/hornbeamd/daemon/planner.go
@@ -76,9 +76,15 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go func() { cancel(holder.Run(ctx)) }()
-	writer := &order.Planner{Store: d.store, Lease: holder}
-	err = d.planWith(ctx, writer)
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		cancel(holder.Run(ctx))
+	}()
+	err = d.planWith(ctx, &order.Planner{Store: d.store, Lease: holder})
+	// A renewal behind the release would take the lease again, with nobody to plan under it.
+	cancel(nil)
+	<-renewed
 	release, stop := context.WithTimeout(context.WithoutCancel(ctx), checkLimit)
 	defer stop()
 	_ = holder.Release(release)
