--- a/hornbeambench/calls/calls.go
+++ b/hornbeambench/calls/calls.go
@@ -24,12 +24,13 @@
 
 // Command runs whole daemons without callers and counts what they cost.
 type Command struct {
-	Routers []int         `help:"Numbers of daemons to measure, with the engines of --engines." default:"6,12,24,48"`
-	Engines []int         `help:"Numbers of engines to measure, with the daemons of --fixed." default:"9,18,36"`
-	Fixed   int           `help:"Number of daemons while the engines vary." default:"6"`
-	Settle  time.Duration `help:"Time between the start and the measurement." default:"20s"`
-	Window  time.Duration `help:"Length of the measurement." default:"20s"`
-	JSON    string        `help:"Write the report to this file." type:"path"`
+	Routers  []int         `help:"Numbers of daemons to measure, with the engines of --engines." default:"6,12,24,48"`
+	Engines  []int         `help:"Numbers of engines to measure, with the daemons of --fixed." default:"9,18,36"`
+	Fixed    int           `help:"Number of daemons while the engines vary." default:"6"`
+	Settle   time.Duration `help:"Time between the start and the measurement." default:"20s"`
+	Window   time.Duration `help:"Length of the measurement." default:"20s"`
+	Recovery bool          `help:"Measure cold starts, the cache reuse after a restart of all daemons, and the cost of one restart in place of the steady cost."`
+	JSON     string        `help:"Write the report to this file." type:"path"`
 }
 
 // Point is the result at one size.
@@ -61,6 +62,9 @@
 
 // Run runs the command.
 func (c *Command) Run(ctx context.Context) error {
+	if c.Recovery {
+		return c.recover(ctx, os.Stdout)
+	}
 	var report Report
 	for _, n := range c.Routers {
 		if err := c.add(ctx, &report, n, c.Engines[0]); err != nil {
--- a/hornbeambench/calls/world.go
+++ b/hornbeambench/calls/world.go
@@ -27,6 +27,8 @@
 	peerPort = 7400
 	// poll is the time between looks whether all daemons are ready.
 	poll = 20 * time.Millisecond
+	// maxDaemons bounds the daemons that run at once.
+	maxDaemons = 1000
 )
 
 // world is everything that runs.
@@ -39,12 +41,21 @@
 	relays   []net.Listener
 	up, down atomic.Int64
 	daemons  []*daemon.Daemon
-	stop     context.CancelFunc
+	stops    []context.CancelFunc
 	ended    chan error
 }
 
 func start(routers, engines int) (*world, error) {
-	w := &world{platform: platformapi.New(), ended: make(chan error, routers)}
+	w, err := prepare(engines)
+	if err != nil {
+		return nil, err
+	}
+	return w, w.startDaemons(routers)
+}
+
+// prepare starts everything but the daemons.
+func prepare(engines int) (*world, error) {
+	w := &world{platform: platformapi.New(), ended: make(chan error, 2*maxDaemons)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -58,7 +69,7 @@
 	if err := w.push(); err != nil {
 		return nil, err
 	}
-	return w, w.startDaemons(routers)
+	return w, nil
 }
 
 func (w *world) startEngines(n int) error {
@@ -122,32 +133,45 @@
 }
 
 func (w *world) startDaemons(n int) error {
-	ctx, stop := context.WithCancel(context.Background())
-	w.stop = stop
 	var list []instancelist.Instance
 	for i := range n {
-		s, err := settings.Default(fmt.Sprintf("r%03d", i+1), fmt.Sprintf("z%d", i%zones))
+		d, err := w.open(i)
 		if err != nil {
 			return err
 		}
-		s.Caller.Listen, s.Operator.Listen, s.Caller.Lifetime = "127.0.0.1:0", "127.0.0.1:0", time.Millisecond
-		// Addresses of their own keep daemons from taking each other's ports.
-		s.Peer.Listen = fmt.Sprintf("127.1.%d.%d:%d", i/perNet, 1+i%perNet, peerPort)
-		s.Platform.Objects, s.Platform.Instances = w.address, w.address
-		d := &daemon.Daemon{Settings: s}
-		if err := d.Open(); err != nil {
-			return err
-		}
+		s := d.Settings
 		w.daemons = append(w.daemons, d)
 		list = append(list, instancelist.Instance{ID: s.ID, Address: s.Peer.Listen, Zone: s.Zone, Role: "router", State: instancelist.Live})
 	}
 	w.platform.SetInstances(list)
+	w.stops = nil
 	for _, d := range w.daemons {
-		go func() { w.ended <- d.Run(ctx) }()
+		w.stops = append(w.stops, w.run(d))
 	}
 	return nil
 }
 
+// run returns a function that ends the daemon.
+func (w *world) run(d *daemon.Daemon) context.CancelFunc {
+	ctx, stop := context.WithCancel(context.Background())
+	go func() { w.ended <- d.Run(ctx) }()
+	return stop
+}
+
+// open makes a daemon that does not run yet.
+func (w *world) open(i int) (*daemon.Daemon, error) {
+	s, err := settings.Default(fmt.Sprintf("r%03d", i+1), fmt.Sprintf("z%d", i%zones))
+	if err != nil {
+		return nil, err
+	}
+	s.Caller.Listen, s.Operator.Listen, s.Caller.Lifetime = "127.0.0.1:0", "127.0.0.1:0", time.Millisecond
+	// Addresses of their own keep daemons from taking each other's ports.
+	s.Peer.Listen = fmt.Sprintf("127.1.%d.%d:%d", i/perNet, 1+i%perNet, peerPort)
+	s.Platform.Objects, s.Platform.Instances = w.address, w.address
+	d := &daemon.Daemon{Settings: s}
+	return d, d.Open()
+}
+
 // ready waits until every daemon takes callers and knows all others.
 func (w *world) ready(ctx context.Context) error {
 	for {
@@ -172,13 +196,21 @@
 	}
 }
 
-func (w *world) close() {
-	w.stop()
+// stopDaemons ends all daemons at once.
+func (w *world) stopDaemons() {
+	for _, stop := range w.stops {
+		stop()
+	}
 	for range w.daemons {
 		if err := <-w.ended; err != nil {
 			_, _ = fmt.Fprintln(os.Stderr, "a daemon ended with an error:", err)
 		}
 	}
+	w.daemons, w.stops = nil, nil
+}
+
+func (w *world) close() {
+	w.stopDaemons()
 	for _, relay := range w.relays {
 		_ = relay.Close()
 	}
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -265,3 +265,12 @@
 
 // Members returns the number of daemons that this one knows to take part, itself included.
 func (d *Daemon) Members() int { return len(d.node.Members().Members) }
+
+// Traffic returns the bytes that this daemon sent to and received from others since its start.
+func (d *Daemon) Traffic() (sent, received int64) {
+	b := d.node.Bytes()
+	return b.Wire.Sent, b.Wire.Received
+}
+
+// Drains reports whether this daemon knows that a backend server is drained by an operator.
+func (d *Daemon) Drains(backend string) bool { return d.standing.drains(backend) }
--- a/hornbeamd/daemon/standing.go
+++ b/hornbeamd/daemon/standing.go
@@ -223,6 +223,13 @@
 	return n
 }
 
+func (s *standing) drains(backend string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, _ := s.set.Get(agreed.Drain, backend)
+	return r.InForce()
+}
+
 // withAccounts adds the client accounts to quarantined requests.
 func (s *standing) withAccounts(list []operator.Quarantined) []operator.Quarantined {
 	s.mu.Lock()
