perf(claim): seal the record of a shard at 4 KB

Cause: the owner of a claim shard was inferred to write 29 KB/s; it writes more, as every group commit rewrites the whole record of up to 16 KB.

Change: DefaultSeal is 4 KB, and segments merge over three levels in place of two.

--- a/coord/claim/segment.go
+++ b/coord/claim/segment.go
@@ -15,10 +15,10 @@
 
 const (
 	// fan is the number of segments of one level that become one of the next. A shard with 30 minutes of claims then takes about a
-	// tenth of the reads, while each claim is written to at most three segments.
+	// tenth of the reads, while each claim is written to at most four segments.
 	fan = 4
-	// maxLevel ends the merging at 16 segments of 16 KB.
-	maxLevel = 2
+	// maxLevel ends the merging at 64 segments of 4 KB.
+	maxLevel = 3
 	// maxSegment keeps merged segments far below objectapi.MaxValue.
 	maxSegment = 512 << 10
 )
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -14,8 +14,9 @@
 	// DefaultPace limits the head writes of all shards together to 64 / 0.25 s = 256 a second, whatever the size of the fleet.
 	DefaultPace  = 250 * time.Millisecond
 	DefaultLimit = 5 * time.Second
-	// DefaultSeal keeps the bytes of one group commit small.
-	DefaultSeal = 16 << 10
+	// DefaultSeal keeps the bytes of one group commit small: at the peak of the size to design for, the owner of a shard writes 11 KB/s
+	// with it, against 35 KB/s with 16 KB.
+	DefaultSeal = 4 << 10
 )
 
 const (
