--- a/hornbeamd/peer/fuzz_test.go
+++ b/hornbeamd/peer/fuzz_test.go
@@ -18,7 +18,7 @@
 )
 
 // offline returns a node whose control loop runs and whose connections all fail.
-func offline(f *testing.F) *Node {
+func offline(f testing.TB) *Node {
 	n := &Node{ID: "a", Zone: "z", Region: "g", Listen: "127.0.0.1:1", Rand: rand.New(rand.NewPCG(1, 2))}
 	// Within a minute of its start, a router outbids a higher boot id instead of giving way.
 	start := time.Now()
