--- /dev/null
+++ b/hornbeambench/control/random_test.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"hornbeamstep.example/hornbeambench/trace"
+)
+
+// The seed is fixed so that the verdict never varies; the flag on the command line overrides it.
+func init() { _ = flag.Set("rapid.seed", "20261203") }
+
+func drawFault(t *rapid.T) trace.Fault {
+	router := func(label string) string { return fmt.Sprint("r", rapid.IntRange(1, 7).Draw(t, label)) }
+	f := trace.Fault{
+		At:   float64(rapid.IntRange(0, 60).Draw(t, "at")),
+		For:  float64(rapid.IntRange(1, 30).Draw(t, "for")),
+		Kind: rapid.SampledFrom([]trace.Kind{trace.Operators, trace.Kill, trace.Clock, trace.Cut, trace.Part, trace.Reply, trace.Lag}).Draw(t, "kind"),
+	}
+	switch f.Kind {
+	case trace.Operators:
+		f.Value = float64(rapid.IntRange(2, 4).Draw(t, "operators"))
+	case trace.Kill:
+		f.Target = router("router")
+	case trace.Clock:
+		f.Target, f.Value = router("router"), float64(rapid.SampledFrom([]int{-7200, -40, 40, 7200}).Draw(t, "step"))
+	case trace.Cut:
+		f.Target = router("from") + ">" + router("to")
+	case trace.Part:
+		f.Target = fmt.Sprint("z", rapid.IntRange(1, 3).Draw(t, "region"))
+	case trace.Lag:
+		f.Target, f.Value = "store", 1
+	}
+	return f
+}
+
+// Guards against a combination of failures in which a revision in force goes back, two operators win or none, or a push stays unsettled.
+// The operators begin and end each run, so that every run has revisions.
+func TestRandomDrills(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := append(rapid.SliceOfN(rapid.Custom(drawFault), 1, 6).Draw(rt, "faults"),
+			trace.Fault{At: 1, Kind: trace.Operators, Value: 2}, trace.Fault{At: 95, Kind: trace.Operators, Value: 2})
+		verdicts, err := (&Drill{Routers: 7, Seed: 1}).Judge(context.Background(), trace.Merge(faults))
+		if err != nil {
+			rt.Fatal(err)
+		}
+		for _, v := range verdicts {
+			switch v.Outcome {
+			case growing, oneWinner, typed, settled, allAgree, oneOwner:
+				if !v.Held {
+					rt.Fatalf("%s: %s", v.Outcome, v.Seen)
+				}
+			}
+		}
+	})
+}
