fix(fleet): a partition that did not take place no longer passes

Cause: the judge counted what a router sees before it has joined, one member, as proof that it had taken the others for lost. Change: only readings after a complete view count, and a test has a run that only starts.

--- a/hornbeambench/fleet/races.go
+++ b/hornbeambench/fleet/races.go
@@ -82,16 +82,20 @@
 // parted requires that each of two sides took the other for lost for a while, and that all routers agree in the end. Without it a
 // partition that did not take place would pass.
 func (e Evidence) parted(apart []string) Verdict {
-	least, last := map[string]int{}, map[string]int{}
+	least, last, routers := map[string]int{}, map[string]int{}, map[string]bool{}
 	for _, r := range e.Revisions {
-		if n, ok := least[r.Router]; !ok || r.Members > 0 && r.Members < n || n == 0 {
+		routers[r.Router] = true
+	}
+	for _, r := range e.Revisions {
+		// A router that has just started knows few others, so only what follows a complete view counts.
+		if n, ok := least[r.Router]; r.Members == len(routers) && !ok || ok && r.Members > 0 && r.Members < n {
 			least[r.Router] = r.Members
 		}
 		if e.final(r) {
 			last[r.Router] = r.Members
 		}
 	}
-	held := len(least) > len(apart)
+	held := len(least) == len(routers) && len(least) > len(apart)
 	for router, n := range least {
 		side := len(least) - len(apart)
 		if slices.Contains(apart, router) {
--- a/hornbeambench/fleet/races_test.go
+++ b/hornbeambench/fleet/races_test.go
@@ -39,6 +39,7 @@
 		"went back":     {Evidence{Revisions: readings(2, 1, 2, 1, 1, 2, 2, 2), Pushes: fair}, 0},
 		"disagree":      {Evidence{Revisions: readings(1, 1, 1, 1, 2, 1), Pushes: fair}, 1},
 		"not parted":    {Evidence{Revisions: readings(1, 1), Pushes: fair}, 2},
+		"starting":      {Evidence{Revisions: readings(1, 1, 1, 1, 1, 1)[2:], Pushes: fair}, 2},
 		"two winners":   {Evidence{Revisions: whole, Pushes: []Push{{"1", "a", 0, ""}, {"1", "b", 0, ""}}}, 3},
 		"no winner":     {Evidence{Revisions: whole, Pushes: []Push{{"1", "a", 4, conflict}, {"1", "b", 4, conflict}}}, 3},
 		"not settled":   {Evidence{Revisions: whole, Pushes: append(fair, Push{"1", "c", 5, "unknown"})}, 4},
