fix(hornbeamctl): status works during an outage of the object API, and a missing certificate is named

Cause: status asked for the head of the configuration and failed with code 6 while the object API was down, with a remedy that does not exist for it; and plain HTTP to a router with certificates ended with code 1 and "read the daemon's log".

Change: status shows the head as unknown and the revisions in force; the client reports a missing certificate as unauthenticated (code 10) and names the three flags. TestRoles and TestTLSAgainstARunningDaemon expected "internal" and code 1 for it; they now expect the more exact kind and the text.

Seen: TestOutput has an outage of the object API that status survives; go test ./hornbeamctl/... ./hornbeamd/operator passes.

Conclusion: an operator sees the fleet when the platform is away.

--- a/hornbeamctl/command/command_test.go
+++ b/hornbeamctl/command/command_test.go
@@ -20,7 +20,9 @@
 
 type fleet struct {
 	operator.Fleet
-	err     error
+	err error
+	// outage is the error of calls that need the object API.
+	outage  error
 	running int
 	changes []string
 	missing []string
@@ -35,7 +37,10 @@
 	return []operator.Backend{{Name: "e1", Pool: "chat", Load: 1.5, Owner: "r2"}}, f.err
 }
 
-func (f *fleet) InForce(context.Context, int64) (operator.InForce, error) {
+func (f *fleet) InForce(_ context.Context, revision int64) (operator.InForce, error) {
+	if revision == 0 && f.outage != nil {
+		return operator.InForce{}, f.outage
+	}
 	return operator.InForce{Revision: 4, Routers: []operator.RouterRevision{{Router: "r2", Revision: 4, Answered: true}}}, f.err
 }
 
@@ -138,8 +143,13 @@
 	_, out, _ = run(new(fleet), "", "status")
 	c.Assert(out, qt.Matches, `(?s).*r1 +- +- +- +0 +0 +no\n.*r2 +- +- +- +0 +4 +yes\n.*`)
 
+	outage := &operator.Error{Code: operator.Unavailable, Message: "object api does not answer", Remedy: "wait"}
+	code, out, errs := run(&fleet{outage: outage}, "", "status")
+	c.Assert(code, qt.Equals, exit.OK, qt.Commentf(errs))
+	c.Assert(out, qt.Contains, "unknown")
+
 	page := filepath.Join(t.TempDir(), "line.html")
-	code, _, errs := run(&fleet{missing: []string{"r9"}}, "", "timeline", "--chat=c5", "--html="+page)
+	code, _, errs = run(&fleet{missing: []string{"r9"}}, "", "timeline", "--chat=c5", "--html="+page)
 	c.Assert(code, qt.Equals, exit.Incomplete)
 	c.Assert(errs, qt.Contains, "r9")
 	content, err := os.ReadFile(page)
--- a/hornbeamctl/command/tls_test.go
+++ b/hornbeamctl/command/tls_test.go
@@ -113,7 +113,7 @@
 		"expired":             {ours.issue(c, "operator", -time.Hour), exit.Unavailable, exit.Unavailable, ""},
 		"wrong authority":     {stranger, exit.Unavailable, exit.Unavailable, ""},
 		"daemon not trusted":  {mixed, exit.Unavailable, exit.Unavailable, "certificate"},
-		"without certificate": {settings.TLS{}, exit.Failed, exit.Failed, ""},
+		"without certificate": {settings.TLS{}, exit.NotAllowed, exit.NotAllowed, "set --tls-cert"},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/hornbeamctl/status/status.go
+++ b/hornbeamctl/status/status.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"errors"
+	"strconv"
 
 	"hornbeamstep.example/hornbeamctl/output"
 	"hornbeamstep.example/hornbeamd/operator"
@@ -18,6 +20,8 @@
 	Status   operator.Status    `json:"status"`
 	Backends []operator.Backend `json:"backends"`
 	InForce  operator.InForce   `json:"inforce"`
+	// HeadError says why the head could not be read; InForce is then about the asked router's own revision.
+	HeadError string `json:"headerror,omitempty"`
 }
 
 // Run runs the command.
@@ -31,7 +35,13 @@
 		return err
 	}
 	if r.InForce, err = fleet.InForce(ctx, 0); err != nil {
-		return err
+		if r.HeadError = unavailable(err); r.HeadError == "" {
+			return err
+		}
+		// The head needs the object API; what the routers have in force does not.
+		if r.InForce, err = fleet.InForce(ctx, r.Status.Revision); err != nil {
+			return err
+		}
 	}
 	if !c.Owners {
 		r.Status.Owners = nil
@@ -39,10 +49,23 @@
 	return out.Print(r, r.table)
 }
 
+// unavailable returns the message of an outage, else "".
+func unavailable(err error) string {
+	var refused *operator.Error
+	if errors.As(err, &refused) && refused.Code == operator.Unavailable {
+		return refused.Message
+	}
+	return ""
+}
+
 func (r report) table(rows output.Rows) {
 	s := r.Status
 	rows.Row("DAEMON", "ZONE", "REGION", "REVISION", "HEAD", "READY", "DRAINING", "REASON")
-	rows.Row(s.Daemon, s.Zone, s.Region, s.Revision, r.InForce.Revision, s.Ready, s.Draining, s.Reason)
+	head := strconv.FormatInt(r.InForce.Revision, 10)
+	if r.HeadError != "" {
+		head = "unknown"
+	}
+	rows.Row(s.Daemon, s.Zone, s.Region, s.Revision, head, s.Ready, s.Draining, s.Reason)
 	rows.Gap()
 	answered := map[string]operator.RouterRevision{}
 	for _, router := range r.InForce.Routers {
--- a/hornbeamd/operator/client.go
+++ b/hornbeamd/operator/client.go
@@ -167,6 +167,13 @@
 	if json.Unmarshal(content, &failed) == nil && failed.Error.Code != "" {
 		return &Error{Code: failed.Error.Code, Message: failed.Error.Message, Remedy: failed.Error.Remedy}
 	}
+	// The HTTP library answers plain HTTP on a TLS port with this text.
+	if status == http.StatusBadRequest && bytes.Contains(content, []byte("HTTP request to an HTTPS server")) {
+		return &Error{
+			Code: Unauthenticated, Message: "the router takes operators with a certificate only",
+			Remedy: "set --tls-cert, --tls-key and --tls-ca to your certificate, its key and the routers' authority",
+		}
+	}
 	code := Internal
 	if status == http.StatusServiceUnavailable {
 		code = Unavailable
--- a/hornbeamd/operator/operator_test.go
+++ b/hornbeamd/operator/operator_test.go
@@ -150,7 +150,7 @@
 		"viewer":          {ca.issue(t, "ben", "viewer"), "", operator.Forbidden},
 		"no role":         {ca.issue(t, "cat", "sales"), operator.Unauthenticated, operator.Unauthenticated},
 		"other authority": {newAuthority(t).issue(t, "dan", "operator"), operator.Unavailable, operator.Unavailable},
-		"no certificate":  {settings.TLS{}, operator.Internal, operator.Internal},
+		"no certificate":  {settings.TLS{}, operator.Unauthenticated, operator.Unauthenticated},
 	} {
 		client := client(t, address, test.files)
 		_, err := client.Status(ctx)
