--- a/hornbeambench/endtoend/fleet_test.go
+++ b/hornbeambench/endtoend/fleet_test.go
@@ -9,18 +9,17 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"hornbeamstep.example/hornbeambench/routers"
 	"hornbeamstep.example/hornbeambench/standin/modelengine"
 	"hornbeamstep.example/hornbeambench/standin/plainservice"
 	"hornbeamstep.example/hornbeambench/standin/platformapi"
 	"hornbeamstep.example/hornbeamd/daemon"
 	"hornbeamstep.example/hornbeamd/settings"
-	"hornbeamstep.example/platform/instancelist"
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
@@ -43,24 +42,25 @@
 	engines  []*modelengine.Engine
 	service  *plainservice.Service
 	routers  []*daemon.Daemon
-	listed   []instancelist.Instance
-	// stops end the routers and wait for their end.
-	stops map[*daemon.Daemon]func()
-	// adjust changes the settings of each router before it starts.
-	adjust func(*settings.Settings)
+	group    *routers.Group
+	running  map[*daemon.Daemon]*routers.Router
 }
 
 func newWorld(t testing.TB, engines, routers int, config modelengine.Config) *world {
 	return newAdjusted(t, engines, routers, config, func(*settings.Settings) {})
 }
 
-func newAdjusted(t testing.TB, engines, routers int, config modelengine.Config, adjust func(*settings.Settings)) *world {
+func newAdjusted(t testing.TB, engines, count int, config modelengine.Config, adjust func(*settings.Settings)) *world {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	w := &world{t: t, ctx: ctx, platform: platformapi.New(), stops: map[*daemon.Daemon]func(){}, adjust: adjust}
+	w := &world{t: t, ctx: ctx, platform: platformapi.New(), running: map[*daemon.Daemon]*routers.Router{}}
 	t.Cleanup(cancel)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	w.address = "http://" + listener.Addr().String()
+	w.group = &routers.Group{Platform: w.platform, Address: w.address, Change: func(s *settings.Settings) {
+		s.Caller.Lifetime = 100 * time.Millisecond
+		adjust(s)
+	}}
 	server := &http.Server{Handler: w.platform.Handler()}
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
@@ -76,7 +76,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(w.service.Close)
 	w.push("")
-	for i := range routers {
+	for i := range count {
 		w.start(fmt.Sprintf("r%d", i+1))
 	}
 	for _, d := range w.routers {
@@ -104,28 +104,12 @@
 }
 
 func (w *world) start(id string) *daemon.Daemon {
-	s, err := settings.Default(id, "z")
+	r, err := w.group.Start(id, "z")
 	qt.Assert(w.t, err, qt.IsNil)
-	s.Caller.Listen, s.Peer.Listen, s.Operator.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	s.Caller.Lifetime = 100 * time.Millisecond
-	s.Platform.Objects, s.Platform.Instances = w.address, w.address
-	w.adjust(&s)
-	d := &daemon.Daemon{Settings: s}
-	qt.Assert(w.t, d.Open(), qt.IsNil)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx) }()
-	w.stops[d] = sync.OnceFunc(func() {
-		cancel()
-		<-ended
-	})
-	w.t.Cleanup(w.stops[d])
-	<-d.Ready()
-	_, peers, _ := d.Addresses()
-	w.listed = append(w.listed, instancelist.Instance{ID: id, Address: peers, Zone: "z", Role: "router", State: instancelist.Live})
-	w.platform.SetInstances(w.listed)
-	w.routers = append(w.routers, d)
-	return d
+	w.running[r.Daemon] = r
+	w.t.Cleanup(func() { r.Stop() })
+	w.routers = append(w.routers, r.Daemon)
+	return r.Daemon
 }
 
 func (w *world) caller(d *daemon.Daemon) string {
--- a/hornbeambench/endtoend/standing_test.go
+++ b/hornbeambench/endtoend/standing_test.go
@@ -15,7 +15,6 @@
 	"hornbeamstep.example/hornbeamd/daemon"
 	"hornbeamstep.example/hornbeamd/operator"
 	"hornbeamstep.example/hornbeamd/settings"
-	"hornbeamstep.example/platform/instancelist"
 )
 
 // operator returns a client of a router's operator interface.
@@ -33,10 +32,8 @@
 
 // end stops a router and takes it out of the instance list.
 func (w *world) end(d *daemon.Daemon) {
-	_, address, _ := d.Addresses()
-	w.listed = slices.DeleteFunc(w.listed, func(i instancelist.Instance) bool { return i.Address == address })
-	w.platform.SetInstances(w.listed)
-	w.stops[d]()
+	w.group.Unlist(w.running[d])
+	w.running[d].Stop()
 }
 
 // idle checks that an engine gets none of 20 new chats through a router that has just started.
--- a/hornbeambench/routers/routers.go
+++ b/hornbeambench/routers/routers.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -88,6 +89,13 @@
 	return r, nil
 }
 
+// Unlist takes a router out of the instance list. The router goes on.
+func (g *Group) Unlist(r *Router) {
+	_, peers, _ := r.Addresses()
+	g.listed = slices.DeleteFunc(g.listed, func(i instancelist.Instance) bool { return i.Address == peers })
+	g.Platform.SetInstances(g.listed)
+}
+
 // All returns the routers in the order of their start.
 func (g *Group) All() []*Router { return g.routers }
 
