--- a/hornbeambench/endtoend/adapters_test.go
+++ b/hornbeambench/endtoend/adapters_test.go
@@ -12,6 +12,7 @@
 
 // Guards against an adapter that is loaded nowhere or everywhere, and against routers that look for it where it is not.
 func TestAdaptersAreLoadedAndFound(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4, 2, modelengine.Config{Models: []string{model}})
 	const adapter = model + ":a"
 	holders := func(name string) (out []int) {
--- a/hornbeambench/endtoend/failure_test.go
+++ b/hornbeambench/endtoend/failure_test.go
@@ -16,6 +16,7 @@
 // Guards against a request that takes down one engine after the other, by the router's retries and by its caller, who sends it
 // again through every router; and against innocent requests that are lost with the engines.
 func TestCrashingRequestLosesAtMostTwoEngines(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 6, 3, modelengine.Config{Models: []string{model}})
 	for _, e := range w.engines {
 		e.SetFault(modelengine.Fault{Kind: modelengine.Crash, After: 2, Marker: "poison"})
@@ -64,6 +65,7 @@
 // Guards against an outage of the object API that stops routing, lets a request run that could not be claimed, or keeps a new
 // router from the configuration that its peers have.
 func TestObjectAPIDown(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, 2, modelengine.Config{Models: []string{model}})
 	w.until("claims work", func() bool {
 		return w.post(w.routers[0], "/v1/services/intake/settle", "ticket 0", "Idempotency-Key", "k0").Status == http.StatusOK
@@ -98,6 +100,7 @@
 
 // Guards against a call that runs twice because its caller sends it through all routers at once, and again afterwards.
 func TestResendThroughAllRoutersRunsOnce(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 1, 3, modelengine.Config{Models: []string{model}})
 	const keys = 10
 	var group sync.WaitGroup
@@ -124,6 +127,7 @@
 // Guards against an engine that stays without the model of its pool, and against work on an engine that the configuration
 // takes out of service.
 func TestConfigurationReachesEngines(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, 2, modelengine.Config{})
 	w.until("models are loaded", func() bool {
 		return !slices.ContainsFunc(w.engines, func(e *modelengine.Engine) bool { return e.Orders() == 0 })
--- a/hornbeambench/endtoend/moves_test.go
+++ b/hornbeambench/endtoend/moves_test.go
@@ -143,6 +143,7 @@
 // Guards against a chat that reads its prompt again although its context could be moved, and against a context that is moved again
 // for each turn.
 func TestContextIsMovedBeforeRequest(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, 2, withoutEvents)
 	chats, home := w.talks(12)
 	w.leave(home)
@@ -165,6 +166,7 @@
 
 // Guards against a move that fails and takes its request along, delays it for good, or leaves a part of a context.
 func TestFailedMoveLeavesRequestAlone(t *testing.T) {
+	t.Parallel()
 	long := 3 * time.Second
 	for name, test := range map[string]struct {
 		source, target modelengine.Fault
@@ -198,6 +200,7 @@
 
 // Guards against a drain that loses the contexts of the engine, moves them more than once, or takes those of other engines along.
 func TestLeavingEngineIsEvacuated(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, 2, modelengine.Config{Models: []string{model}, KV: 100})
 	chats, home := w.talks(12)
 	// The owner reads cache events once a second.
--- a/hornbeambench/endtoend/slow_test.go
+++ b/hornbeambench/endtoend/slow_test.go
@@ -13,6 +13,7 @@
 // Guards against an engine that answers everything, but far slower than its pool, and keeps its share of the chats; and against
 // answers that are lost or wrong while it is ejected.
 func TestSlowEngineGetsNoWork(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4, 3, modelengine.Config{Models: []string{model}})
 	sent := 0
 	// batch sends new chats through all routers and returns how many ran on the slow engine.
--- a/hornbeambench/endtoend/standing_test.go
+++ b/hornbeambench/endtoend/standing_test.go
@@ -55,6 +55,7 @@
 // Guards against a drain and a quarantine that are forgotten when all routers are replaced one after another, and a quarantine list
 // without the client account.
 func TestDecisionsOutliveAllRouters(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4, 2, modelengine.Config{Models: []string{model}})
 	for _, e := range w.engines {
 		e.SetFault(modelengine.Fault{Kind: modelengine.Crash, After: 2, Marker: "poison"})
@@ -88,6 +89,7 @@
 // Guards against decisions that only routers remember, when all of them stop before the first one starts again; against one that a
 // lost reply or a second operator's order at the same moment takes away; and against an undrain that does not last.
 func TestDecisionsOutliveAFleetThatStops(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 4, 3, modelengine.Config{Models: []string{model}})
 	w.objects(platformapi.Fault{Lost: 0.5, Late: 0.2, Delay: "20ms", Seed: 1})
 	w.drain(w.routers[0], "e4")
@@ -122,6 +124,7 @@
 // Guards against a router that does not learn of drains while the object API is down, that does not start when nobody can tell, or
 // that does not write an operator's order once the object API is back.
 func TestDecisionsWithoutObjectAPI(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, 2, modelengine.Config{Models: []string{model}})
 	w.objects(platformapi.Fault{Down: true})
 	w.drain(w.routers[0], "e1")
