refactor(caller): one prefix for the metrics of a daemon

Cause: the metrics towards callers began with hornbeamstep_, all others with hornbeam_, so that a dashboard needed both. Change: hornbeam_caller_; nothing was released with the old names. Seen: go test ./hornbeamd/caller ./hornbeambench/standin/requestpath passes; 9 names changed.

--- a/hornbeambench/standin/requestpath/limit_test.go
+++ b/hornbeambench/standin/requestpath/limit_test.go
@@ -165,10 +165,10 @@
 	send(f.request("POST", "/v1/chat/completions", "{"))
 	got := send(f.request("GET", "/metrics", "")).body
 	for _, line := range []string{
-		`hornbeamstep_caller_requests_total{code="",kind="chat",outcome="ok"} 1`,
-		`hornbeamstep_caller_requests_total{code="bad_request",kind="chat",outcome="not run"} 1`,
-		`hornbeamstep_caller_first_token_seconds_count 1`,
-		`hornbeamstep_caller_streams 0`,
+		`hornbeam_caller_requests_total{code="",kind="chat",outcome="ok"} 1`,
+		`hornbeam_caller_requests_total{code="bad_request",kind="chat",outcome="not run"} 1`,
+		`hornbeam_caller_first_token_seconds_count 1`,
+		`hornbeam_caller_streams 0`,
 	} {
 		c.Assert(strings.Contains(got, line+"\n"), qt.IsTrue, qt.Commentf("%s in\n%s", line, got))
 	}
--- a/hornbeambench/standin/requestpath/sigterm_test.go
+++ b/hornbeambench/standin/requestpath/sigterm_test.go
@@ -68,7 +68,7 @@
 	begin := time.Now()
 	go func() { answer <- send(f.request("POST", "/v1/chat/completions", chatBody(prompt, true))) }()
 	eventually(func() bool {
-		return strings.Contains(send(f.request("GET", "/metrics", "")).body, "hornbeamstep_caller_streams 1\n")
+		return strings.Contains(send(f.request("GET", "/metrics", "")).body, "hornbeam_caller_streams 1\n")
 	})
 	c.Assert(process.Process.Signal(syscall.SIGTERM), qt.IsNil)
 	got := <-answer
--- a/hornbeamd/caller/metrics.go
+++ b/hornbeamd/caller/metrics.go
@@ -20,39 +20,39 @@
 	f := promauto.With(registry)
 	return &metrics{
 		requests: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "hornbeamstep_caller_requests_total",
+			Name: "hornbeam_caller_requests_total",
 			Help: "Requests of callers, by kind (chat or service), outcome (ok, not run, ran or unknown) and error code.",
 		}, []string{"kind", "outcome", "code"}),
 		retries: f.NewCounterVec(prometheus.CounterOpts{
-			Name: "hornbeamstep_caller_retries_total",
+			Name: "hornbeam_caller_retries_total",
 			Help: "Attempts repeated on another backend server, by kind of request and of failure.",
 		}, []string{"kind", "failure"}),
 		streams: f.NewGauge(prometheus.GaugeOpts{
-			Name: "hornbeamstep_caller_streams",
+			Name: "hornbeam_caller_streams",
 			Help: "Engine streams open now.",
 		}),
 		connections: f.NewGauge(prometheus.GaugeOpts{
-			Name: "hornbeamstep_caller_connections",
+			Name: "hornbeam_caller_connections",
 			Help: "Connections of callers open now.",
 		}),
 		tokens: f.NewCounter(prometheus.CounterOpts{
-			Name: "hornbeamstep_caller_tokens_total",
+			Name: "hornbeam_caller_tokens_total",
 			Help: "Tokens received from engines for callers.",
 		}),
 		bytes: f.NewCounter(prometheus.CounterOpts{
-			Name: "hornbeamstep_caller_service_bytes_total",
+			Name: "hornbeam_caller_service_bytes_total",
 			Help: "Bytes of plain services' answers relayed to callers.",
 		}),
 		resumes: f.NewCounter(prometheus.CounterOpts{
-			Name: "hornbeamstep_caller_resumes_total",
+			Name: "hornbeam_caller_resumes_total",
 			Help: "Streams continued on a new connection to the same engine.",
 		}),
 		unfinished: f.NewCounter(prometheus.CounterOpts{
-			Name: "hornbeamstep_caller_claims_unfinished_total",
+			Name: "hornbeam_caller_claims_unfinished_total",
 			Help: "Claims whose end could not be written; they read as unknown.",
 		}),
 		first: f.NewHistogram(prometheus.HistogramOpts{
-			Name:    "hornbeamstep_caller_first_token_seconds",
+			Name:    "hornbeam_caller_first_token_seconds",
 			Help:    "Time from the arrival of a request to its first token, in seconds.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
 		}),
