fix(peer): a pause is seen although the wall clock stepped back meanwhile

Cause: the last turn of the control loop was kept as nanoseconds of the wall clock. A step back by the length of a pause hid the pause from Owners, Members and Sum, which would have trusted a view from before it; found by reading. Change: the time is kept with its monotonic reading.

Seen: TestPauseIsMeasuredByTheMonotonicClock fails when the reading is dropped and passes now; go test -race ./hornbeamd/peer passes. Before, no test could tell the two apart.

--- a/hornbeamd/peer/loop.go
+++ b/hornbeamd/peer/loop.go
@@ -146,7 +146,7 @@
 			view: l.view, owners: l.owners, untrusted: l.owners.WithTrust(false), sums: sums, revision: l.revisions.Revision(),
 		})
 	}
-	l.n.beat.Store(now.UnixNano())
+	l.n.beat.Store(&now)
 }
 
 // reassign computes the ownership for a new view.
--- a/hornbeamd/peer/node.go
+++ b/hornbeamd/peer/node.go
@@ -110,10 +110,11 @@
 	done    chan struct{}
 	applied chan applied
 
-	// published holds the snapshots that other goroutines read. beat is the clock at the last turn of the control loop, in
-	// nanoseconds, stored after published.
+	// published holds the snapshots that other goroutines read. beat is the clock at the last turn of the control loop,
+	// stored after published; nil before the first. It keeps its monotonic reading, because a wall clock that stepped back by
+	// the length of a pause would hide the pause.
 	published atomic.Pointer[snapshot]
-	beat      atomic.Int64
+	beat      atomic.Pointer[time.Time]
 }
 
 // snapshot is what the control loop publishes.
@@ -313,7 +314,8 @@
 
 // behind is true if the control loop did not turn lately: the process was paused, and the snapshots are out of date.
 func (n *Node) behind() bool {
-	return n.Clock().Sub(time.Unix(0, n.beat.Load())) > member.DefaultGap
+	beat := n.beat.Load()
+	return beat == nil || n.Clock().Sub(*beat) > member.DefaultGap
 }
 
 // Sum returns the load of a pool's engines over the fleet, if it is known from the last seconds.
--- a/hornbeamd/peer/pause_test.go
+++ b/hornbeamd/peer/pause_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -21,7 +22,8 @@
 	n.published.Store(&snapshot{
 		view: &member.View{Trusted: true}, owners: owners.WithTrust(true), untrusted: owners, sums: map[string]loadsum.Sum{"chat": {Load: 2, Count: 1}},
 	})
-	n.beat.Store(now.UnixNano())
+	last := now
+	n.beat.Store(&last)
 	c.Assert(n.Owners().Owns("e"), quicktest.IsTrue)
 	now = now.Add(member.DefaultGap + time.Millisecond)
 	c.Assert(n.Owners().Owns("e"), quicktest.IsFalse)
@@ -29,3 +31,19 @@
 	_, known := n.Sum("chat")
 	c.Assert(known, quicktest.IsFalse)
 }
+
+// Guards against a pause that is hidden by a wall clock that stepped back meanwhile: a time that went through a number of
+// nanoseconds has lost the monotonic reading that the two turns are compared by.
+func TestPauseIsMeasuredByTheMonotonicClock(t *testing.T) {
+	n := &Node{ID: "a", Listen: "127.0.0.1:0"}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	<-n.Ready()
+	for n.beat.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	quicktest.Assert(t, n.beat.Load().String(), quicktest.Contains, " m=")
+	cancel()
+	<-ended
+}
