--- a/hornbeambench/fleet/command.go
+++ b/hornbeambench/fleet/command.go
@@ -37,12 +37,19 @@
 
 // Run runs the command until ctx ends.
 func (c *WatchCommand) Run(ctx context.Context) error {
-	file, err := os.Create(c.Out)
+	return record(ctx, c.Out, c.Interval, func(lines *json.Encoder) error {
+		return lines.Encode(sample(ctx, c.Engines, c.Interval))
+	})
+}
+
+// record writes lines to a file at each interval until ctx ends or a line cannot be written.
+func record(ctx context.Context, path string, interval time.Duration, write func(*json.Encoder) error) error {
+	file, err := os.Create(path)
 	if err != nil {
 		return err
 	}
-	encoder := json.NewEncoder(file)
-	ticker := time.NewTicker(c.Interval)
+	lines := json.NewEncoder(file)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -50,9 +57,8 @@
 			return file.Close()
 		case <-ticker.C:
 		}
-		if err := encoder.Encode(sample(ctx, c.Engines, c.Interval)); err != nil {
-			_ = file.Close()
-			return err
+		if err := write(lines); err != nil {
+			return errors.Join(err, file.Close())
 		}
 	}
 }
--- a/hornbeambench/fleet/races.go
+++ b/hornbeambench/fleet/races.go
@@ -184,30 +184,18 @@
 
 // Run runs the command until ctx ends. Routers that do not answer are left out.
 func (c *RevisionsCommand) Run(ctx context.Context) error {
-	file, err := os.Create(c.Out)
-	if err != nil {
-		return err
-	}
-	encoder := json.NewEncoder(file)
-	ticker := time.NewTicker(c.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return file.Close()
-		case <-ticker.C:
-		}
+	return record(ctx, c.Out, c.Interval, func(lines *json.Encoder) error {
 		for _, router := range c.Routers {
 			r, ok := reading(ctx, router, c.Interval)
 			if !ok {
 				continue
 			}
-			if err := encoder.Encode(r); err != nil {
-				_ = file.Close()
+			if err := lines.Encode(r); err != nil {
 				return err
 			}
 		}
-	}
+		return nil
+	})
 }
 
 func reading(ctx context.Context, router string, limit time.Duration) (InForce, bool) {
--- a/hornbeambench/standin/requestpath/tls_test.go
+++ b/hornbeambench/standin/requestpath/tls_test.go
@@ -86,11 +86,11 @@
 		defer conn.Close()
 		held = append(held, conn)
 	}
+	// The kernel accepts connections before the router counts them. The one that reads the metrics is the third.
+	eventually(func() bool {
+		return strings.Contains(send(f.request("GET", "/metrics", "")).body, "hornbeam_caller_connections 3")
+	})
 	got := send(f.request("POST", "/v1/chat/completions", chatBody(prompt, true)))
-	for got.status == http.StatusOK {
-		// The kernel accepts connections before the router counts them.
-		got = send(f.request("POST", "/v1/chat/completions", chatBody(prompt, true)))
-	}
 	c.Assert(got.failure.Error.Code, qt.Equals, "overloaded")
 	c.Assert(got.failure.Error.Outcome, qt.Equals, "not run")
 	for _, conn := range held {
