--- a/coord/agreed/agreed_test.go
+++ b/coord/agreed/agreed_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"hornbeamstep.example/coord/agreed"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
--- a/coord/agreed/log.go
+++ b/coord/agreed/log.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // objectName is the name of the one object of each kind.
--- a/coord/claim/bytes_test.go
+++ b/coord/claim/bytes_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/coord/claim"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // weighed counts the bytes that a Table writes and the objects that it reads.
--- a/coord/claim/claim_test.go
+++ b/coord/claim/claim_test.go
@@ -13,7 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/coord/claim"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 func key(name string) claim.Key {
--- a/coord/claim/example_test.go
+++ b/coord/claim/example_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"hornbeamstep.example/coord/claim"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 func ExampleTable() {
--- a/coord/claim/experiment_test.go
+++ b/coord/claim/experiment_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/coord/claim"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // The experiment: 205 non-repeatable requests a second for 60 s, answered after 400 ms, on 8 routers. At 30 s one router dies and
--- a/coord/claim/linear_test.go
+++ b/coord/claim/linear_test.go
@@ -16,7 +16,7 @@
 	"pgregory.net/rapid"
 
 	"hornbeamstep.example/coord/claim"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // The seed is fixed so that the verdict never varies; the flag on the command line overrides it.
--- a/coord/claim/rebuild_test.go
+++ b/coord/claim/rebuild_test.go
@@ -12,7 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/coord/claim"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // Guards against a takeover of a shard that takes so long that its claims are refused, and against merged segments that lose or
--- a/coord/claim/segment.go
+++ b/coord/claim/segment.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 const (
--- a/coord/claim/shard.go
+++ b/coord/claim/shard.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // op is a queued claim, finish or, with an empty state, read.
--- a/coord/claim/table.go
+++ b/coord/claim/table.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // Defaults of Table.
--- a/coord/lease/example_test.go
+++ b/coord/lease/example_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"hornbeamstep.example/coord/lease"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 func ExampleHolder() {
--- a/coord/lease/holder.go
+++ b/coord/lease/holder.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"hornbeamstep.example/coord/pause"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // Holder holds the lease of one router. Set its fields before use.
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"hornbeamstep.example/coord/lease"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // The seed is fixed so that the verdict never varies; the flag on the command line overrides it.
--- a/coord/order/exclusion_test.go
+++ b/coord/order/exclusion_test.go
@@ -15,7 +15,7 @@
 
 	"hornbeamstep.example/coord/lease"
 	"hornbeamstep.example/coord/order"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // The seed is fixed so that the verdict never varies; the flag on the command line overrides it.
--- a/coord/order/keeper.go
+++ b/coord/order/keeper.go
@@ -11,7 +11,7 @@
 
 	"hornbeamstep.example/coord/lease"
 	"hornbeamstep.example/coord/pause"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // setPause is the greatest wait before a change of the desired state is repeated that met another one.
--- a/coord/order/order_test.go
+++ b/coord/order/order_test.go
@@ -15,7 +15,7 @@
 
 	"hornbeamstep.example/coord/lease"
 	"hornbeamstep.example/coord/order"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 var ctx = context.Background()
--- a/coord/order/plan.go
+++ b/coord/order/plan.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"hornbeamstep.example/coord/pause"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // planKind and planName name the object that holds the plan of the whole fleet. It has a kind of its own, so that a list of the kind
--- a/coord/order/plan_test.go
+++ b/coord/order/plan_test.go
@@ -9,7 +9,7 @@
 
 	"hornbeamstep.example/coord/lease"
 	"hornbeamstep.example/coord/order"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // pausedLease passes a last check and then stands still, as a planner that is paused between the check and its write.
--- a/coord/order/rate.go
+++ b/coord/order/rate.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"hornbeamstep.example/coord/pause"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // rateName is the object by which the whole fleet shares the weight store's rate. No engine has this name.
--- a/coord/order/stats.go
+++ b/coord/order/stats.go
@@ -4,7 +4,7 @@
 	"errors"
 	"sync/atomic"
 
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // Counters count what the keepers that share them did. Their zero value is ready for use.
--- /dev/null
+++ b/coord/presence/presence.go
@@ -0,0 +1,246 @@
+// Package presence keeps the routers of one deployment by frequent heartbeats, which also carry what each router knows and does.
+//
+// Package member serves large fleets whose routers hear of each other through a few random pings. Here each heartbeat reaches
+// every router directly or by one relay, so that a lost router is found within a second, and a load is known within a fraction
+// of one.
+package presence
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Record is what a router says of itself.
+type Record struct {
+	ID, Zone, Region string
+	// Boot is when the process started, in Unix milliseconds. A higher one replaces the records of an earlier process.
+	Boot int64
+	// Sequence grows with each heartbeat of one process.
+	Sequence uint64
+	// Peer is the address for heartbeats, Control the one for calls and Front the one for callers, as ip:port.
+	Peer, Control, Front string
+	// Ready routers take callers.
+	Ready bool
+	// Capacity is the share of processor cores that the router has.
+	Capacity float64
+	// Config is the version of its configuration and Servers the revision of its backend servers.
+	Config, Servers int64
+	// Contact is the time since the platform's store answered this router itself, in milliseconds; negative if it never did.
+	Contact int64
+	// Loads holds its requests in progress by ID of the backend server.
+	Loads map[string]int
+	// Down holds the IDs of the backend servers that it could not reach lately.
+	Down []string
+}
+
+// newer orders the records of one router.
+func (r Record) newer(o Record) bool {
+	if r.Boot != o.Boot {
+		return r.Boot > o.Boot
+	}
+	return r.Sequence > o.Sequence
+}
+
+// Member is another router with the time of its latest heartbeat.
+type Member struct {
+	Record
+	// Heard is when the record arrived.
+	Heard time.Time
+}
+
+// ContactAt is when the store answered the member itself; zero if it never did.
+func (m Member) ContactAt() time.Time {
+	if m.Contact < 0 {
+		return time.Time{}
+	}
+	return m.Heard.Add(-time.Duration(m.Contact) * time.Millisecond)
+}
+
+// Settings are the times of a State.
+type Settings struct {
+	// Interval is the time between two heartbeats in a small fleet.
+	Interval time.Duration
+	// Silence is the time without a heartbeat after which a router counts as lost.
+	Silence time.Duration
+	// Keep is how long lost routers are still sent heartbeats, so that two parts of a cut fleet find each other again.
+	Keep time.Duration
+	// Watchers is the number of routers that watch the store for all.
+	Watchers int
+	// Contact is the age of a store answer up to which a router can watch for the others.
+	Contact time.Duration
+}
+
+// DefaultSettings returns the default settings. A lost router leaves the answers to callers after four missed heartbeats.
+func DefaultSettings() Settings {
+	return Settings{
+		Interval: 200 * time.Millisecond, Silence: 900 * time.Millisecond, Keep: time.Minute, Watchers: 2,
+		Contact: 1800 * time.Millisecond,
+	}
+}
+
+// State is the presence of all routers as one of them sees it. It is not safe for concurrent use.
+type State struct {
+	settings Settings
+	self     Record
+	members  map[string]Member
+	// most is the greatest number of routers seen at once.
+	most int
+}
+
+// New returns a state that knows no other router.
+func New(s Settings, self Record) *State {
+	return &State{settings: s, self: self, members: map[string]Member{}, most: 1}
+}
+
+// Receive takes a heartbeat and is true if it is new and the router was lost or unknown.
+func (s *State) Receive(now time.Time, r Record) bool {
+	if r.ID == "" || r.ID == s.self.ID {
+		return false
+	}
+	old, known := s.members[r.ID]
+	if known && !r.newer(old.Record) {
+		return false
+	}
+	s.members[r.ID] = Member{Record: r, Heard: now}
+	s.most = max(s.most, s.Live(now)+1)
+	return !known || now.Sub(old.Heard) > s.settings.Silence
+}
+
+// Tick forgets the routers that have been lost for long.
+func (s *State) Tick(now time.Time) {
+	maps.DeleteFunc(s.members, func(_ string, m Member) bool { return now.Sub(m.Heard) > s.settings.Keep })
+	if live := s.Live(now) + 1; live < s.most && len(s.members) == live-1 {
+		s.most = live
+	}
+}
+
+// Members returns the other routers that are not lost, sorted by ID.
+func (s *State) Members(now time.Time) []Member {
+	var live []Member
+	for _, m := range s.members {
+		if s.live(now, m) {
+			live = append(live, m)
+		}
+	}
+	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return live
+}
+
+// Live returns the number of other routers that are not lost.
+func (s *State) Live(now time.Time) int {
+	n := 0
+	for _, m := range s.members {
+		if s.live(now, m) {
+			n++
+		}
+	}
+	return n
+}
+
+// live is true if the router's heartbeats arrive. The interval grows with the fleet, and the silence with it.
+func (s *State) live(now time.Time, m Member) bool {
+	return now.Sub(m.Heard) <= max(s.settings.Silence, 4*s.Interval())
+}
+
+// Fleet is the number of routers that may share a limit: all seen lately, lost or not, and this one.
+func (s *State) Fleet() int { return max(s.most, len(s.members)+1) }
+
+// Addresses returns the addresses to send heartbeats to.
+func (s *State) Addresses() []string {
+	out := make([]string, 0, len(s.members))
+	for _, m := range s.members {
+		out = append(out, m.Peer)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// meshSize is the number of routers up to which heartbeats keep the shortest interval. The messages of a fleet grow with the
+// square of its size.
+const meshSize = 12
+
+// Interval returns the time until the next heartbeat.
+func (s *State) Interval() time.Duration {
+	return s.settings.Interval * time.Duration(max(meshSize, len(s.members)+1)) / meshSize
+}
+
+// Contact returns when the store last answered any router, as far as this one knows, and that router's ID. Own is the time of
+// the last answer to this router.
+func (s *State) Contact(now, own time.Time) (at time.Time, id string) {
+	at, id = own, s.self.ID
+	for _, m := range s.members {
+		if c := m.ContactAt(); s.live(now, m) && c.After(at) {
+			at, id = c, m.ID
+		}
+	}
+	return at, id
+}
+
+// Watches is true if this router has to watch the store itself: it is one of the first by rank that the store answers, or the
+// answers of the others are out of date. Own is the time of the last answer to this router.
+func (s *State) Watches(now, own time.Time) bool {
+	newest, _ := s.Contact(now, own)
+	if now.Sub(newest) > s.settings.Contact {
+		return true
+	}
+	before := 0
+	rank := s.rank(s.self.ID)
+	for _, m := range s.members {
+		if s.live(now, m) && now.Sub(m.ContactAt()) <= s.settings.Contact && s.rank(m.ID) < rank {
+			before++
+		}
+	}
+	return before < s.settings.Watchers
+}
+
+// rank orders the routers in a way that is the same on each and does not depend on the machines' names.
+func (s *State) rank(id string) uint64 { return xxhash.Sum64String(id) }
+
+// Newest returns the members with the highest version of the configuration and the highest revision of backend servers, if
+// they are higher than this router's.
+func (s *State) Newest(now time.Time, config, servers int64) (forConfig, forServers Member) {
+	for _, m := range s.members {
+		if !s.live(now, m) {
+			continue
+		}
+		if m.Config > max(config, forConfig.Config) {
+			forConfig = m
+		}
+		if m.Servers > max(servers, forServers.Servers) {
+			forServers = m
+		}
+	}
+	return forConfig, forServers
+}
+
+// Load sums the requests in progress of the other routers by ID of the backend server.
+func (s *State) Load(now time.Time) map[string]int {
+	sum := map[string]int{}
+	for _, m := range s.members {
+		if !s.live(now, m) {
+			continue
+		}
+		for id, n := range m.Loads {
+			sum[id] += n
+		}
+	}
+	return sum
+}
+
+// Down counts the other routers that could not reach a backend server lately, by its ID.
+func (s *State) Down(now time.Time) map[string]int {
+	count := map[string]int{}
+	for _, m := range s.members {
+		if !s.live(now, m) {
+			continue
+		}
+		for _, id := range m.Down {
+			count[id]++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/coord/presence/presence_test.go
@@ -0,0 +1,108 @@
+package presence_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/coord/presence"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func record(id string, sequence uint64) presence.Record {
+	return presence.Record{ID: id, Boot: 1, Sequence: sequence, Zone: "z", Front: id + ":1", Peer: id + ":2", Ready: true, Contact: -1}
+}
+
+// Guards against callers that are sent to a router that has stopped.
+func TestLost(t *testing.T) {
+	c := qt.New(t)
+	s := presence.New(presence.DefaultSettings(), record("a", 0))
+	c.Assert(s.Receive(at(0), record("b", 1)), qt.IsTrue)
+	s.Receive(at(0), record("c", 1))
+	s.Receive(at(800), record("c", 2))
+	c.Assert(s.Entry(at(850), "z", record("a", 0)), qt.DeepEquals, []string{"a:1", "b:1", "c:1"})
+	c.Assert(s.Entry(at(1000), "z", record("a", 0)), qt.DeepEquals, []string{"a:1", "c:1"})
+	c.Assert(s.Receive(at(3000), record("b", 2)), qt.IsTrue)
+	c.Assert(s.Fleet(), qt.Equals, 3)
+}
+
+// Guards against a delayed heartbeat that undoes a newer one, and against one of an earlier process.
+func TestOrder(t *testing.T) {
+	c := qt.New(t)
+	s := presence.New(presence.DefaultSettings(), record("a", 0))
+	leaving := record("b", 7)
+	leaving.Ready = false
+	s.Receive(at(0), leaving)
+	s.Receive(at(1), record("b", 6))
+	c.Assert(s.Entry(at(2), "z", record("a", 0)), qt.DeepEquals, []string{"a:1"})
+	again := record("b", 1)
+	again.Boot = 2
+	s.Receive(at(3), again)
+	c.Assert(s.Entry(at(4), "z", record("a", 0)), qt.HasLen, 2)
+}
+
+// Guards against an availability zone whose callers all depend on one router.
+func TestEntryZone(t *testing.T) {
+	c := qt.New(t)
+	s := presence.New(presence.DefaultSettings(), record("a", 0))
+	other := record("b", 1)
+	other.Zone = "y"
+	s.Receive(at(0), other)
+	c.Assert(s.Entry(at(1), "y", record("a", 0)), qt.HasLen, 2)
+	second := record("c", 1)
+	second.Zone = "y"
+	s.Receive(at(0), second)
+	c.Assert(s.Entry(at(1), "y", record("a", 0)), qt.DeepEquals, []string{"b:1", "c:1"})
+	self := record("a", 0)
+	self.Ready = false
+	c.Assert(s.Entry(at(5000), "y", self), qt.DeepEquals, []string{"a:1"})
+}
+
+// Guards against a fleet in which no router watches the store, and against one in which all do.
+func TestWatches(t *testing.T) {
+	c := qt.New(t)
+	watching := func(down map[string]bool) int {
+		n := 0
+		for i := range 20 {
+			self := fmt.Sprint("r", i)
+			if down[self] {
+				continue
+			}
+			s := presence.New(presence.DefaultSettings(), record(self, 0))
+			for j := range 20 {
+				r := record(fmt.Sprint("r", j), 1)
+				if r.Contact = 100; down[r.ID] {
+					r.Contact = 5000
+				}
+				s.Receive(at(0), r)
+			}
+			if s.Watches(at(10), at(0)) {
+				n++
+			}
+		}
+		return n
+	}
+	c.Assert(watching(nil), qt.Equals, 2)
+	for i := range 20 {
+		c.Assert(watching(map[string]bool{fmt.Sprint("r", i): true}), qt.Equals, 2)
+	}
+	alone := presence.New(presence.DefaultSettings(), record("a", 0))
+	c.Assert(alone.Watches(at(0), time.Time{}), qt.IsTrue)
+}
+
+// Guards against a router that waits for watchers that have lost the store.
+func TestWatchersWithoutStore(t *testing.T) {
+	c := qt.New(t)
+	s := presence.New(presence.DefaultSettings(), record("a", 0))
+	for i := range 8 {
+		r := record(fmt.Sprint("r", i), 1)
+		r.Contact = 2000
+		s.Receive(at(0), r)
+	}
+	c.Assert(s.Watches(at(1), at(-3000)), qt.IsTrue)
+}
--- a/hornbeambench/calls/calls.go
+++ b/hornbeambench/calls/calls.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"hornbeamstep.example/hornbeambench/control"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // designRouters and designEngines are the sizes of the design page.
--- a/hornbeambench/calls/world.go
+++ b/hornbeambench/calls/world.go
@@ -14,10 +14,10 @@
 	"hornbeamstep.example/hornbeambench/standin/platformapi"
 	"hornbeamstep.example/hornbeamd/daemon"
 	"hornbeamstep.example/hornbeamd/settings"
-	"hornbeamstep.example/platform/instancelist"
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/ports/instancelist"
 )
 
 const (
--- a/hornbeambench/control/drill.go
+++ b/hornbeambench/control/drill.go
@@ -15,8 +15,8 @@
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/revision"
 	"hornbeamstep.example/hornbeambench/trace"
-	"hornbeamstep.example/platform/objectapi"
 	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // Drill injects the faults of files of package trace into a fleet in virtual time, in which operators push revisions, and judges what
--- a/hornbeambench/control/inject.go
+++ b/hornbeambench/control/inject.go
@@ -13,9 +13,9 @@
 	"hornbeamstep.example/coord/member"
 	"hornbeamstep.example/coord/revision"
 	"hornbeamstep.example/hornbeambench/trace"
-	"hornbeamstep.example/platform/objectapi"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // The outcomes.
--- a/hornbeambench/routers/routers.go
+++ b/hornbeambench/routers/routers.go
@@ -12,7 +12,7 @@
 	"hornbeamstep.example/hornbeambench/standin/platformapi"
 	"hornbeamstep.example/hornbeamd/daemon"
 	"hornbeamstep.example/hornbeamd/settings"
-	"hornbeamstep.example/platform/instancelist"
+	"hornbeamstep.example/ports/instancelist"
 )
 
 // anyPort lets the kernel choose: a port that was probed and released can be taken by another process, or by an outgoing
--- a/hornbeambench/standin/platformapi/conformance_test.go
+++ b/hornbeambench/standin/platformapi/conformance_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/hornbeambench/standin/platformapi"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // stores returns each implementation of Store with the memory that holds its objects and its faults.
--- a/hornbeambench/standin/platformapi/objects.go
+++ b/hornbeambench/standin/platformapi/objects.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 type wireObject struct {
--- a/hornbeambench/standin/platformapi/platformapi.go
+++ b/hornbeambench/standin/platformapi/platformapi.go
@@ -11,9 +11,9 @@
 	"sync"
 	"time"
 
-	"hornbeamstep.example/platform/instancelist"
-	"hornbeamstep.example/platform/objectapi"
-	"hornbeamstep.example/platform/weightstore"
+	"hornbeamstep.example/ports/instancelist"
+	"hornbeamstep.example/ports/objectapi"
+	"hornbeamstep.example/ports/weightstore"
 )
 
 // Target is a part of the platform that a fault concerns.
--- a/hornbeambench/standin/platformapi/platformapi_test.go
+++ b/hornbeambench/standin/platformapi/platformapi_test.go
@@ -11,9 +11,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/hornbeambench/standin/platformapi"
-	"hornbeamstep.example/platform/instancelist"
-	"hornbeamstep.example/platform/objectapi"
-	"hornbeamstep.example/platform/weightstore"
+	"hornbeamstep.example/ports/instancelist"
+	"hornbeamstep.example/ports/objectapi"
+	"hornbeamstep.example/ports/weightstore"
 )
 
 func post(c *qt.C, url, body string) int {
--- a/hornbeambench/standin/standin.go
+++ b/hornbeambench/standin/standin.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"hornbeamstep.example/hornbeambench/standin/platformapi"
-	"hornbeamstep.example/platform/instancelist"
+	"hornbeamstep.example/ports/instancelist"
 )
 
 // instancePoll is the time between looks at the file of instances.
--- a/hornbeamctl/config/config.go
+++ b/hornbeamctl/config/config.go
@@ -10,9 +10,9 @@
 	"text/tabwriter"
 	"time"
 
-	"hornbeamstep.example/platform/objectapi"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // The exit codes of the commands. Code 2 is left to wrong usage.
--- a/hornbeamctl/config/config_test.go
+++ b/hornbeamctl/config/config_test.go
@@ -13,7 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/hornbeamctl/config"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 type routers struct {
--- a/hornbeamctl/revisions/revisions.go
+++ b/hornbeamctl/revisions/revisions.go
@@ -9,7 +9,7 @@
 	"hornbeamstep.example/hornbeamctl/config"
 	"hornbeamstep.example/hornbeamctl/output"
 	"hornbeamstep.example/hornbeamd/operator"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // Commands are the config group with the flags that its connections need.
--- a/hornbeamd/daemon/claims_test.go
+++ b/hornbeamd/daemon/claims_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/coord/claim"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // lostOwner records claims, or not, and never answers.
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -25,11 +25,11 @@
 	"hornbeamstep.example/hornbeamd/peer"
 	"hornbeamstep.example/hornbeamd/service"
 	"hornbeamstep.example/hornbeamd/settings"
-	"hornbeamstep.example/platform/instancelist"
-	"hornbeamstep.example/platform/objectapi"
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/ports/instancelist"
+	"hornbeamstep.example/ports/objectapi"
 	"hornbeamstep.example/timeline"
 )
 
--- a/hornbeamd/daemon/orders.go
+++ b/hornbeamd/daemon/orders.go
@@ -18,8 +18,8 @@
 	"hornbeamstep.example/hornbeamd/engine"
 	"hornbeamstep.example/hornbeamd/exchange"
 	"hornbeamstep.example/hornbeamd/operator"
-	"hornbeamstep.example/platform/weightstore"
 	"hornbeamstep.example/policy"
+	"hornbeamstep.example/ports/weightstore"
 	"hornbeamstep.example/timeline"
 )
 
--- a/hornbeamd/daemon/planner.go
+++ b/hornbeamd/daemon/planner.go
@@ -17,8 +17,8 @@
 	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/hornbeamd/control"
 	"hornbeamstep.example/hornbeamd/peer"
-	"hornbeamstep.example/platform/weightstore"
 	"hornbeamstep.example/policy"
+	"hornbeamstep.example/ports/weightstore"
 	"hornbeamstep.example/timeline"
 )
 
--- a/hornbeamd/daemon/planning.go
+++ b/hornbeamd/daemon/planning.go
@@ -10,8 +10,8 @@
 	"hornbeamstep.example/coord/order"
 	"hornbeamstep.example/hornbeamd/control"
 	"hornbeamstep.example/hornbeamd/peer"
-	"hornbeamstep.example/platform/weightstore"
 	"hornbeamstep.example/policy"
+	"hornbeamstep.example/ports/weightstore"
 	"hornbeamstep.example/routing/adapters"
 )
 
--- a/hornbeamd/daemon/planning_test.go
+++ b/hornbeamd/daemon/planning_test.go
@@ -12,8 +12,8 @@
 
 	"hornbeamstep.example/coord/order"
 	"hornbeamstep.example/hornbeamd/peer"
-	"hornbeamstep.example/platform/weightstore"
 	"hornbeamstep.example/policy"
+	"hornbeamstep.example/ports/weightstore"
 )
 
 // planWorld applies plans as the owners of the engines do: what is planned is there one step later. Routers follow a plan that is up
--- a/hornbeamd/daemon/standing.go
+++ b/hornbeamd/daemon/standing.go
@@ -19,7 +19,7 @@
 	"hornbeamstep.example/hornbeamd/control"
 	"hornbeamstep.example/hornbeamd/operator"
 	"hornbeamstep.example/hornbeamd/peer"
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 	"hornbeamstep.example/routing/outcome"
 	"hornbeamstep.example/routing/quarantine"
 )
--- a/hornbeamd/daemon/watch.go
+++ b/hornbeamd/daemon/watch.go
@@ -12,10 +12,10 @@
 	"hornbeamstep.example/coord/owner"
 	"hornbeamstep.example/coord/pause"
 	"hornbeamstep.example/coord/revision"
-	"hornbeamstep.example/platform/instancelist"
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/ports/instancelist"
 )
 
 const (
--- /dev/null
+++ b/hornbeamd/edge/control.go
@@ -0,0 +1,254 @@
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hornbeamstep.example/coord/presence"
+	"hornbeamstep.example/hornbeamd/gateway"
+	"hornbeamstep.example/hornbeamd/mesh"
+	"hornbeamstep.example/routing/roster"
+	"hornbeamstep.example/routing/routes"
+)
+
+// control owns what this router believes of the fleet, the configuration and the backend servers. All of it is changed by one
+// goroutine, which takes functions from a channel.
+type control struct {
+	self      presence.Record
+	presence  *presence.State
+	roster    *roster.Roster
+	gateway   *gateway.Server
+	upstreams *gateway.Upstreams
+	send      func(presence.Record, []string)
+	seeds     []string
+	log       *zap.Logger
+
+	events chan func()
+	// started is when the process began; own is when the store last answered this router.
+	started, own time.Time
+	// fetching holds the kinds of knowledge that are being asked from another router.
+	fetching map[string]bool
+	beaten   time.Time
+
+	// The following are read by other goroutines.
+	onDuty       atomic.Bool
+	draining     atomic.Bool
+	registration atomic.Pointer[roster.Registration]
+	contact      atomic.Bool
+}
+
+// eventQueue bounds the functions that wait for the control goroutine.
+const eventQueue = 1024
+
+// tick is the time between two looks at what depends on time.
+const tick = 50 * time.Millisecond
+
+// joinWait is the time after the start in which this router listens for others before it asks the store.
+const joinWait = 150 * time.Millisecond
+
+// do runs a function on the control goroutine.
+func (c *control) do(f func()) { c.events <- f }
+
+// offer runs a function on the control goroutine unless too many wait.
+func (c *control) offer(f func()) {
+	select {
+	case c.events <- f:
+	default:
+	}
+}
+
+func (c *control) run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.events:
+			f()
+		case <-ticker.C:
+			c.tick(ctx, time.Now())
+		}
+	}
+}
+
+func (c *control) tick(ctx context.Context, now time.Time) {
+	c.presence.Tick(now)
+	newest, _ := c.presence.Contact(now, c.own)
+	c.roster.Heard(newest)
+	if c.roster.Tick(now) {
+		c.log.Info("servers whose entries did not return are gone", zap.Int64("revision", c.roster.Revision()))
+		c.publishServers()
+	}
+	c.setDuty(now)
+	if now.Sub(c.beaten) >= c.presence.Interval() {
+		c.beat(now)
+		c.upstreams.SetOthers(c.presence.Load(now), c.presence.Down(now), c.presence.Fleet(), now.Add(c.presence.Interval()))
+	}
+	c.fetch(ctx, now)
+}
+
+func (c *control) setDuty(now time.Time) {
+	duty := now.Sub(c.started) >= joinWait && c.presence.Watches(now, c.own)
+	if duty != c.onDuty.Swap(duty) {
+		c.log.Info("watching the store", zap.Bool("on_duty", duty), zap.Int("routers", c.presence.Live(now)+1),
+			zap.Duration("own_contact", age(now, c.own)))
+	}
+}
+
+// age is the time since at, or 0 if it never was.
+func age(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return now.Sub(at)
+}
+
+// record returns what this router says of itself now.
+func (c *control) record(now time.Time) presence.Record {
+	r := c.self
+	r.Contact = -1
+	if !c.own.IsZero() {
+		r.Contact = now.Sub(c.own).Milliseconds()
+	}
+	if t := c.gateway.Table(); t != nil {
+		r.Config = t.Version()
+	}
+	r.Servers = c.roster.Revision()
+	r.Ready = r.Config > 0 && !c.draining.Load()
+	r.Loads, r.Down = c.upstreams.Own(now)
+	return r
+}
+
+// beat sends a heartbeat to all known routers and the seeds.
+func (c *control) beat(now time.Time) {
+	c.beaten = now
+	c.self.Sequence++
+	addresses := c.presence.Addresses()
+	known := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		known[a] = true
+	}
+	for _, seed := range c.seeds {
+		if !known[seed] && seed != c.self.Peer {
+			addresses = append(addresses, seed)
+		}
+	}
+	c.send(c.record(now), addresses)
+}
+
+// heard takes the heartbeat of another router.
+func (c *control) heard(ctx context.Context, r presence.Record) {
+	now := time.Now()
+	if c.presence.Receive(now, r) {
+		c.log.Info("router joined", zap.String("router", r.ID), zap.Int64("boot", r.Boot), zap.Int("routers", c.presence.Live(now)+1))
+		// The others learn of this router by its own heartbeat, and a new one of all of them at once.
+		c.beat(now)
+	}
+	c.fetch(ctx, now)
+}
+
+// storeAnswered notes that the store answered this router.
+func (c *control) storeAnswered() {
+	c.own = time.Now()
+	if !c.contact.Swap(true) {
+		c.log.Info("store reached")
+	}
+}
+
+func (c *control) storeFailed(err error) {
+	if c.contact.Swap(false) {
+		c.log.Warn("store lost", zap.Error(err), zap.Duration("own_contact", age(time.Now(), c.own)))
+	}
+}
+
+// setConfig puts a configuration in force unless a newer one is.
+func (c *control) setConfig(config routes.Config, from string) {
+	if t := c.gateway.Table(); t != nil && t.Version() >= config.Version {
+		return
+	}
+	table, err := routes.New(config)
+	if err != nil {
+		c.log.Error("configuration cannot be used; the present one stays in force", zap.Error(err))
+		return
+	}
+	if c.gateway.SetTable(table) {
+		c.log.Info("configuration in force", zap.Int64("config", config.Version), zap.Int("routes", table.Routes()), zap.String("from", from))
+		c.beat(time.Now())
+	}
+}
+
+// setServers takes a list of backend servers unless a newer one is known.
+func (c *control) setServers(next roster.Registration, from string) {
+	if !c.roster.Update(time.Now(), next) {
+		return
+	}
+	c.log.Info("servers changed", zap.Int64("revision", next.Revision), zap.Int("servers", len(next.Servers)),
+		zap.Int("kept", c.roster.Kept()), zap.String("from", from))
+	c.publishServers()
+	c.beat(time.Now())
+}
+
+func (c *control) publishServers() {
+	c.upstreams.SetServers(c.roster.Servers())
+	r := c.roster.Registration()
+	c.registration.Store(&r)
+}
+
+// The kinds of knowledge that routers ask from each other.
+const (
+	configKnowledge  = "config"
+	serversKnowledge = "servers"
+)
+
+// fetch asks another router for what it knows and this one does not.
+func (c *control) fetch(ctx context.Context, now time.Time) {
+	own := c.record(now)
+	forConfig, forServers := c.presence.Newest(now, own.Config, own.Servers)
+	if forConfig.ID != "" {
+		fetch(ctx, c, configKnowledge, forConfig, mesh.Config, c.setConfig)
+	}
+	if forServers.ID != "" {
+		fetch(ctx, c, serversKnowledge, forServers, mesh.Registration, c.setServers)
+	}
+}
+
+func fetch[T any](
+	ctx context.Context, c *control, kind string, from presence.Member, ask func(context.Context, string) (T, error), take func(T, string),
+) {
+	if c.fetching[kind] {
+		return
+	}
+	c.fetching[kind] = true
+	go func() {
+		value, err := ask(ctx, from.Control)
+		c.do(func() {
+			c.fetching[kind] = false
+			if err != nil {
+				c.log.Info("router did not tell", zap.String("router", from.ID), zap.String("kind", kind), zap.Error(err))
+				return
+			}
+			take(value, from.ID)
+		})
+	}()
+}
+
+// Config implements mesh.Knowledge.
+func (c *control) Config() (routes.Config, bool) {
+	t := c.gateway.Table()
+	if t == nil {
+		return routes.Config{}, false
+	}
+	return t.Config(), true
+}
+
+// Registration implements mesh.Knowledge.
+func (c *control) Registration() roster.Registration {
+	if r := c.registration.Load(); r != nil {
+		return *r
+	}
+	return roster.Registration{}
+}
--- a/hornbeamd/exchange/exchange.go
+++ b/hornbeamd/exchange/exchange.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
-	"hornbeamstep.example/platform/transport"
+	"hornbeamstep.example/ports/transport"
 )
 
 // The headers that routers and backend servers exchange.
--- /dev/null
+++ b/hornbeamd/gateway/upstreams.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hornbeamstep.example/routing/balance"
+	"hornbeamstep.example/routing/retry"
+	"hornbeamstep.example/routing/roster"
+)
+
+// RetryLimits bound the retries of all routers together.
+type RetryLimits struct {
+	// Share of the requests, and Extra beyond it, within Window.
+	Share, Extra float64
+	Window       time.Duration
+}
+
+// Upstreams shares one balancer, and the retry budget of each service, among requests.
+type Upstreams struct {
+	Balancer *balance.Balancer
+	Limits   RetryLimits
+
+	mu      sync.Mutex
+	fleet   int
+	budgets map[string]*retry.Window
+}
+
+// budgetMargin is the part of the retry limits that this router's share uses, since routers count windows on their own.
+const budgetMargin = 0.75
+
+// connectionMargin is the part of a server's connections that the routers' shares use together.
+const connectionMargin = 0.9
+
+// leastConnections is the smallest share of a server's connections.
+const leastConnections = 4
+
+// SetServers takes the known backend servers.
+func (u *Upstreams) SetServers(servers []roster.Server) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.Balancer.SetServers(servers)
+}
+
+// SetOthers takes what the other routers report: requests in progress by server, the servers that several could not reach, and
+// the number of routers in the fleet.
+func (u *Upstreams) SetOthers(load, down map[string]int, fleet int, until time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fleet = fleet
+	u.Balancer.SetOthers(load, fleet)
+	u.Balancer.Report(until, down)
+}
+
+// Own returns this router's requests in progress by server and the servers that it could not reach.
+func (u *Upstreams) Own(now time.Time) (map[string]int, []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.Balancer.Own(), u.Balancer.Paused(now)
+}
+
+// Draw returns a random number in [0,1).
+func (u *Upstreams) Draw() float64 { return rand.Float64() }
+
+// Connections returns this router's share of the connections to one backend server.
+func (u *Upstreams) Connections(all int) int {
+	if all <= 0 {
+		return 0
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return max(leastConnections, int(connectionMargin*float64(all))/max(1, u.fleet))
+}
+
+// first counts a request to a service.
+func (u *Upstreams) first(now time.Time, service string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.budget(service).Request(now)
+}
+
+// again is true if the retry budget of a service allows one more arrival.
+func (u *Upstreams) again(now time.Time, service string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.budget(service).Retry(now)
+}
+
+func (u *Upstreams) budget(service string) *retry.Window {
+	if u.budgets == nil {
+		u.budgets = map[string]*retry.Window{}
+	}
+	b := u.budgets[service]
+	if b == nil {
+		b = &retry.Window{Length: u.Limits.Window}
+		u.budgets[service] = b
+	}
+	b.Share, b.Extra = budgetMargin*u.Limits.Share, budgetMargin*u.Limits.Extra/float64(max(1, u.fleet))
+	return b
+}
+
+// take chooses a server and counts the request there.
+func (u *Upstreams) take(now time.Time, a balance.Ask) balance.Choice {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	c := u.Balancer.Choose(now, a)
+	if c.Server.ID != "" {
+		u.Balancer.Start(c.Server.ID)
+	}
+	return c
+}
+
+// finish counts the end of a request.
+func (u *Upstreams) finish(now time.Time, id string, ending balance.Ending, took time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.Balancer.Finish(now, id, ending, took)
+}
--- /dev/null
+++ b/hornbeamd/mesh/mesh.go
@@ -0,0 +1,206 @@
+// Package mesh carries heartbeats between routers in datagrams, and the configuration and the list of backend servers by JSON-RPC.
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"hornbeamstep.example/coord/presence"
+	"hornbeamstep.example/routing/roster"
+	"hornbeamstep.example/routing/routes"
+)
+
+// The methods of the calls between routers.
+const (
+	methodConfig  = "config"
+	methodServers = "servers"
+)
+
+// datagramLimit bounds a heartbeat in bytes.
+const datagramLimit = 60 << 10
+
+// callTimeout is the longest time for a call to another router, with its connection.
+const callTimeout = 700 * time.Millisecond
+
+// Knowledge is what this router tells others on request.
+type Knowledge interface {
+	// Config returns the newest configuration; false if there is none.
+	Config() (routes.Config, bool)
+	// Registration returns the newest list of backend servers.
+	Registration() roster.Registration
+}
+
+// Node is this router's end of the mesh. Fields are set before Run.
+type Node struct {
+	// Listen is the address for datagrams and Control that for calls, as ip:port.
+	Listen, Control string
+	Knowledge       Knowledge
+	// Received is called for each heartbeat. It must not block.
+	Received func(presence.Record)
+	Log      *zap.Logger
+
+	udp *net.UDPConn
+	tcp net.Listener
+	// Dropped counts the datagrams that could not be sent or read.
+	Dropped atomic.Int64
+}
+
+// heartbeat is the content of a datagram.
+type heartbeat struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	ID, Zone, Region     string
+	Boot                 int64
+	Sequence             uint64
+	Peer, Control, Front string
+	Ready                bool
+	Capacity             float64
+	Config, Servers      int64
+	Contact              int64
+	Loads                map[string]int
+	Down                 []string
+}
+
+// Start opens the sockets.
+func (n *Node) Start() error {
+	address, err := net.ResolveUDPAddr("udp", n.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "the address for heartbeats %q", n.Listen)
+	}
+	if n.udp, err = net.ListenUDP("udp", address); err != nil {
+		return eris.Wrapf(err, "listen for heartbeats on %s; check that no other process uses the port", n.Listen)
+	}
+	if n.tcp, err = net.Listen("tcp", n.Control); err != nil {
+		n.udp.Close()
+		return eris.Wrapf(err, "listen for other routers on %s; check that no other process uses the port", n.Control)
+	}
+	return nil
+}
+
+// Run receives heartbeats and answers calls until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	context.AfterFunc(ctx, func() {
+		n.udp.Close()
+		n.tcp.Close()
+	})
+	go n.accept(ctx)
+	buffer := make([]byte, datagramLimit)
+	for {
+		size, _, err := n.udp.ReadFromUDPAddrPort(buffer)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			n.Dropped.Add(1)
+			continue
+		}
+		var h heartbeat
+		if err := msgpack.Unmarshal(buffer[:size], &h); err != nil || h.ID == "" {
+			n.Dropped.Add(1)
+			continue
+		}
+		n.Received(h.record())
+	}
+}
+
+func (h heartbeat) record() presence.Record {
+	return presence.Record{
+		ID: h.ID, Zone: h.Zone, Region: h.Region, Boot: h.Boot, Sequence: h.Sequence, Peer: h.Peer, Control: h.Control, Front: h.Front,
+		Ready: h.Ready, Capacity: h.Capacity, Config: h.Config, Servers: h.Servers, Contact: h.Contact, Loads: h.Loads, Down: h.Down,
+	}
+}
+
+// Send sends a heartbeat to the addresses. Lost datagrams are made good by the next ones.
+func (n *Node) Send(r presence.Record, addresses []string) {
+	text, err := msgpack.Marshal(&heartbeat{
+		ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control, Front: r.Front,
+		Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact, Loads: r.Loads, Down: r.Down,
+	})
+	if err != nil || len(text) > datagramLimit {
+		n.Log.Error("heartbeat cannot be encoded", zap.Error(err), zap.Int("bytes", len(text)))
+		return
+	}
+	for _, address := range addresses {
+		to, err := netip.ParseAddrPort(address)
+		if err != nil {
+			n.Dropped.Add(1)
+			continue
+		}
+		if _, err := n.udp.WriteToUDPAddrPort(text, to); err != nil {
+			n.Dropped.Add(1)
+		}
+	}
+}
+
+func (n *Node) accept(ctx context.Context) {
+	for {
+		conn, err := n.tcp.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			// Descriptors may be short for a moment.
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		peer := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(n.handle))
+		time.AfterFunc(2*callTimeout, func() { peer.Close() })
+	}
+}
+
+func (n *Node) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	switch r.Method {
+	case methodConfig:
+		c, ok := n.Knowledge.Config()
+		if !ok {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "this router has no configuration yet"}
+		}
+		return c, nil
+	case methodServers:
+		return n.Knowledge.Registration(), nil
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
+}
+
+// Config asks another router for its configuration.
+func Config(ctx context.Context, address string) (routes.Config, error) {
+	var c routes.Config
+	err := call(ctx, address, methodConfig, &c)
+	return c, err
+}
+
+// Registration asks another router for its list of backend servers.
+func Registration(ctx context.Context, address string) (roster.Registration, error) {
+	var r roster.Registration
+	err := call(ctx, address, methodServers, &r)
+	return r, err
+}
+
+func call(ctx context.Context, address, method string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "connect to the router at %s", address)
+	}
+	peer := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(
+		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only asks"}
+		}))
+	defer peer.Close()
+	var answer json.RawMessage
+	if err := peer.Call(ctx, method, nil, &answer); err != nil {
+		return eris.Wrapf(err, "call %s of the router at %s", method, address)
+	}
+	return eris.Wrapf(json.Unmarshal(answer, into), "decode the answer to %s of the router at %s", method, address)
+}
--- a/hornbeamd/operator/client.go
+++ b/hornbeamd/operator/client.go
@@ -14,7 +14,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"hornbeamstep.example/hornbeamd/settings"
-	"hornbeamstep.example/platform/transport"
+	"hornbeamstep.example/ports/transport"
 	"hornbeamstep.example/timeline"
 )
 
--- a/policy/history/example_test.go
+++ b/policy/history/example_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 
-	"hornbeamstep.example/platform/objectapi"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 func ExampleHistory_Push() {
--- a/policy/history/history.go
+++ b/policy/history/history.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"hornbeamstep.example/platform/objectapi"
 	"hornbeamstep.example/policy/folder"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // Kind is the kind of all objects of the configuration.
--- a/policy/history/history_test.go
+++ b/policy/history/history_test.go
@@ -15,9 +15,9 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"hornbeamstep.example/platform/objectapi"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // The seed is fixed so that the verdict never varies; the flag on the command line overrides it.
--- a/policy/history/push.go
+++ b/policy/history/push.go
@@ -9,8 +9,8 @@
 	"slices"
 	"time"
 
-	"hornbeamstep.example/platform/objectapi"
 	"hornbeamstep.example/policy/folder"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 const (
--- a/platform/instancelist/example_test.go
+++ b/ports/instancelist/example_test.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 
-	"hornbeamstep.example/platform/instancelist"
+	"hornbeamstep.example/ports/instancelist"
 )
 
 func ExampleHTTP_List() {
--- a/platform/instancelist/instancelist.go
+++ b/ports/instancelist/instancelist.go
@@ -10,7 +10,7 @@
 
 	"github.com/zeromicro/go-zero/rest/httpc"
 
-	"hornbeamstep.example/platform/transport"
+	"hornbeamstep.example/ports/transport"
 )
 
 // DefaultTimeout is the longest duration of a call.
--- a/platform/objectapi/example_test.go
+++ b/ports/objectapi/example_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 func ExampleMemory() {
--- a/platform/objectapi/http.go
+++ b/ports/objectapi/http.go
@@ -17,7 +17,7 @@
 
 	"github.com/zeromicro/go-zero/rest/httpc"
 
-	"hornbeamstep.example/platform/transport"
+	"hornbeamstep.example/ports/transport"
 )
 
 // Defaults of HTTP.
--- a/platform/objectapi/http_test.go
+++ b/ports/objectapi/http_test.go
@@ -12,7 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"hornbeamstep.example/platform/objectapi"
+	"hornbeamstep.example/ports/objectapi"
 )
 
 // Guards against a write that may have taken effect being reported as one that surely had none, and the reverse.
--- a/platform/transport/example_test.go
+++ b/ports/transport/example_test.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 
-	"hornbeamstep.example/platform/transport"
+	"hornbeamstep.example/ports/transport"
 )
 
 func ExampleNew() {
--- a/platform/weightstore/example_test.go
+++ b/ports/weightstore/example_test.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 
-	"hornbeamstep.example/platform/weightstore"
+	"hornbeamstep.example/ports/weightstore"
 )
 
 func ExampleHTTP_Load() {
--- a/platform/weightstore/weightstore.go
+++ b/ports/weightstore/weightstore.go
@@ -13,7 +13,7 @@
 
 	"github.com/zeromicro/go-zero/rest/httpc"
 
-	"hornbeamstep.example/platform/transport"
+	"hornbeamstep.example/ports/transport"
 )
 
 // DefaultTimeout is the longest duration of a call.
--- /dev/null
+++ b/routing/balance/balance.go
@@ -0,0 +1,480 @@
+// Package balance chooses the backend server for one request when every router sees only a part of the traffic.
+//
+// Requests that share the beginning of their prompt go to the same server, found by rendezvous hashing, so that its prefix cache
+// serves them. No server is given more than a multiple of the mean load of its service; the load is the router's own requests
+// plus those that the other routers report. Requests without a prompt go to the least loaded server.
+package balance
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamstep.example/routing/roster"
+)
+
+// Reason says why a server was chosen, or why none was.
+type Reason string
+
+// The reasons of a choice.
+const (
+	// Home is the first server in the order of the request's prompt.
+	Home Reason = "home"
+	// Spilled is a later one, because those before are at the load bound.
+	Spilled Reason = "spilled"
+	// Least is the least loaded server.
+	Least Reason = "least_load"
+	// Nothing means that the service has no server to which the request could go.
+	Nothing Reason = "no_server"
+	// Full means that the answer could not be ready in time.
+	Full Reason = "full"
+)
+
+// Settings are the thresholds of a Balancer.
+type Settings struct {
+	// Bound is the greatest load of an engine as a multiple of the mean of its service, and Allowance is added to it, in
+	// requests.
+	Bound, Allowance float64
+	// Herd is the same bound as Bound for the load that results if every router sends what this one has sent since the last
+	// reports. Allowance is added to it as well.
+	Herd float64
+	// Pause is the first time for which a server that could not be reached gets no requests. It doubles up to PauseMost.
+	Pause, PauseMost time.Duration
+	// Strikes is the number of requests in a row that end without an answer after which a server is paused.
+	Strikes int
+	// Memory is the number of outcomes over which failures of a server are averaged.
+	Memory float64
+	// Ejected is the greatest share of a service's servers that are avoided because of their failures.
+	Ejected float64
+	// Near is the number of requests by which a server of the own availability zone may exceed the least loaded one.
+	Near float64
+}
+
+// DefaultSettings returns the default settings. The bound stays below the limit of 2 times the mean plus 3 that the platform
+// sets, because the reports of the other routers are a fraction of a second old.
+func DefaultSettings() Settings {
+	return Settings{
+		Bound: 1.3, Allowance: 2, Herd: 1.7, Pause: 500 * time.Millisecond, PauseMost: 4 * time.Second, Strikes: 3, Memory: 8,
+		Ejected: 0.5, Near: 1,
+	}
+}
+
+// Ask is a request that needs a server.
+type Ask struct {
+	Service string
+	// Zone is the availability zone of the router.
+	Zone string
+	// Affinity is the hash of the shared part of the prompt; 0 if there is none.
+	Affinity uint64
+	// Avoid holds the servers that were tried before.
+	Avoid []string
+	// Left is the time until the request's deadline; 0 if it has none.
+	Left time.Duration
+	// Slots replaces the number of slots that a server registered; 0 keeps that.
+	Slots int
+}
+
+// Choice is the server for a request with the facts that decided.
+type Choice struct {
+	// Server is empty if Reason is Nothing or Full.
+	Server roster.Server
+	Reason Reason
+	// Load is the number of requests at the server before this one, and Mean that of its service.
+	Load int
+	Mean float64
+	// Candidates is the number of servers that could take the request.
+	Candidates int
+	// Wait is the expected time until the server begins; for Full also that after which a return is worth while.
+	Wait time.Duration
+}
+
+// entry is a server with what is known of it.
+type entry struct {
+	roster.Server
+	seed uint64
+	// own and others are the requests in progress of this router and of all others, and ownReported what own was when others
+	// was taken.
+	own, others, ownReported int
+	// failing is the moving average of failures, from 0 to 1.
+	failing float64
+	// strikes counts the requests in a row without an answer; pauses those that led to a pause.
+	strikes, pauses int
+	// paused is until when the server gets no requests, and trial when one was let pass after that.
+	paused, trial time.Time
+	// reported is until when the reports of other routers pause it.
+	reported time.Time
+}
+
+func (e *entry) load() int { return e.own + e.others }
+
+// growth is the number of own requests that the other routers may not know of.
+func (e *entry) growth() int { return max(0, e.own-e.ownReported) }
+
+// pool holds the servers of one service.
+type pool struct {
+	entries []*entry
+	// work is the moving average of the time that a request takes when it need not wait.
+	work time.Duration
+}
+
+// Balancer chooses servers. It is not safe for concurrent use.
+type Balancer struct {
+	settings Settings
+	// routers is the number of routers that share the servers. At least 1.
+	routers int
+	// salt makes routers resolve ties differently.
+	salt    uint64
+	servers map[string]*entry
+	pools   map[string]*pool
+}
+
+// New returns a balancer without servers for the router with an ID.
+func New(s Settings, router string) *Balancer {
+	return &Balancer{settings: s, routers: 1, salt: xxhash.Sum64String(router), servers: map[string]*entry{}, pools: map[string]*pool{}}
+}
+
+// SetServers takes the known servers. What is known of a server is forgotten when it starts again.
+func (b *Balancer) SetServers(servers []roster.Server) {
+	next := make(map[string]*entry, len(servers))
+	pools := map[string]*pool{}
+	for _, s := range servers {
+		e := b.servers[s.ID]
+		if e == nil || e.Born != s.Born || e.Address != s.Address || e.Service != s.Service {
+			own := 0
+			if e != nil {
+				own = e.own
+			}
+			e = &entry{seed: xxhash.Sum64String(s.ID), own: own}
+		}
+		e.Server = s
+		next[s.ID] = e
+		p := pools[s.Service]
+		if p == nil {
+			p = &pool{}
+			if old := b.pools[s.Service]; old != nil {
+				p.work = old.work
+			}
+			pools[s.Service] = p
+		}
+		if !s.Leaving {
+			p.entries = append(p.entries, e)
+		}
+	}
+	// Requests may still be in progress at servers that are gone; Finish needs their counts if they come back.
+	for id, e := range b.servers {
+		if next[id] == nil && e.own > 0 {
+			e.Leaving = true
+			next[id] = e
+		}
+	}
+	b.servers, b.pools = next, pools
+}
+
+// SetOthers takes the requests in progress of the other routers by server ID, and the number of all routers.
+func (b *Balancer) SetOthers(load map[string]int, routers int) {
+	b.routers = max(1, routers)
+	for id, e := range b.servers {
+		e.others, e.ownReported = load[id], e.own
+	}
+}
+
+// Own returns this router's requests in progress by server ID, without zeros.
+func (b *Balancer) Own() map[string]int {
+	own := map[string]int{}
+	for id, e := range b.servers {
+		if e.own > 0 {
+			own[id] = e.own
+		}
+	}
+	return own
+}
+
+// Choose returns the server for a request. The caller reports it with Start if it sends the request.
+func (b *Balancer) Choose(now time.Time, a Ask) Choice {
+	p := b.pools[a.Service]
+	if p == nil || len(p.entries) == 0 {
+		return Choice{Reason: Nothing}
+	}
+	usable := b.usable(now, p, a.Avoid)
+	if len(usable) == 0 {
+		return Choice{Reason: Nothing}
+	}
+	total := 0
+	for _, e := range p.entries {
+		total += e.load()
+	}
+	c := Choice{Mean: float64(total) / float64(len(p.entries)), Candidates: len(usable)}
+	var e *entry
+	if a.Affinity != 0 {
+		e, c.Reason = b.byAffinity(usable, a, c.Mean)
+	} else {
+		e, c.Reason = b.byLoad(usable, a), Least
+	}
+	c.Load = e.load()
+	c.Wait = p.wait(e, a.Slots)
+	if a.Left > 0 && c.Wait+p.work > a.Left {
+		c.Reason = Full
+		return c
+	}
+	c.Server = e.Server
+	if e.strikes > 0 {
+		e.trial = now
+	}
+	return c
+}
+
+// usable returns the servers that may take a request: those not tried before and not paused. When most are paused, the cause
+// is more likely on this side, and the paused ones are tried as well.
+func (b *Balancer) usable(now time.Time, p *pool, avoid []string) []*entry {
+	fit := make([]*entry, 0, len(p.entries))
+	rest := 0
+	for _, e := range p.entries {
+		if slices.Contains(avoid, e.ID) {
+			continue
+		}
+		if rest++; b.fit(now, e) {
+			fit = append(fit, e)
+		}
+	}
+	if float64(len(fit)) >= (1-b.settings.Ejected)*float64(rest) && len(fit) > 0 {
+		return fit
+	}
+	for _, e := range p.entries {
+		if !slices.Contains(avoid, e.ID) && !slices.Contains(fit, e) {
+			fit = append(fit, e)
+		}
+	}
+	return fit
+}
+
+// fit is false while a server is paused. After a pause one request at a time shows whether it is back.
+func (b *Balancer) fit(now time.Time, e *entry) bool {
+	switch {
+	case now.Before(e.paused), now.Before(e.reported):
+		return false
+	case e.paused.IsZero() || e.strikes == 0:
+		return true
+	default:
+		return now.Sub(e.trial) >= b.settings.Pause
+	}
+}
+
+// byAffinity returns the first server in the order of the request's prompt that is below the load bound.
+func (b *Balancer) byAffinity(usable []*entry, a Ask, mean float64) (*entry, Reason) {
+	var best, home *entry
+	var bestScore, homeScore uint64
+	for _, e := range usable {
+		score := mix(a.Affinity ^ e.seed)
+		if home == nil || score > homeScore {
+			home, homeScore = e, score
+		}
+		share := 1 - excess(usable, e)
+		bound, herd := (b.settings.Bound*mean+b.settings.Allowance)*share, (b.settings.Herd*mean+b.settings.Allowance)*share
+		load := float64(e.load() + 1)
+		below := load <= bound && load+float64(e.growth()*(b.routers-1)) <= herd
+		if below && (best == nil || score > bestScore) {
+			best, bestScore = e, score
+		}
+	}
+	switch {
+	case best == nil:
+		return b.byLoad(usable, a), Spilled
+	case best == home:
+		return best, Home
+	default:
+		return best, Spilled
+	}
+}
+
+// byLoad returns the server with the least load for its slots and failures, with a preference for the own availability zone.
+func (b *Balancer) byLoad(usable []*entry, a Ask) *entry {
+	cost := func(e *entry) float64 {
+		slots := float64(max(1, a.Slots, e.Slots))
+		c := float64(e.load()+e.growth()) / (1 - excess(usable, e))
+		if e.Zone == a.Zone && float64(e.load()) < slots {
+			c -= b.settings.Near
+		}
+		// A failing server counts as one with all slots in use.
+		return c + excess(usable, e)*slots
+	}
+	return slices.MinFunc(usable, func(x, y *entry) int {
+		return cmp.Or(cmp.Compare(cost(x), cost(y)), cmp.Compare(mix(x.seed^b.salt), mix(y.seed^b.salt)))
+	})
+}
+
+// excess is the share of failures by which a server is worse than the best of the others, below 1. Failures that all servers
+// share come from the requests.
+func excess(usable []*entry, e *entry) float64 {
+	least := 1.0
+	for _, o := range usable {
+		least = min(least, o.failing)
+	}
+	const margin = 0.2
+	return min(0.9, max(0, e.failing-least-margin))
+}
+
+// wait is the expected time until a server begins a further request.
+func (p *pool) wait(e *entry, slots int) time.Duration {
+	slots = max(slots, e.Slots)
+	ahead := e.load() + 1 - slots
+	if slots == 0 || ahead <= 0 {
+		return 0
+	}
+	return time.Duration(float64(p.work) * float64(ahead) / float64(slots))
+}
+
+// Start counts a request that is sent to a server.
+func (b *Balancer) Start(id string) {
+	if e := b.servers[id]; e != nil {
+		e.own++
+	}
+}
+
+// Ending is how a request to a server ended.
+type Ending uint8
+
+// The endings of a request.
+const (
+	// Answered requests were answered in full.
+	Answered Ending = iota
+	// Failed requests were answered with an error of the server.
+	Failed
+	// Refused requests were rejected before they ran.
+	Refused
+	// Broken requests ended without a whole answer.
+	Broken
+	// Silent requests got no answer in the time in which one was due.
+	Silent
+	// Unreachable servers accepted no connection.
+	Unreachable
+	// Abandoned requests were ended by the caller or a time limit of its own, which tells nothing of the server.
+	Abandoned
+)
+
+// String returns the ending in lower case.
+func (e Ending) String() string {
+	return [...]string{"answered", "failed", "refused", "broken", "silent", "unreachable", "abandoned"}[e]
+}
+
+// Finish counts the end of a request after Start. Took is the time that the server took.
+func (b *Balancer) Finish(now time.Time, id string, ending Ending, took time.Duration) {
+	e := b.servers[id]
+	if e == nil {
+		return
+	}
+	waited := e.load() > e.Slots && e.Slots > 0
+	e.own = max(0, e.own-1)
+	if ending == Answered && !waited {
+		b.observe(e.Service, took)
+	}
+	b.judge(now, e, ending)
+}
+
+// observe updates the mean time of a service's requests.
+func (b *Balancer) observe(service string, took time.Duration) {
+	const weight = 16
+	if p := b.pools[service]; p != nil {
+		if p.work == 0 {
+			p.work = took
+		}
+		p.work += (took - p.work) / weight
+	}
+}
+
+// Failure takes an attempt that failed before it was counted, such as a connection that was not accepted.
+func (b *Balancer) Failure(now time.Time, id string, ending Ending) {
+	if e := b.servers[id]; e != nil {
+		b.judge(now, e, ending)
+	}
+}
+
+func (b *Balancer) judge(now time.Time, e *entry, ending Ending) {
+	switch ending {
+	case Abandoned:
+		return
+	case Answered:
+		e.strikes, e.pauses, e.paused = 0, 0, time.Time{}
+		e.failing -= e.failing / b.settings.Memory
+		return
+	}
+	e.failing += (1 - e.failing) / b.settings.Memory
+	switch ending {
+	case Failed, Refused:
+		// The server answers: it is avoided by its share of failures, not paused.
+		e.strikes = 0
+		return
+	case Unreachable:
+		e.strikes = max(e.strikes+1, b.settings.Strikes)
+	default:
+		e.strikes++
+	}
+	if e.strikes >= b.settings.Strikes && !now.Before(e.paused) {
+		pause := min(b.settings.Pause<<min(e.pauses, 8), b.settings.PauseMost)
+		e.pauses++
+		e.paused = now.Add(pause)
+	}
+}
+
+// Paused returns the IDs of the servers that this router could not reach, sorted.
+func (b *Balancer) Paused(now time.Time) []string {
+	var ids []string
+	for id, e := range b.servers {
+		if now.Before(e.paused) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Report takes the number of other routers that could not reach each server. A server that several could not reach gets no
+// requests until the time given, unless it answers this router.
+func (b *Balancer) Report(until time.Time, count map[string]int) {
+	const several = 2
+	for id, n := range count {
+		if e := b.servers[id]; e != nil && n >= several && e.strikes == 0 && e.own == 0 {
+			e.reported = until
+		}
+	}
+}
+
+// Known returns a server by its ID.
+func (b *Balancer) Known(id string) (roster.Server, bool) {
+	e := b.servers[id]
+	if e == nil {
+		return roster.Server{}, false
+	}
+	return e.Server, true
+}
+
+// Affinity returns the hash of the prompt parts that decides the home of a request: all but the last, which belongs to the
+// request or its chat, or the only one. It is not 0.
+func Affinity(model string, parts []string) uint64 {
+	if len(parts) == 0 {
+		return 0
+	}
+	shared := parts[:max(1, len(parts)-1)]
+	h := mix(xxhash.Sum64String(model))
+	for _, part := range shared {
+		h = mix(h ^ xxhash.Sum64String(part))
+	}
+	return max(1, h)
+}
+
+// mix spreads the bits of x over the whole word.
+func mix(x uint64) uint64 {
+	const golden, second = 0x9E3779B97F4A7C15, 0xBF58476D1CE4E5B9
+	hi, lo := bits.Mul64(x, golden)
+	hi, lo = bits.Mul64(hi^lo^second, golden)
+	return hi ^ lo
+}
+
+// RetryAfter returns when a caller that was refused should come back, in seconds: the expected wait, at least the shortest
+// time in which the state of a service changes.
+func (c Choice) RetryAfter() float64 {
+	const least = 0.25
+	return max(least, c.Wait.Seconds())
+}
--- /dev/null
+++ b/routing/balance/balance_test.go
@@ -0,0 +1,179 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/routing/balance"
+	"hornbeamstep.example/routing/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func servers(n, slots int) []roster.Server {
+	var out []roster.Server
+	for i := range n {
+		out = append(out, roster.Server{ID: fmt.Sprint("s", i), Service: "pool", Address: fmt.Sprint("10.0.0.", i, ":1"), Slots: slots})
+	}
+	return out
+}
+
+func newBalancer(n, slots int) *balance.Balancer {
+	b := balance.New(balance.DefaultSettings(), "r")
+	b.SetServers(servers(n, slots))
+	return b
+}
+
+// Guards against prompts that lose their cache: the same shared part has the same home on every router.
+func TestHome(t *testing.T) {
+	c := qt.New(t)
+	x, y := newBalancer(9, 64), newBalancer(9, 64)
+	for i := range 50 {
+		a := balance.Ask{Service: "pool", Affinity: balance.Affinity("m", []string{"system", fmt.Sprint("doc", i), "own"})}
+		c.Assert(x.Choose(start, a).Server.ID, qt.Equals, y.Choose(start, a).Server.ID)
+	}
+	same := balance.Affinity("m", []string{"a", "b", "x"})
+	c.Assert(balance.Affinity("m", []string{"a", "b", "y"}), qt.Equals, same)
+	c.Assert(balance.Affinity("m", []string{"a", "c", "y"}), qt.Not(qt.Equals), same)
+}
+
+// Guards against an engine that carries more than the limit of 2 times the mean plus 3 because all requests share one prompt,
+// with eight routers whose reports of each other are 300 ms old. The platform allows 3 in 100 requests above it.
+func TestHotPrompt(t *testing.T) {
+	c := qt.New(t)
+	const routers, engines, rate, length = 8, 9, 110, 700
+	fleet := make([]*balance.Balancer, routers)
+	for i := range fleet {
+		fleet[i] = balance.New(balance.DefaultSettings(), fmt.Sprint("r", i))
+		fleet[i].SetServers(servers(engines, 64))
+	}
+	type running struct {
+		router int
+		server string
+		until  time.Time
+	}
+	var requests []running
+	loads := map[string]int{}
+	random := rand.New(rand.NewPCG(1, 1))
+	over, sent := 0, 0
+	for ms := range 20_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		kept := requests[:0]
+		for _, r := range requests {
+			if r.until.After(now) {
+				kept = append(kept, r)
+				continue
+			}
+			fleet[r.router].Finish(now, r.server, balance.Answered, length*time.Millisecond)
+			loads[r.server]--
+		}
+		requests = kept
+		if ms%300 == 0 {
+			for i, b := range fleet {
+				others := map[string]int{}
+				for j, o := range fleet {
+					if i != j {
+						for id, n := range o.Own() {
+							others[id] += n
+						}
+					}
+				}
+				b.SetOthers(others, routers)
+			}
+		}
+		if random.Float64() >= rate/1000.0 {
+			continue
+		}
+		i := random.IntN(routers)
+		choice := fleet[i].Choose(now, balance.Ask{Service: "pool", Affinity: 77})
+		id := choice.Server.ID
+		limit := 2*float64(len(requests))/engines + 3
+		if sent++; float64(loads[id]+1) > limit {
+			over++
+		}
+		fleet[i].Start(id)
+		loads[id]++
+		requests = append(requests, running{i, id, now.Add(length * time.Millisecond)})
+	}
+	c.Assert(over*100 <= 3*sent, qt.IsTrue, qt.Commentf("%d of %d requests above the limit", over, sent))
+}
+
+// Guards against requests that go on to a server which accepts no connection, and against its loss for good.
+func TestUnreachable(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(3, 6)
+	b.Failure(start, "s0", balance.Unreachable)
+	for i := range 20 {
+		choice := b.Choose(start.Add(time.Duration(i)*time.Millisecond), balance.Ask{Service: "pool"})
+		c.Assert(choice.Server.ID, qt.Not(qt.Equals), "s0")
+		b.Start(choice.Server.ID)
+	}
+	later := start.Add(600 * time.Millisecond)
+	c.Assert(b.Choose(later, balance.Ask{Service: "pool"}).Server.ID, qt.Equals, "s0")
+	c.Assert(b.Choose(later, balance.Ask{Service: "pool"}).Server.ID, qt.Not(qt.Equals), "s0")
+	b.Start("s0")
+	b.Finish(later, "s0", balance.Answered, time.Millisecond)
+	c.Assert(b.Choose(later, balance.Ask{Service: "pool"}).Server.ID, qt.Equals, "s0")
+}
+
+// Guards against a service that is given up because every server failed once.
+func TestAllPaused(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(3, 6)
+	for i := range 3 {
+		b.Failure(start, fmt.Sprint("s", i), balance.Unreachable)
+	}
+	c.Assert(b.Choose(start, balance.Ask{Service: "pool"}).Reason, qt.Equals, balance.Least)
+	c.Assert(b.Choose(start, balance.Ask{Service: "pool", Avoid: []string{"s0", "s1", "s2"}}).Reason, qt.Equals, balance.Nothing)
+}
+
+// Guards against a server that fails many requests and gets most of them because it is quick.
+func TestFailing(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(3, 6)
+	for range 12 {
+		b.Start("s0")
+		b.Finish(start, "s0", balance.Failed, time.Millisecond)
+	}
+	counts := map[string]int{}
+	for range 12 {
+		id := b.Choose(start, balance.Ask{Service: "pool"}).Server.ID
+		b.Start(id)
+		counts[id]++
+	}
+	c.Assert(2*counts["s0"] < min(counts["s1"], counts["s2"]), qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+// Guards against new work for a server that leaves, and against state that outlives a restart under the same ID.
+func TestLeavingAndRestart(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(2, 6)
+	list := servers(2, 6)
+	list[0].Leaving = true
+	b.SetServers(list)
+	c.Assert(b.Choose(start, balance.Ask{Service: "pool"}).Server.ID, qt.Equals, "s1")
+	b.Failure(start, "s1", balance.Unreachable)
+	list[1].Born = 99
+	b.SetServers(list)
+	c.Assert(b.Paused(start), qt.HasLen, 0)
+}
+
+// Guards against requests that wait at a full service until their deadline instead of being refused at once.
+func TestFull(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(1, 2)
+	b.Start("s0")
+	b.Finish(start, "s0", balance.Answered, 100*time.Millisecond)
+	for range 12 {
+		b.Start("s0")
+	}
+	choice := b.Choose(start, balance.Ask{Service: "pool", Left: 300 * time.Millisecond})
+	c.Assert(choice.Reason, qt.Equals, balance.Full)
+	c.Assert(choice.Wait, qt.Equals, 550*time.Millisecond)
+	c.Assert(choice.RetryAfter(), qt.Equals, 0.55)
+	c.Assert(b.Choose(start, balance.Ask{Service: "pool", Left: time.Second}).Server.ID, qt.Equals, "s0")
+}
--- /dev/null
+++ b/routing/roster/roster_test.go
@@ -0,0 +1,82 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/routing/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func registration(revision int64, ids ...string) roster.Registration {
+	var servers []roster.Server
+	for _, id := range ids {
+		servers = append(servers, roster.Server{ID: id})
+	}
+	return roster.Registration{Revision: revision, Servers: servers}
+}
+
+func ids(r *roster.Roster) string {
+	out := ""
+	for _, s := range r.Servers() {
+		out += s.ID
+	}
+	return out
+}
+
+// Guards against the use of a server after its entry was removed while the registry answers.
+func TestRemoved(t *testing.T) {
+	c := qt.New(t)
+	r := roster.New(roster.DefaultSettings())
+	r.Heard(at(0))
+	c.Assert(r.Update(at(0), registration(5, "a", "b")), qt.IsTrue)
+	r.Heard(at(500))
+	c.Assert(r.Update(at(500), registration(6, "a")), qt.IsTrue)
+	c.Assert(ids(r), qt.Equals, "a")
+}
+
+// Guards against the loss of all servers whose entries lapsed during an outage, and against their use for good.
+func TestLapsed(t *testing.T) {
+	c := qt.New(t)
+	r := roster.New(roster.DefaultSettings())
+	r.Heard(at(0))
+	r.Update(at(0), registration(5, "a", "b", "c"))
+	r.Heard(at(8000))
+	r.Update(at(8000), registration(9, "a"))
+	c.Assert(ids(r), qt.Equals, "abc")
+	r.Heard(at(9000))
+	r.Update(at(9000), registration(11, "a", "b"))
+	c.Assert(r.Tick(at(9900)), qt.IsFalse)
+	c.Assert(ids(r), qt.Equals, "abc")
+	r.Heard(at(9950))
+	c.Assert(r.Tick(at(10001)), qt.IsTrue)
+	c.Assert(ids(r), qt.Equals, "ab")
+}
+
+// Guards against the return of a server that had said that it leaves.
+func TestLeavingNotKept(t *testing.T) {
+	c := qt.New(t)
+	r := roster.New(roster.DefaultSettings())
+	r.Heard(at(0))
+	next := registration(5, "a")
+	next.Servers = append(next.Servers, roster.Server{ID: "b", Leaving: true})
+	r.Update(at(0), next)
+	r.Heard(at(8000))
+	r.Update(at(8000), registration(9, "a"))
+	c.Assert(ids(r), qt.Equals, "a")
+}
+
+// Guards against a return to an older registration.
+func TestOlder(t *testing.T) {
+	c := qt.New(t)
+	r := roster.New(roster.DefaultSettings())
+	r.Update(at(0), registration(5, "a"))
+	c.Assert(r.Update(at(1), registration(4, "b")), qt.IsFalse)
+	c.Assert(r.Update(at(1), registration(5, "b")), qt.IsFalse)
+	c.Assert(ids(r), qt.Equals, "a")
+}
--- /dev/null
+++ b/routing/routes/routes_test.go
@@ -0,0 +1,99 @@
+package routes_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/routing/routes"
+)
+
+func table(c *qt.C) *routes.Table {
+	one := []routes.Share{{Service: "a", Weight: 1}}
+	t, err := routes.New(routes.Config{
+		Version: 3,
+		Routes: []routes.Route{
+			{Name: "short", Host: "Chat.example", Prefix: "/a/", Attempts: 1, Shares: one},
+			{Name: "long", Host: "chat.example", Prefix: "/a/b/", Attempts: 1, Shares: one},
+			{Name: "other", Host: "other.example", Prefix: "/", Attempts: 1, Shares: one},
+		},
+		Accounts: []routes.Account{{Name: "clerks", Keys: []string{"k1", "k2"}}},
+	})
+	c.Assert(err, qt.IsNil)
+	return t
+}
+
+// Guards against requests that reach the service of another route.
+func TestFind(t *testing.T) {
+	for name, test := range map[string]struct{ host, path, route string }{
+		"longest prefix wins":             {"chat.example", "/a/b/c", "long"},
+		"shorter prefix":                  {"chat.example", "/a/x/c", "short"},
+		"prefix itself":                   {"chat.example", "/a/b/", "long"},
+		"slash of the prefix is required": {"chat.example", "/a/bc", "short"},
+		"path without the prefix":         {"chat.example", "/ab/c", ""},
+		"host in other case":              {"CHAT.example", "/a/c", "short"},
+		"root route":                      {"other.example", "/anything", "other"},
+		"unknown host":                    {"none.example", "/a/", ""},
+		"path that is no absolute path":   {"chat.example", "*", ""},
+		"double slash is another path":    {"chat.example", "//a/", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r, ok := table(c).Find(test.host, test.path)
+			c.Assert(ok, qt.Equals, test.route != "")
+			if ok {
+				c.Assert(r.Name, qt.Equals, test.route)
+			}
+		})
+	}
+}
+
+// Guards against a key that leads to another client account.
+func TestAccount(t *testing.T) {
+	c := qt.New(t)
+	a, ok := table(c).Account("k2")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(a.Name, qt.Equals, "clerks")
+	_, ok = table(c).Account("")
+	c.Assert(ok, qt.IsFalse)
+}
+
+// Guards against a share of weight 0 that still gets requests.
+func TestShares(t *testing.T) {
+	c := qt.New(t)
+	r := routes.Route{Shares: []routes.Share{{Service: "none", Weight: 0}, {Service: "a", Weight: 9}, {Service: "b", Weight: 1}}}
+	c.Assert(r.Service(0), qt.Equals, "a")
+	c.Assert(r.Service(0.89), qt.Equals, "a")
+	c.Assert(r.Service(0.95), qt.Equals, "b")
+}
+
+// Guards against a configuration that is taken although it leads nowhere.
+func TestInvalid(t *testing.T) {
+	for name, r := range map[string]routes.Route{
+		"no service":  {Prefix: "/a/", Attempts: 1},
+		"no slash":    {Prefix: "/a", Attempts: 1, Shares: []routes.Share{{Service: "a", Weight: 1}}},
+		"no attempts": {Prefix: "/a/", Shares: []routes.Share{{Service: "a", Weight: 1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := routes.New(routes.Config{Routes: []routes.Route{r}})
+			qt.Assert(t, err, qt.ErrorAs, new(*routes.InvalidError))
+		})
+	}
+}
+
+func BenchmarkFind(b *testing.B) {
+	var config routes.Config
+	for i := range 10_000 {
+		config.Routes = append(config.Routes, routes.Route{
+			Host: "chat.example", Prefix: "/p" + string(rune('a'+i%26)) + "/" + string(rune(0x4e00+i)) + "/", Attempts: 1,
+			Shares: []routes.Share{{Service: "a", Weight: 1}},
+		})
+	}
+	t, err := routes.New(config)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		t.Find("chat.example", "/pa/none/of/these")
+	}
+}
