--- a/hornbeambench/standin/requestpath/sigterm_test.go
+++ b/hornbeambench/standin/requestpath/sigterm_test.go
@@ -16,6 +16,7 @@
 
 	"hornbeamstep.example/hornbeambench/standin/modelengine"
 	"hornbeamstep.example/hornbeamd/caller"
+	"hornbeamstep.example/hornbeamd/shutdown"
 )
 
 // childVariable makes the test binary act as a router that drains on SIGTERM. Its value is the address of an engine to use;
@@ -31,7 +32,7 @@
 }
 
 func runRouter(engine string) {
-	caller.ExtendShutdown(time.Minute)
+	shutdown.Extend(time.Minute)
 	terminated := make(chan os.Signal, 1)
 	signal.Notify(terminated, syscall.SIGTERM)
 	// The process ends without cleaning up, so a benchmark that never runs serves as the testing.TB.
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"hornbeamstep.example/hornbeamd/peer"
 	"hornbeamstep.example/hornbeamd/service"
 	"hornbeamstep.example/hornbeamd/settings"
+	"hornbeamstep.example/hornbeamd/shutdown"
 	"hornbeamstep.example/policy"
 	"hornbeamstep.example/policy/folder"
 	"hornbeamstep.example/policy/history"
@@ -214,7 +215,7 @@
 			return err
 		}
 	}
-	caller.ExtendShutdown(d.drainLimit())
+	shutdown.Extend(d.drainLimit())
 	// The parts outlive ctx by the drain.
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -86,7 +86,7 @@
 	c.setDuty(now)
 	if now.Sub(c.beaten) >= c.presence.Interval() {
 		c.beat(now)
-		c.upstreams.SetOthers(c.presence.Load(now), c.presence.Down(now), c.presence.Fleet(), now.Add(c.presence.Interval()))
+		c.upstreams.SetOthers(now, c.presence.Load(now), c.presence.Down(now), c.presence.Fleet(), c.presence.Interval())
 	}
 	c.fetch(ctx, now)
 }
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -19,6 +19,7 @@
 	"hornbeamstep.example/hornbeamd/backend"
 	"hornbeamstep.example/hornbeamd/gateway"
 	"hornbeamstep.example/hornbeamd/mesh"
+	"hornbeamstep.example/hornbeamd/shutdown"
 	"hornbeamstep.example/hornbeamd/source"
 	"hornbeamstep.example/platform/bootfile"
 	"hornbeamstep.example/platform/headers"
@@ -64,6 +65,7 @@
 		return err
 	}
 	e.settings = settings
+	shutdown.Extend(settings.Grace)
 	e.Log = e.Log.With(zap.String("router", settings.Name))
 	e.registry = prometheus.NewRegistry()
 	e.build()
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -119,9 +119,9 @@
 }
 
 func (c *call) ask(now time.Time) balance.Ask {
-	a := balance.Ask{Service: c.service.Name, Zone: c.s.Zone, Avoid: c.tried, Slots: c.service.Slots}
+	a := balance.Ask{Service: c.service.Name, Zone: c.s.Zone, Avoid: c.tried, Slots: c.service.Slots, Draw: c.s.Upstreams.Draw()}
 	if c.route.Sticky || c.service.Engine {
-		a.Affinity = balance.Affinity(c.stated.Model, c.stated.Parts)
+		a.Prompt = balance.Prompt(c.stated.Model, c.stated.Parts)
 	}
 	if !c.deadline.IsZero() {
 		a.Left = c.deadline.Sub(now)
@@ -199,7 +199,8 @@
 
 func (c *call) request() *backend.Request {
 	f := envelope.Forward{
-		Server: c.choice.Server.ID, Account: c.account, Priority: c.priority, After: c.last,
+		Server: c.choice.Server.ID, Account: c.account, Priority: c.priority, Holder: c.choice.Holder.Address,
+		After: c.last,
 	}
 	if !c.deadline.IsZero() {
 		f.Left = time.Until(c.deadline)
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -40,17 +40,18 @@
 func (u *Upstreams) SetServers(servers []roster.Server) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.Balancer.SetServers(servers)
+	u.Balancer.SetServers(time.Now(), servers)
 }
 
 // SetOthers takes what the other routers report: requests in progress by server, the servers that several could not reach, and
-// the number of routers in the fleet.
-func (u *Upstreams) SetOthers(load, down map[string]int, fleet int, until time.Time) {
+// the number of routers in the fleet. Interval is the time between two reports.
+func (u *Upstreams) SetOthers(now time.Time, load, down map[string]int, fleet int, interval time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.fleet = fleet
-	u.Balancer.SetOthers(load, fleet)
-	u.Balancer.Report(until, down)
+	// A report is sent and taken once in each interval.
+	u.Balancer.SetOthers(load, fleet, 3*interval/2)
+	u.Balancer.Report(now.Add(interval), down)
 }
 
 // Own returns this router's requests in progress by server and the servers that it could not reach.
@@ -106,7 +107,7 @@
 	defer u.mu.Unlock()
 	c := u.Balancer.Choose(now, a)
 	if c.Server.ID != "" {
-		u.Balancer.Start(c.Server.ID)
+		u.Balancer.Start(now, c.Server.ID)
 	}
 	return c
 }
--- a/hornbeamd/caller/shutdown.go
+++ b/hornbeamd/shutdown/shutdown.go
@@ -1,4 +1,5 @@
-package caller
+// Package shutdown keeps the HTTP library from ending the process before its own drain is over.
+package shutdown
 
 import (
 	"time"
@@ -9,8 +10,8 @@
 // shutdownMargin is left to the main function behind the drain.
 const shutdownMargin = 10 * time.Second
 
-// ExtendShutdown lets a drain last up to limit. The library handles SIGTERM by itself: it closes its listeners 1 s and kills
+// Extend lets a drain last up to limit. The library handles SIGTERM by itself: it closes its listeners 1 s and kills
 // the process 5.5 s after the signal, which would cut off a drain. Call it before New, and before a signal can arrive.
-func ExtendShutdown(limit time.Duration) {
+func Extend(limit time.Duration) {
 	proc.Setup(proc.ShutdownConf{WrapUpTime: limit, WaitTime: limit + shutdownMargin})
 }
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -38,9 +39,6 @@
 	// Bound is the greatest load of an engine as a multiple of the mean of its service, and Allowance is added to it, in
 	// requests.
 	Bound, Allowance float64
-	// Herd is the same bound as Bound for the load that results if every router sends what this one has sent since the last
-	// reports. Allowance is added to it as well.
-	Herd float64
 	// Pause is the first time for which a server that could not be reached gets no requests. It doubles up to PauseMost.
 	Pause, PauseMost time.Duration
 	// Strikes is the number of requests in a row that end without an answer after which a server is paused.
@@ -49,6 +47,8 @@
 	Memory float64
 	// Ejected is the greatest share of a service's servers that are avoided because of their failures.
 	Ejected float64
+	// Young is the time after its start during which a server may lack what the prompts of its requests share.
+	Young time.Duration
 	// Near is the number of requests by which a server of the own availability zone may exceed the least loaded one.
 	Near float64
 }
@@ -57,8 +57,8 @@
 // sets, because the reports of the other routers are a fraction of a second old.
 func DefaultSettings() Settings {
 	return Settings{
-		Bound: 1.3, Allowance: 2, Herd: 1.7, Pause: 500 * time.Millisecond, PauseMost: 4 * time.Second, Strikes: 3, Memory: 8,
-		Ejected: 0.5, Near: 1,
+		Bound: 1.6, Allowance: 3, Pause: 500 * time.Millisecond, PauseMost: 4 * time.Second, Strikes: 3, Memory: 8,
+		Ejected: 0.5, Young: 30 * time.Second, Near: 1,
 	}
 }
 
@@ -67,8 +67,11 @@
 	Service string
 	// Zone is the availability zone of the router.
 	Zone string
-	// Affinity is the hash of the shared part of the prompt; 0 if there is none.
-	Affinity uint64
+	// Prompt identifies the beginnings of the prompt that it shares with others, the longest first; see Prompt. The longest
+	// decides the home.
+	Prompt []uint64
+	// Draw is a random number in [0,1).
+	Draw float64
 	// Avoid holds the servers that were tried before.
 	Avoid []string
 	// Left is the time until the request's deadline; 0 if it has none.
@@ -81,6 +84,8 @@
 type Choice struct {
 	// Server is empty if Reason is Nothing or Full.
 	Server roster.Server
+	// Holder most likely has the shared part of the prompt in its cache while Server does not; empty if there is none.
+	Holder roster.Server
 	Reason Reason
 	// Load is the number of requests at the server before this one, and Mean that of its service.
 	Load int
@@ -95,9 +100,12 @@
 type entry struct {
 	roster.Server
 	seed uint64
-	// own and others are the requests in progress of this router and of all others, and ownReported what own was when others
-	// was taken.
-	own, others, ownReported int
+	// since is when the server joined; zero if it was there before this router.
+	since time.Time
+	// own and others are the requests in progress of this router and of all others.
+	own, others int
+	// sent is the rate of own requests.
+	sent rate
 	// failing is the moving average of failures, from 0 to 1.
 	failing float64
 	// strikes counts the requests in a row without an answer; pauses those that led to a pause.
@@ -108,10 +116,10 @@
 	reported time.Time
 }
 
-func (e *entry) load() int { return e.own + e.others }
+// instance identifies one start of a server, whose cache is empty at first.
+func (e *entry) instance() uint64 { return e.seed ^ uint64(e.Born) }
 
-// growth is the number of own requests that the other routers may not know of.
-func (e *entry) growth() int { return max(0, e.own-e.ownReported) }
+func (e *entry) load() int { return e.own + e.others }
 
 // pool holds the servers of one service.
 type pool struct {
@@ -125,19 +133,23 @@
 	settings Settings
 	// routers is the number of routers that share the servers. At least 1.
 	routers int
+	// lag is the age of what the other routers report.
+	lag time.Duration
 	// salt makes routers resolve ties differently.
 	salt    uint64
 	servers map[string]*entry
 	pools   map[string]*pool
+	caches  *caches
 }
 
 // New returns a balancer without servers for the router with an ID.
 func New(s Settings, router string) *Balancer {
-	return &Balancer{settings: s, routers: 1, salt: xxhash.Sum64String(router), servers: map[string]*entry{}, pools: map[string]*pool{}}
+	return &Balancer{settings: s, routers: 1, salt: xxhash.Sum64String(router), caches: newCaches(), servers: map[string]*entry{}, pools: map[string]*pool{}}
 }
 
 // SetServers takes the known servers. What is known of a server is forgotten when it starts again.
-func (b *Balancer) SetServers(servers []roster.Server) {
+func (b *Balancer) SetServers(now time.Time, servers []roster.Server) {
+	first := len(b.servers) == 0
 	next := make(map[string]*entry, len(servers))
 	pools := map[string]*pool{}
 	for _, s := range servers {
@@ -148,6 +160,9 @@
 				own = e.own
 			}
 			e = &entry{seed: xxhash.Sum64String(s.ID), own: own}
+			if !first {
+				e.since = now
+			}
 		}
 		e.Server = s
 		next[s.ID] = e
@@ -173,11 +188,12 @@
 	b.servers, b.pools = next, pools
 }
 
-// SetOthers takes the requests in progress of the other routers by server ID, and the number of all routers.
-func (b *Balancer) SetOthers(load map[string]int, routers int) {
-	b.routers = max(1, routers)
+// SetOthers takes the requests in progress of the other routers by server ID, the number of all routers, and the age of the
+// reports.
+func (b *Balancer) SetOthers(load map[string]int, routers int, lag time.Duration) {
+	b.routers, b.lag = max(1, routers), lag
 	for id, e := range b.servers {
-		e.others, e.ownReported = load[id], e.own
+		e.others = load[id]
 	}
 }
 
@@ -208,10 +224,14 @@
 	}
 	c := Choice{Mean: float64(total) / float64(len(p.entries)), Candidates: len(usable)}
 	var e *entry
-	if a.Affinity != 0 {
-		e, c.Reason = b.byAffinity(usable, a, c.Mean)
+	if len(a.Prompt) > 0 {
+		var holder *entry
+		e, holder, c.Reason = b.byAffinity(now, usable, a, c.Mean)
+		if holder != nil {
+			c.Holder = holder.Server
+		}
 	} else {
-		e, c.Reason = b.byLoad(usable, a), Least
+		e, c.Reason = b.byLoad(now, usable, a), Least
 	}
 	c.Load = e.load()
 	c.Wait = p.wait(e, a.Slots)
@@ -262,38 +282,91 @@
 	}
 }
 
-// byAffinity returns the first server in the order of the request's prompt that is below the load bound.
-func (b *Balancer) byAffinity(usable []*entry, a Ask, mean float64) (*entry, Reason) {
-	var best, home *entry
-	var bestScore, homeScore uint64
+// byAffinity returns the first server in the order of the request's prompt that is below the load bound, and one that holds the
+// shared part of the prompt if that server does not.
+func (b *Balancer) byAffinity(now time.Time, usable []*entry, a Ask, mean float64) (chosen, holder *entry, why Reason) {
+	var best, home, old *entry
+	var bestScore, homeScore, oldScore uint64
+	limit, prompts := b.limit(mean), b.caches.rate(now, a.Prompt[0])
+	draw := a.Draw
 	for _, e := range usable {
-		score := mix(a.Affinity ^ e.seed)
+		score := mix(a.Prompt[0] ^ e.seed)
 		if home == nil || score > homeScore {
 			home, homeScore = e, score
 		}
-		share := 1 - excess(usable, e)
-		bound, herd := (b.settings.Bound*mean+b.settings.Allowance)*share, (b.settings.Herd*mean+b.settings.Allowance)*share
-		load := float64(e.load() + 1)
-		below := load <= bound && load+float64(e.growth()*(b.routers-1)) <= herd
-		if below && (best == nil || score > bestScore) {
+		if !b.young(now, e) && (old == nil || score > oldScore) {
+			old, oldScore = e, score
+		}
+		// Each server needs a draw of its own, derived from the one of the request.
+		draw = next(draw, e.seed)
+		if (best == nil || score > bestScore) && b.admits(e, limit*(1-excess(usable, e)), prompts, draw) {
 			best, bestScore = e, score
 		}
 	}
-	switch {
-	case best == nil:
-		return b.byLoad(usable, a), Spilled
-	case best == home:
-		return best, Home
-	default:
-		return best, Spilled
+	if best == nil {
+		best = b.byLoad(now, usable, a)
+	}
+	why = Spilled
+	if best == home {
+		why = Home
+	}
+	holder = b.holder(now, usable, a, best, home, old)
+	for _, beginning := range a.Prompt {
+		b.caches.put(beginning, best.instance())
+	}
+	b.caches.count(now, a.Prompt[0])
+	return best, holder, why
+}
+
+// holder returns a server that most likely holds more of the shared beginning of a prompt than the chosen one; nil if none is
+// known. Home is the first server in the order of the prompt and old the first that is not young.
+func (b *Balancer) holder(now time.Time, usable []*entry, a Ask, chosen, home, old *entry) *entry {
+	if b.caches.has(a.Prompt[0], chosen.instance()) {
+		return nil
+	}
+	first := home
+	// Before a young server joined, the next in the order was the home.
+	if old != nil && b.young(now, home) && !b.caches.has(a.Prompt[0], home.instance()) {
+		first = old
 	}
+	if first != chosen {
+		return first
+	}
+	for _, beginning := range a.Prompt[1:] {
+		if b.caches.has(beginning, chosen.instance()) {
+			return nil
+		}
+		for _, e := range usable {
+			if e != chosen && b.caches.has(beginning, e.instance()) {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+// young is true for a server that joined a short time ago.
+func (b *Balancer) young(now time.Time, e *entry) bool {
+	return !e.since.IsZero() && now.Sub(e.since) < b.settings.Young
+}
+
+// limit is the greatest load of a server that does not fail more than the others.
+func (b *Balancer) limit(mean float64) float64 { return b.settings.Bound*mean + b.settings.Allowance }
+
+// admits is true if a server stays below the load bound with one more request. The other routers may have sent it requests since
+// they last reported; if they send as many of the same prompt as this router does, and more than the server has room for, each
+// router sends its share of what there is room for. Draw is a random number in [0,1).
+func (b *Balancer) admits(e *entry, limit, prompts, draw float64) bool {
+	room := limit - float64(e.load())
+	unreported := prompts * float64(b.routers) * b.lag.Seconds()
+	return room >= 1 && draw*unreported <= room
 }
 
 // byLoad returns the server with the least load for its slots and failures, with a preference for the own availability zone.
-func (b *Balancer) byLoad(usable []*entry, a Ask) *entry {
+func (b *Balancer) byLoad(now time.Time, usable []*entry, a Ask) *entry {
 	cost := func(e *entry) float64 {
 		slots := float64(max(1, a.Slots, e.Slots))
-		c := float64(e.load()+e.growth()) / (1 - excess(usable, e))
+		c := (float64(e.load()) + e.sent.perSecond(now)*b.lag.Seconds()) / (1 - excess(usable, e))
 		if e.Zone == a.Zone && float64(e.load()) < slots {
 			c -= b.settings.Near
 		}
@@ -327,9 +400,10 @@
 }
 
 // Start counts a request that is sent to a server.
-func (b *Balancer) Start(id string) {
+func (b *Balancer) Start(now time.Time, id string) {
 	if e := b.servers[id]; e != nil {
 		e.own++
+		e.sent.count(now)
 	}
 }
 
@@ -450,18 +524,25 @@
 	return e.Server, true
 }
 
-// Affinity returns the hash of the prompt parts that decides the home of a request: all but the last, which belongs to the
-// request or its chat, or the only one. It is not 0.
-func Affinity(model string, parts []string) uint64 {
+// Prompt returns the hashes of the beginnings of a prompt that it may share with others, the longest first: those without its
+// last part, which belongs to the request or its chat, or the only part.
+func Prompt(model string, parts []string) []uint64 {
 	if len(parts) == 0 {
-		return 0
+		return nil
 	}
 	shared := parts[:max(1, len(parts)-1)]
+	hashes := make([]uint64, len(shared))
 	h := mix(xxhash.Sum64String(model))
-	for _, part := range shared {
+	for i, part := range shared {
 		h = mix(h ^ xxhash.Sum64String(part))
+		hashes[len(shared)-1-i] = h
 	}
-	return max(1, h)
+	return hashes
+}
+
+// next returns a number in [0,1) that is derived from another and a seed.
+func next(draw float64, seed uint64) float64 {
+	return float64(mix(math.Float64bits(draw)^seed)>>11) / (1 << 53)
 }
 
 // mix spreads the bits of x over the whole word.
--- a/routing/balance/balance_test.go
+++ b/routing/balance/balance_test.go
@@ -24,7 +24,7 @@
 
 func newBalancer(n, slots int) *balance.Balancer {
 	b := balance.New(balance.DefaultSettings(), "r")
-	b.SetServers(servers(n, slots))
+	b.SetServers(start, servers(n, slots))
 	return b
 }
 
@@ -33,12 +33,14 @@
 	c := qt.New(t)
 	x, y := newBalancer(9, 64), newBalancer(9, 64)
 	for i := range 50 {
-		a := balance.Ask{Service: "pool", Affinity: balance.Affinity("m", []string{"system", fmt.Sprint("doc", i), "own"})}
+		a := balance.Ask{Service: "pool", Prompt: balance.Prompt("m", []string{"system", fmt.Sprint("doc", i), "own"})}
 		c.Assert(x.Choose(start, a).Server.ID, qt.Equals, y.Choose(start, a).Server.ID)
 	}
-	same := balance.Affinity("m", []string{"a", "b", "x"})
-	c.Assert(balance.Affinity("m", []string{"a", "b", "y"}), qt.Equals, same)
-	c.Assert(balance.Affinity("m", []string{"a", "c", "y"}), qt.Not(qt.Equals), same)
+	same := balance.Prompt("m", []string{"a", "b", "x"})
+	c.Assert(balance.Prompt("m", []string{"a", "b", "y"}), qt.DeepEquals, same)
+	other := balance.Prompt("m", []string{"a", "c", "y"})
+	c.Assert(other[0], qt.Not(qt.Equals), same[0])
+	c.Assert(other[1], qt.Equals, same[1])
 }
 
 // Guards against an engine that carries more than the limit of 2 times the mean plus 3 because all requests share one prompt,
@@ -49,7 +51,7 @@
 	fleet := make([]*balance.Balancer, routers)
 	for i := range fleet {
 		fleet[i] = balance.New(balance.DefaultSettings(), fmt.Sprint("r", i))
-		fleet[i].SetServers(servers(engines, 64))
+		fleet[i].SetServers(start, servers(engines, 64))
 	}
 	type running struct {
 		router int
@@ -82,20 +84,20 @@
 						}
 					}
 				}
-				b.SetOthers(others, routers)
+				b.SetOthers(others, routers, 300*time.Millisecond)
 			}
 		}
 		if random.Float64() >= rate/1000.0 {
 			continue
 		}
 		i := random.IntN(routers)
-		choice := fleet[i].Choose(now, balance.Ask{Service: "pool", Affinity: 77})
+		choice := fleet[i].Choose(now, balance.Ask{Service: "pool", Prompt: []uint64{77}, Draw: random.Float64()})
 		id := choice.Server.ID
 		limit := 2*float64(len(requests))/engines + 3
 		if sent++; float64(loads[id]+1) > limit {
 			over++
 		}
-		fleet[i].Start(id)
+		fleet[i].Start(now, id)
 		loads[id]++
 		requests = append(requests, running{i, id, now.Add(length * time.Millisecond)})
 	}
@@ -110,12 +112,12 @@
 	for i := range 20 {
 		choice := b.Choose(start.Add(time.Duration(i)*time.Millisecond), balance.Ask{Service: "pool"})
 		c.Assert(choice.Server.ID, qt.Not(qt.Equals), "s0")
-		b.Start(choice.Server.ID)
+		b.Start(start, choice.Server.ID)
 	}
 	later := start.Add(600 * time.Millisecond)
 	c.Assert(b.Choose(later, balance.Ask{Service: "pool"}).Server.ID, qt.Equals, "s0")
 	c.Assert(b.Choose(later, balance.Ask{Service: "pool"}).Server.ID, qt.Not(qt.Equals), "s0")
-	b.Start("s0")
+	b.Start(start, "s0")
 	b.Finish(later, "s0", balance.Answered, time.Millisecond)
 	c.Assert(b.Choose(later, balance.Ask{Service: "pool"}).Server.ID, qt.Equals, "s0")
 }
@@ -136,13 +138,13 @@
 	c := qt.New(t)
 	b := newBalancer(3, 6)
 	for range 12 {
-		b.Start("s0")
+		b.Start(start, "s0")
 		b.Finish(start, "s0", balance.Failed, time.Millisecond)
 	}
 	counts := map[string]int{}
 	for range 12 {
 		id := b.Choose(start, balance.Ask{Service: "pool"}).Server.ID
-		b.Start(id)
+		b.Start(start, id)
 		counts[id]++
 	}
 	c.Assert(2*counts["s0"] < min(counts["s1"], counts["s2"]), qt.IsTrue, qt.Commentf("%v", counts))
@@ -154,11 +156,11 @@
 	b := newBalancer(2, 6)
 	list := servers(2, 6)
 	list[0].Leaving = true
-	b.SetServers(list)
+	b.SetServers(start, list)
 	c.Assert(b.Choose(start, balance.Ask{Service: "pool"}).Server.ID, qt.Equals, "s1")
 	b.Failure(start, "s1", balance.Unreachable)
 	list[1].Born = 99
-	b.SetServers(list)
+	b.SetServers(start, list)
 	c.Assert(b.Paused(start), qt.HasLen, 0)
 }
 
@@ -166,10 +168,10 @@
 func TestFull(t *testing.T) {
 	c := qt.New(t)
 	b := newBalancer(1, 2)
-	b.Start("s0")
+	b.Start(start, "s0")
 	b.Finish(start, "s0", balance.Answered, 100*time.Millisecond)
 	for range 12 {
-		b.Start("s0")
+		b.Start(start, "s0")
 	}
 	choice := b.Choose(start, balance.Ask{Service: "pool", Left: 300 * time.Millisecond})
 	c.Assert(choice.Reason, qt.Equals, balance.Full)
@@ -177,3 +179,42 @@
 	c.Assert(choice.RetryAfter(), qt.Equals, 0.55)
 	c.Assert(b.Choose(start, balance.Ask{Service: "pool", Left: time.Second}).Server.ID, qt.Equals, "s0")
 }
+
+// Guards against a shared prompt that is computed again on a server which joins or takes what its home cannot.
+func TestHolder(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(8, 64)
+	home := map[uint64]string{}
+	for i := range 100 {
+		a := balance.Ask{Service: "pool", Prompt: balance.Prompt("m", []string{fmt.Sprint("doc", i), "own"})}
+		choice := b.Choose(start, a)
+		c.Assert(choice.Holder.ID, qt.Equals, "")
+		home[a.Prompt[0]] = choice.Server.ID
+	}
+	later := start.Add(time.Minute)
+	b.SetServers(later, servers(9, 64))
+	moved := 0
+	for affinity, old := range home {
+		a := balance.Ask{Service: "pool", Prompt: []uint64{affinity}}
+		choice := b.Choose(later, a)
+		if choice.Server.ID != "s8" {
+			c.Assert(choice.Holder.ID, qt.Equals, "")
+			continue
+		}
+		moved++
+		c.Assert(choice.Holder.ID, qt.Equals, old)
+		c.Assert(b.Choose(later, a).Holder.ID, qt.Equals, "", qt.Commentf("the second request of the prompt"))
+		a.Avoid = []string{"s8"}
+		c.Assert(b.Choose(later, a).Holder.ID, qt.Equals, "", qt.Commentf("the earlier home still has it"))
+	}
+	c.Assert(moved > 0, qt.IsTrue)
+	for affinity, old := range home {
+		for range 10 {
+			b.Start(start, old)
+		}
+		choice := b.Choose(later, balance.Ask{Service: "pool", Prompt: []uint64{affinity}, Avoid: []string{"s8"}})
+		c.Assert(choice.Reason, qt.Equals, balance.Spilled)
+		c.Assert(choice.Holder.ID, qt.Equals, old)
+		break
+	}
+}
--- a/routing/envelope/envelope.go
+++ b/routing/envelope/envelope.go
@@ -31,6 +31,9 @@
 	Account string
 	// Priority is the urgency, 0 the most urgent; negative leaves it to the backend server.
 	Priority int
+	// Holder is the address of a backend server of the same service from whose cache the server takes the prompt's beginning;
+	// empty if there is none.
+	Holder string
 	// After replaces the number of the last event; empty keeps the caller's.
 	After string
 }
