--- a/routing/roster/roster_test.go
+++ b/routing/roster/roster_test.go
@@ -80,3 +80,15 @@
 	c.Assert(r.Update(at(1), registration(5, "b")), qt.IsFalse)
 	c.Assert(ids(r), qt.Equals, "a")
 }
+
+// Guards against a server that is used for seconds after its entry was removed, because a watch without changes had answered a
+// little late.
+func TestQuietWatch(t *testing.T) {
+	c := qt.New(t)
+	r := roster.New(roster.DefaultSettings())
+	r.Heard(at(0))
+	r.Update(at(0), registration(5, "a", "b"))
+	r.Heard(at(1100))
+	r.Update(at(1200), registration(6, "a"))
+	c.Assert(ids(r), qt.Equals, "a")
+}
