--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -124,6 +124,8 @@
 // pool holds the servers of one service.
 type pool struct {
 	entries []*entry
+	// leaving holds the servers that take no new work and still have their caches.
+	leaving []*entry
 	// work is the moving average of the time that a request takes when it need not wait.
 	work time.Duration
 }
@@ -174,7 +176,9 @@
 			}
 			pools[s.Service] = p
 		}
-		if !s.Leaving {
+		if s.Leaving {
+			p.leaving = append(p.leaving, e)
+		} else {
 			p.entries = append(p.entries, e)
 		}
 	}
@@ -226,7 +230,7 @@
 	var e *entry
 	if len(a.Prompt) > 0 {
 		var holder *entry
-		e, holder, c.Reason = b.byAffinity(now, usable, a, c.Mean)
+		e, holder, c.Reason = b.byAffinity(now, p, usable, a, c.Mean)
 		if holder != nil {
 			c.Holder = holder.Server
 		}
@@ -282,11 +286,11 @@
 	}
 }
 
-// byAffinity returns the first server in the order of the request's prompt that is below the load bound, and one that holds the
-// shared part of the prompt if that server does not.
-func (b *Balancer) byAffinity(now time.Time, usable []*entry, a Ask, mean float64) (chosen, holder *entry, why Reason) {
-	var best, home, old *entry
-	var bestScore, homeScore, oldScore uint64
+// byAffinity returns the first server in the order of the request's prompt that is below the load bound, and one that holds more
+// of the shared beginning of the prompt; nil if none is known.
+func (b *Balancer) byAffinity(now time.Time, p *pool, usable []*entry, a Ask, mean float64) (chosen, holder *entry, why Reason) {
+	var best, home *entry
+	var bestScore, homeScore uint64
 	limit, prompts := b.limit(mean), b.caches.rate(now, a.Prompt[0])
 	draw := a.Draw
 	for _, e := range usable {
@@ -294,9 +298,6 @@
 		if home == nil || score > homeScore {
 			home, homeScore = e, score
 		}
-		if !b.young(now, e) && (old == nil || score > oldScore) {
-			old, oldScore = e, score
-		}
 		// Each server needs a draw of its own, derived from the one of the request.
 		draw = next(draw, e.seed)
 		if (best == nil || score > bestScore) && b.admits(e, limit*(1-excess(usable, e)), prompts, draw) {
@@ -310,7 +311,7 @@
 	if best == home {
 		why = Home
 	}
-	holder = b.holder(now, usable, a, best, home, old)
+	holder = b.holder(now, p, a, best)
 	for _, beginning := range a.Prompt {
 		b.caches.put(beginning, best.instance())
 	}
@@ -319,25 +320,27 @@
 }
 
 // holder returns a server that most likely holds more of the shared beginning of a prompt than the chosen one; nil if none is
-// known. Home is the first server in the order of the prompt and old the first that is not young.
-func (b *Balancer) holder(now time.Time, usable []*entry, a Ask, chosen, home, old *entry) *entry {
-	if b.caches.has(a.Prompt[0], chosen.instance()) {
-		return nil
-	}
-	first := home
-	// Before a young server joined, the next in the order was the home.
-	if old != nil && b.young(now, home) && !b.caches.has(a.Prompt[0], home.instance()) {
-		first = old
-	}
-	if first != chosen {
-		return first
-	}
-	for _, beginning := range a.Prompt[1:] {
+// known.
+func (b *Balancer) holder(now time.Time, p *pool, a Ask, chosen *entry) *entry {
+	for i, beginning := range a.Prompt {
 		if b.caches.has(beginning, chosen.instance()) {
 			return nil
 		}
-		for _, e := range usable {
-			if e != chosen && b.caches.has(beginning, e.instance()) {
+		if e := b.sent(now, p, beginning, a.Avoid); e != nil {
+			return e
+		}
+		if e := b.previous(now, p, a); i == 0 && e != nil && e != chosen {
+			return e
+		}
+	}
+	return nil
+}
+
+// sent returns a server to which this router sent the beginning of a prompt before.
+func (b *Balancer) sent(now time.Time, p *pool, beginning uint64, avoid []string) *entry {
+	for _, servers := range [][]*entry{p.entries, p.leaving} {
+		for _, e := range servers {
+			if b.caches.has(beginning, e.instance()) && b.reachable(now, e, avoid) {
 				return e
 			}
 		}
@@ -345,6 +348,26 @@
 	return nil
 }
 
+// previous returns the server that was the home of a prompt before the latest servers joined and others began to leave.
+func (b *Balancer) previous(now time.Time, p *pool, a Ask) *entry {
+	var best *entry
+	var bestScore uint64
+	for _, servers := range [][]*entry{p.entries, p.leaving} {
+		for _, e := range servers {
+			score := mix(a.Prompt[0] ^ e.seed)
+			if (best == nil || score > bestScore) && !b.young(now, e) && b.reachable(now, e, a.Avoid) {
+				best, bestScore = e, score
+			}
+		}
+	}
+	return best
+}
+
+// reachable is true for a server that is neither paused nor one that was tried before.
+func (b *Balancer) reachable(now time.Time, e *entry, avoid []string) bool {
+	return !now.Before(e.paused) && !now.Before(e.reported) && !slices.Contains(avoid, e.ID)
+}
+
 // young is true for a server that joined a short time ago.
 func (b *Balancer) young(now time.Time, e *entry) bool {
 	return !e.since.IsZero() && now.Sub(e.since) < b.settings.Young
--- a/routing/balance/balance_test.go
+++ b/routing/balance/balance_test.go
@@ -218,3 +218,26 @@
 		break
 	}
 }
+
+// Guards against shared prompts that are computed again when their home leaves.
+func TestHolderLeaves(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(8, 64)
+	list := servers(8, 64)
+	list[3].Leaving = true
+	homes := newBalancer(8, 64)
+	b.SetServers(start, list)
+	moved := 0
+	for i := range 100 {
+		a := balance.Ask{Service: "pool", Prompt: balance.Prompt("m", []string{fmt.Sprint("doc", i), "own"})}
+		choice := b.Choose(start, a)
+		c.Assert(choice.Server.ID, qt.Not(qt.Equals), "s3")
+		if homes.Choose(start, a).Server.ID == "s3" {
+			moved++
+			c.Assert(choice.Holder.ID, qt.Equals, "s3")
+		} else {
+			c.Assert(choice.Holder.ID, qt.Equals, "")
+		}
+	}
+	c.Assert(moved > 0, qt.IsTrue)
+}
