--- a/hornbeamd/backend/pool.go
+++ b/hornbeamd/backend/pool.go
@@ -13,8 +13,9 @@
 
 // Defaults of a Pool.
 const (
-	// DefaultDial is the longest time to connect: some round trips between availability zones and one lost packet.
-	DefaultDial = 400 * time.Millisecond
+	// DefaultDial is the longest time to connect: many round trips between availability zones. A lost packet is not waited for,
+	// since another server can take the request before it would be sent again.
+	DefaultDial = 150 * time.Millisecond
 	// DefaultIdle is how long a connection is kept without use if the server does not say.
 	DefaultIdle = 8 * time.Second
 	// onceIdle is how long a connection may have been without use for a request that runs at most once. Servers and what lies
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -10,6 +10,7 @@
 	"hornbeamstep.example/coord/presence"
 	"hornbeamstep.example/hornbeamd/gateway"
 	"hornbeamstep.example/hornbeamd/mesh"
+	"hornbeamstep.example/hornbeamd/source"
 	"hornbeamstep.example/routing/roster"
 	"hornbeamstep.example/routing/routes"
 )
@@ -34,7 +35,7 @@
 	beaten   time.Time
 
 	// The following are read by other goroutines.
-	onDuty       atomic.Bool
+	duty         source.Duty
 	draining     atomic.Bool
 	registration atomic.Pointer[roster.Registration]
 	contact      atomic.Bool
@@ -47,7 +48,7 @@
 const tick = 50 * time.Millisecond
 
 // joinWait is the time after the start in which this router listens for others before it asks the store.
-const joinWait = 150 * time.Millisecond
+const joinWait = 50 * time.Millisecond
 
 // do runs a function on the control goroutine.
 func (c *control) do(f func()) { c.events <- f }
@@ -93,7 +94,7 @@
 
 func (c *control) setDuty(now time.Time) {
 	duty := now.Sub(c.started) >= joinWait && c.presence.Watches(now, c.own)
-	if duty != c.onDuty.Swap(duty) {
+	if c.duty.Set(duty) {
 		c.log.Info("watching the store", zap.Bool("on_duty", duty), zap.Int("routers", c.presence.Live(now)+1),
 			zap.Duration("own_contact", age(now, c.own)))
 	}
@@ -177,10 +178,18 @@
 	}
 	if c.gateway.SetTable(table) {
 		c.log.Info("configuration in force", zap.Int64("config", config.Version), zap.Int("routes", table.Routes()), zap.String("from", from))
+		c.announceReady()
 		c.beat(time.Now())
 	}
 }
 
+// announceReady lets requests pass when both the configuration and the backend servers are known.
+func (c *control) announceReady() {
+	if c.gateway.Table() != nil && c.roster.Revision() > 0 {
+		c.gateway.SetReady()
+	}
+}
+
 // setServers takes a list of backend servers unless a newer one is known.
 func (c *control) setServers(next roster.Registration, from string) {
 	if !c.roster.Update(time.Now(), next) {
@@ -189,6 +198,7 @@
 	c.log.Info("servers changed", zap.Int64("revision", next.Revision), zap.Int("servers", len(next.Servers)),
 		zap.Int("kept", c.roster.Kept()), zap.String("from", from))
 	c.publishServers()
+	c.announceReady()
 	c.beat(time.Now())
 }
 
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -98,6 +98,8 @@
 		Codec: codec, Upstreams: upstreams, Zone: s.Zone, Log: e.Log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
 		Pool: &backend.Pool{Codec: codec, Dial: backend.DefaultDial, Opened: e.connectionCounter()},
 	}
+	e.gateway.Started = time.Now()
+	e.gateway.Init()
 	peerPort := strconv.Itoa(s.FirstPort)
 	self := presence.Record{
 		ID: s.Name, Zone: s.Zone, Region: s.Region, Boot: time.Now().UnixMilli(), Capacity: s.Cores,
@@ -130,7 +132,7 @@
 	c := e.control
 	e.mesh.Received = func(r presence.Record) { c.offer(func() { c.heard(ctx, r) }) }
 	watcher := &source.Watcher{
-		Store: e.store, OnDuty: c.onDuty.Load, Log: e.Log.Named("source"),
+		Store: e.store, Duty: &c.duty, Log: e.Log.Named("source"),
 		Contact: func() { c.do(c.storeAnswered) },
 		Lost:    func(err error) { c.do(func() { c.storeFailed(err) }) },
 		Config:  func(config routes.Config) { c.do(func() { c.setConfig(config, "store") }) },
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -3,10 +3,12 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,7 +39,13 @@
 	Log     *zap.Logger
 	Metrics *Metrics
 
+	// Started is when the process began.
+	Started time.Time
+
 	table atomic.Pointer[routes.Table]
+	// ready is closed when the configuration and the backend servers are known.
+	ready     chan struct{}
+	readyOnce sync.Once
 	// draining asks callers to use other routers; refusing ends service.
 	draining, refusing atomic.Bool
 	active             atomic.Int64
@@ -45,8 +53,11 @@
 
 // Times and sizes of the data path.
 const (
-	// unconfigured is when a caller may come back that met a router without a configuration.
-	unconfigured = 300 * time.Millisecond
+	// unconfigured is when a caller may come back that met a router without a configuration, which then does not reach the store.
+	unconfigured = time.Second
+	// joining is the time after its start in which a router most likely learns the configuration and the backend servers; requests
+	// wait for them until then.
+	joining = 400 * time.Millisecond
 	// elsewhere is when a caller may come back to another router.
 	elsewhere = 50 * time.Millisecond
 	// noServer is when a caller may come back after no backend server could take its request.
@@ -72,6 +83,25 @@
 	}
 }
 
+// SetReady lets requests pass that wait since the start.
+func (s *Server) SetReady() { s.readyOnce.Do(func() { close(s.ready) }) }
+
+// Init prepares the server before its first request.
+func (s *Server) Init() { s.ready = make(chan struct{}) }
+
+// awaitReady waits for the first configuration and backend servers, for a short time after the start only.
+func (s *Server) awaitReady(ctx context.Context) {
+	left := joining - time.Since(s.Started)
+	if left <= 0 {
+		return
+	}
+	select {
+	case <-s.ready:
+	case <-ctx.Done():
+	case <-time.After(left):
+	}
+}
+
 // Table returns the configuration in force; nil before the first.
 func (s *Server) Table() *routes.Table { return s.table.Load() }
 
@@ -116,6 +146,7 @@
 
 // accept finds the route and the client account of a request.
 func (c *call) accept() *refusal {
+	c.s.awaitReady(c.r.Context())
 	c.table = c.s.Table()
 	if c.s.refusing.Load() {
 		c.w.Header().Set("Connection", "close")
--- a/hornbeamd/source/source.go
+++ b/hornbeamd/source/source.go
@@ -31,8 +31,6 @@
 	// serversPause is the least time between two answers about backend servers: each of them renews its entry about once a
 	// second, which would end every watch at once.
 	serversPause = 600 * time.Millisecond
-	// dutyPause is the time between two questions whether this router has to watch.
-	dutyPause = 100 * time.Millisecond
 	// retryFirst and retryMost bound the pause after failed calls, which doubles.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = time.Second
@@ -41,8 +39,8 @@
 // Watcher follows the store while this router is on duty. Fields are set before Run.
 type Watcher struct {
 	Store Store
-	// OnDuty is true while this router has to watch.
-	OnDuty func() bool
+	// Duty says whether this router has to watch.
+	Duty *Duty
 	// Contact is called after each answer of the store.
 	Contact func()
 	// Lost is called when a call has failed.
@@ -72,9 +70,8 @@
 func (w *Watcher) follow(ctx context.Context, f *feed) {
 	retry := retryFirst
 	for ctx.Err() == nil {
-		if !w.OnDuty() {
-			sleep(ctx, dutyPause)
-			continue
+		if w.Duty.wait(ctx) != nil {
+			return
 		}
 		err := w.step(ctx, f)
 		switch {
