--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -160,6 +160,7 @@
 	defer cancel(nil)
 	p := c.newPatience(cancel)
 	defer p.stop()
+	defer c.s.Upstreams.ended(&p.stream)
 	ending, r := c.exchange(ctx, p)
 	now := time.Now()
 	c.s.Upstreams.finish(now, c.choice.Server.ID, ending, now.Sub(began))
@@ -328,8 +329,10 @@
 
 // patience ends an attempt when no progress is made, if the request may go to another server then.
 type patience struct {
-	timer *time.Timer
-	next  time.Duration
+	stream    stream
+	upstreams *Upstreams
+	timer     *time.Timer
+	next      time.Duration
 }
 
 // firstPatience and nextPatience are multiples of the route's targets for the first and for each further sign of progress: well
@@ -341,16 +344,21 @@
 
 // newPatience starts to wait for the first sign of progress.
 func (c *call) newPatience(cancel context.CancelCauseFunc) *patience {
-	if !c.route.Repeatable() || c.sent+1 >= c.route.Attempts || c.route.Target <= 0 || c.choice.Candidates < 2 {
-		return &patience{}
+	movable := c.route.Repeatable() && c.sent+1 < c.route.Attempts && c.choice.Candidates > 1
+	p := &patience{
+		stream: stream{server: c.choice.Server.ID, cancel: cancel, movable: movable}, upstreams: c.s.Upstreams,
+		next: nextPatience * c.route.Gap,
+	}
+	if !movable || c.route.Target <= 0 {
+		return p
 	}
-	p := &patience{next: nextPatience * c.route.Gap}
 	p.timer = time.AfterFunc(time.Duration(firstPatience*float64(c.route.Target)), func() { cancel(errPatience) })
 	return p
 }
 
 // progress restarts the wait.
 func (p *patience) progress() {
+	p.upstreams.moved(time.Now(), &p.stream)
 	switch {
 	case p.timer == nil:
 	case p.next > 0:
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -25,6 +25,8 @@
 	mu      sync.Mutex
 	fleet   int
 	budgets map[string]*retry.Window
+	// streams holds the servers with streams in progress.
+	streams map[string]*streams
 }
 
 // budgetMargin is the part of the retry limits that this router's share uses, since routers count windows on their own.
