--- /dev/null
+++ b/coord/presence/message.go
@@ -0,0 +1,285 @@
+package presence
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Message is what one router sends to another.
+type Message struct {
+	// Records holds the sender's own record, and in larger fleets those that it relays.
+	Records []Aged
+	// Zones holds the load of whole availability zones, in fleets where loads are summed before they are sent on.
+	Zones []ZoneLoad
+}
+
+// Aged is a record with the time since the router that it describes sent it, in milliseconds.
+type Aged struct {
+	Record
+	Age int64
+}
+
+// ZoneLoad is the sum over the routers of an availability zone.
+type ZoneLoad struct {
+	Zone string
+	// Loads holds the requests in progress and Down the number of routers that could not reach it, by ID of the backend server.
+	Loads, Down map[string]int
+	// Age is the time since the sum was made, in milliseconds.
+	Age int64
+}
+
+// Sending is a message for some addresses.
+type Sending struct {
+	To      []string
+	Message Message
+}
+
+// meshSize is the number of routers up to which each sends to every other. The messages of a mesh grow with the square of its
+// size. Larger fleets have hubs: in each availability zone one router gathers the records of the others, exchanges them with the
+// hubs of the other zones, and sends all of them to the routers of its own. A second one stands by with the same knowledge.
+const meshSize = 12
+
+// hubRouters is the number of routers for each step of the interval in a fleet with hubs: their messages grow with the fleet.
+const hubRouters = 30
+
+// hubs is the number of routers of an availability zone that gather records: the hub and the one that stands by.
+const hubs = 2
+
+// Interval returns the time until the next heartbeat.
+func (s *State) Interval() time.Duration {
+	if !s.large() {
+		return s.settings.Interval
+	}
+	return s.settings.Interval * time.Duration(max(2, (len(s.members)+1)/hubRouters))
+}
+
+// silence is the time without a newer record after which a router counts as lost. A relayed record is up to two intervals older.
+func (s *State) silence() time.Duration { return max(s.settings.Silence, 4*s.Interval()) }
+
+// contactLimit is the age of a store answer up to which a router can watch for the others.
+func (s *State) contactLimit() time.Duration {
+	if !s.large() {
+		return s.settings.Contact
+	}
+	return s.settings.Contact + 2*s.Interval()
+}
+
+func (s *State) large() bool { return len(s.members)+1 > meshSize }
+
+// Receive takes a message and returns the IDs of the routers that were lost or unknown before.
+func (s *State) Receive(now time.Time, m Message) []string {
+	var joined []string
+	for _, r := range m.Records {
+		if s.take(now.Add(-time.Duration(r.Age)*time.Millisecond), now, r.Record) {
+			joined = append(joined, r.ID)
+		}
+	}
+	for _, z := range m.Zones {
+		at := now.Add(-time.Duration(z.Age) * time.Millisecond)
+		if old, known := s.zones[z.Zone]; !known || at.After(old.at) {
+			s.zones[z.Zone] = zoneLoad{ZoneLoad: z, at: at}
+		}
+	}
+	return joined
+}
+
+// take merges one record, which was sent at a time, and is true if its router was lost or unknown.
+func (s *State) take(sent, now time.Time, r Record) bool {
+	if r.ID == "" || r.ID == s.self.ID || now.Sub(sent) > s.silence() {
+		return false
+	}
+	old, known := s.members[r.ID]
+	if known && !r.newer(old.Record) {
+		return false
+	}
+	if r.Loads == nil && known && r.Boot == old.Boot {
+		r.Loads, r.Down = old.Loads, old.Down
+	}
+	s.members[r.ID] = Member{Record: r, Heard: sent}
+	s.most = max(s.most, s.Live(now)+1)
+	return !known || r.Boot != old.Boot || now.Sub(old.Heard) > s.silence()
+}
+
+// Introduce returns the message for a router that has just joined: all that is known of the others.
+func (s *State) Introduce(now time.Time, self Record, to string) Sending {
+	m, known := s.members[to]
+	if !known {
+		return Sending{}
+	}
+	return Sending{To: []string{m.Peer}, Message: Message{Records: s.relayed(now, self, func(o Record) bool { return o.ID != to })}}
+}
+
+// relayed returns the own record and those of other live routers without their loads.
+func (s *State) relayed(now time.Time, self Record, wanted func(Record) bool) []Aged {
+	out := []Aged{{Record: self}}
+	for _, m := range s.Members(now) {
+		if !wanted(m.Record) {
+			continue
+		}
+		r := m.Record
+		r.Loads, r.Down = nil, nil
+		out = append(out, Aged{Record: r, Age: now.Sub(m.Heard).Milliseconds()})
+	}
+	return out
+}
+
+// Heartbeat returns what this router has to send now.
+func (s *State) Heartbeat(now time.Time, self Record) []Sending {
+	s.reported = self.Loads
+	own := Message{Records: []Aged{{Record: self}}}
+	if !s.large() {
+		return []Sending{{To: s.addresses(func(Member) bool { return true }), Message: own}}
+	}
+	first := s.hubsOf(now, self, self.Zone)
+	if !slices.Contains(first, self.ID) {
+		return []Sending{{To: s.addressesOf(first), Message: own}}
+	}
+	if first[0] != self.ID {
+		// The one that stands by reports to the hub, and lost routers may take it for the hub.
+		return []Sending{{To: s.addressesOf(first[:1]), Message: own}}
+	}
+	return s.digests(now, self)
+}
+
+// digests returns the messages of a hub.
+func (s *State) digests(now time.Time, self Record) []Sending {
+	loads := s.zoneLoads(now, self)
+	sendings := []Sending{{
+		To: s.addresses(func(m Member) bool { return m.Zone == self.Zone }),
+		Message: Message{
+			Records: s.relayed(now, self, func(Record) bool { return true }), Zones: loads,
+		},
+	}}
+	var others []string
+	for _, zone := range s.otherZones(self.Zone) {
+		others = append(others, s.addressesOf(s.hubsOf(now, self, zone))...)
+	}
+	inZone := s.relayed(now, self, func(r Record) bool { return r.Zone == self.Zone })
+	own := slices.DeleteFunc(slices.Clone(loads), func(z ZoneLoad) bool { return z.Zone != self.Zone })
+	return append(sendings, Sending{To: others, Message: Message{Records: inZone, Zones: own}})
+}
+
+// zoneLoads returns the load of the own availability zone as its routers report it, and those of the others as their hubs do.
+func (s *State) zoneLoads(now time.Time, self Record) []ZoneLoad {
+	own := ZoneLoad{Zone: self.Zone, Loads: maps.Clone(self.Loads), Down: map[string]int{}}
+	if own.Loads == nil {
+		own.Loads = map[string]int{}
+	}
+	for _, id := range self.Down {
+		own.Down[id]++
+	}
+	for _, m := range s.members {
+		if m.Zone == self.Zone && s.live(now, m) {
+			add(own.Loads, m.Loads)
+			for _, id := range m.Down {
+				own.Down[id]++
+			}
+		}
+	}
+	out := []ZoneLoad{own}
+	for _, z := range s.zones {
+		if z.Zone != self.Zone && now.Sub(z.at) <= s.silence() {
+			z.Age = now.Sub(z.at).Milliseconds()
+			out = append(out, z.ZoneLoad)
+		}
+	}
+	return out
+}
+
+func add(sum, more map[string]int) {
+	for id, n := range more {
+		sum[id] += n
+	}
+}
+
+// hubsOf returns the IDs of the routers that gather the records of an availability zone, the hub first.
+func (s *State) hubsOf(now time.Time, self Record, zone string) []string {
+	var candidates []Record
+	if self.Zone == zone {
+		candidates = append(candidates, self)
+	}
+	for _, m := range s.members {
+		if m.Zone == zone && s.live(now, m) {
+			candidates = append(candidates, m.Record)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b Record) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)))
+	})
+	var ids []string
+	for _, c := range candidates[:min(len(candidates), hubs)] {
+		ids = append(ids, c.ID)
+	}
+	return ids
+}
+
+func (s *State) otherZones(own string) []string {
+	zones := map[string]bool{}
+	for _, m := range s.members {
+		if m.Zone != own {
+			zones[m.Zone] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(zones))
+}
+
+func (s *State) addressesOf(ids []string) []string {
+	return s.addresses(func(m Member) bool { return slices.Contains(ids, m.ID) })
+}
+
+// addresses returns the addresses of the other routers that are wanted, lost ones included: they may be cut off in one direction.
+func (s *State) addresses(wanted func(Member) bool) []string {
+	var out []string
+	for _, m := range s.members {
+		if wanted(m) {
+			out = append(out, m.Peer)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Knows is true if a router with an address for heartbeats is known.
+func (s *State) Knows(peer string) bool {
+	for _, m := range s.members {
+		if m.Peer == peer {
+			return true
+		}
+	}
+	return false
+}
+
+// Load sums the requests in progress of the other routers, and counts those that could not reach a server, by its ID.
+func (s *State) Load(now time.Time, self Record) (loads, down map[string]int) {
+	loads, down = map[string]int{}, map[string]int{}
+	if !s.large() || slices.Contains(s.hubsOf(now, self, self.Zone), self.ID) {
+		for _, m := range s.members {
+			if !s.live(now, m) || s.large() && m.Zone != self.Zone {
+				continue
+			}
+			add(loads, m.Loads)
+			for _, id := range m.Down {
+				down[id]++
+			}
+		}
+	} else if z, known := s.zones[self.Zone]; known && now.Sub(z.at) <= s.silence() {
+		add(loads, z.Loads)
+		add(down, z.Down)
+		for id, n := range s.reported {
+			loads[id] = max(0, loads[id]-n)
+		}
+	}
+	if s.large() {
+		for _, z := range s.zones {
+			if z.Zone != self.Zone && now.Sub(z.at) <= s.silence() {
+				add(loads, z.Loads)
+				add(down, z.Down)
+			}
+		}
+	}
+	return loads, down
+}
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -25,7 +25,7 @@
 	Peer, Control, Front string
 	// Ready routers take callers.
 	Ready bool
-	// Capacity is the share of processor cores that the router has.
+	// Capacity grows with the processor and the link of the machine; see Capacity.
 	Capacity float64
 	// Config is the version of its configuration and Servers the revision of its backend servers.
 	Config, Servers int64
@@ -45,6 +45,13 @@
 	return r.Sequence > o.Sequence
 }
 
+// Capacity returns what a machine can do for others, from its processor cores and its link in Mbit/s. The scarcer of the two
+// decides, at the ratio of common machines.
+func Capacity(cores, link float64) float64 {
+	const linkPerCore = 250
+	return min(cores, link/linkPerCore)
+}
+
 // Member is another router with the time of its latest heartbeat.
 type Member struct {
 	Record
@@ -60,6 +67,11 @@
 	return m.Heard.Add(-time.Duration(m.Contact) * time.Millisecond)
 }
 
+type zoneLoad struct {
+	ZoneLoad
+	at time.Time
+}
+
 // Settings are the times of a State.
 type Settings struct {
 	// Interval is the time between two heartbeats in a small fleet.
@@ -87,27 +99,16 @@
 	settings Settings
 	self     Record
 	members  map[string]Member
+	zones    map[string]zoneLoad
+	// reported is the load that this router sent last.
+	reported map[string]int
 	// most is the greatest number of routers seen at once.
 	most int
 }
 
 // New returns a state that knows no other router.
 func New(s Settings, self Record) *State {
-	return &State{settings: s, self: self, members: map[string]Member{}, most: 1}
-}
-
-// Receive takes a heartbeat and is true if it is new and the router was lost or unknown.
-func (s *State) Receive(now time.Time, r Record) bool {
-	if r.ID == "" || r.ID == s.self.ID {
-		return false
-	}
-	old, known := s.members[r.ID]
-	if known && !r.newer(old.Record) {
-		return false
-	}
-	s.members[r.ID] = Member{Record: r, Heard: now}
-	s.most = max(s.most, s.Live(now)+1)
-	return !known || now.Sub(old.Heard) > s.settings.Silence
+	return &State{settings: s, self: self, members: map[string]Member{}, zones: map[string]zoneLoad{}, most: 1}
 }
 
 // Tick forgets the routers that have been lost for long.
@@ -141,33 +142,12 @@
 	return n
 }
 
-// live is true if the router's heartbeats arrive. The interval grows with the fleet, and the silence with it.
-func (s *State) live(now time.Time, m Member) bool {
-	return now.Sub(m.Heard) <= max(s.settings.Silence, 4*s.Interval())
-}
+// live is true if the router's heartbeats arrive.
+func (s *State) live(now time.Time, m Member) bool { return now.Sub(m.Heard) <= s.silence() }
 
 // Fleet is the number of routers that may share a limit: all seen lately, lost or not, and this one.
 func (s *State) Fleet() int { return max(s.most, len(s.members)+1) }
 
-// Addresses returns the addresses to send heartbeats to.
-func (s *State) Addresses() []string {
-	out := make([]string, 0, len(s.members))
-	for _, m := range s.members {
-		out = append(out, m.Peer)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// meshSize is the number of routers up to which heartbeats keep the shortest interval. The messages of a fleet grow with the
-// square of its size.
-const meshSize = 12
-
-// Interval returns the time until the next heartbeat.
-func (s *State) Interval() time.Duration {
-	return s.settings.Interval * time.Duration(max(meshSize, len(s.members)+1)) / meshSize
-}
-
 // Contact returns when the store last answered any router, as far as this one knows, and that router's ID. Own is the time of
 // the last answer to this router.
 func (s *State) Contact(now, own time.Time) (at time.Time, id string) {
@@ -181,66 +161,60 @@
 }
 
 // Watches is true if this router has to watch the store itself: it is one of the first by rank that the store answers, or the
-// answers of the others are out of date. Own is the time of the last answer to this router.
-func (s *State) Watches(now, own time.Time) bool {
+// answers of the others are out of date. Own is the time of the last answer to this router, and started that of its start.
+func (s *State) Watches(now, own, started time.Time) bool {
 	newest, _ := s.Contact(now, own)
-	if now.Sub(newest) > s.settings.Contact {
-		return true
-	}
-	before := 0
-	rank := s.rank(s.self.ID)
+	limit := s.contactLimit()
+	rank, before, healthy := s.rank(s.self.ID), 0, 0
 	for _, m := range s.members {
-		if s.live(now, m) && now.Sub(m.ContactAt()) <= s.settings.Contact && s.rank(m.ID) < rank {
-			before++
+		if !s.live(now, m) || s.rank(m.ID) >= rank {
+			continue
+		}
+		before++
+		if now.Sub(m.ContactAt()) <= limit {
+			healthy++
+		}
+	}
+	if now.Sub(newest) > limit {
+		// Nobody is known to reach the store. The first by rank try at once and the others one after another, so that a store
+		// which comes back is not met by a whole fleet.
+		since := newest.Add(limit)
+		if newest.IsZero() {
+			since = started
 		}
+		return now.Sub(since) >= time.Duration(before/firstTries)*nextTries
 	}
-	return before < s.settings.Watchers
+	return healthy < s.settings.Watchers
 }
 
+// firstTries is the number of routers that try a silent store at once, and nextTries the time after which as many more do.
+const (
+	firstTries = 8
+	nextTries  = 300 * time.Millisecond
+)
+
 // rank orders the routers in a way that is the same on each and does not depend on the machines' names.
 func (s *State) rank(id string) uint64 { return xxhash.Sum64String(id) }
 
-// Newest returns the members with the highest version of the configuration and the highest revision of backend servers, if
-// they are higher than this router's.
+// Newest returns a member to ask for a newer version of the configuration than a router has, and one for a newer revision of
+// backend servers. Those of the own availability zone are asked first, so that a few routers do not serve the whole fleet.
 func (s *State) Newest(now time.Time, config, servers int64) (forConfig, forServers Member) {
+	better := func(m, best Member, version, least int64) bool {
+		if version <= least {
+			return false
+		}
+		return best.ID == "" || m.Zone == s.self.Zone && best.Zone != s.self.Zone
+	}
 	for _, m := range s.members {
 		if !s.live(now, m) {
 			continue
 		}
-		if m.Config > max(config, forConfig.Config) {
+		if better(m, forConfig, m.Config, config) {
 			forConfig = m
 		}
-		if m.Servers > max(servers, forServers.Servers) {
+		if better(m, forServers, m.Servers, servers) {
 			forServers = m
 		}
 	}
 	return forConfig, forServers
 }
-
-// Load sums the requests in progress of the other routers by ID of the backend server.
-func (s *State) Load(now time.Time) map[string]int {
-	sum := map[string]int{}
-	for _, m := range s.members {
-		if !s.live(now, m) {
-			continue
-		}
-		for id, n := range m.Loads {
-			sum[id] += n
-		}
-	}
-	return sum
-}
-
-// Down counts the other routers that could not reach a backend server lately, by its ID.
-func (s *State) Down(now time.Time) map[string]int {
-	count := map[string]int{}
-	for _, m := range s.members {
-		if !s.live(now, m) {
-			continue
-		}
-		for _, id := range m.Down {
-			count[id]++
-		}
-	}
-	return count
-}
--- a/coord/presence/presence_test.go
+++ b/coord/presence/presence_test.go
@@ -14,6 +14,11 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
+// receive takes the record of a router that has just been sent, and is true if the router was lost or unknown.
+func receive(s *presence.State, now time.Time, r presence.Record) bool {
+	return len(s.Receive(now, presence.Message{Records: []presence.Aged{{Record: r}}})) > 0
+}
+
 func record(id string, sequence uint64) presence.Record {
 	return presence.Record{ID: id, Boot: 1, Sequence: sequence, Zone: "z", Front: id + ":1", Peer: id + ":2", Ready: true, Contact: -1}
 }
@@ -22,12 +27,12 @@
 func TestLost(t *testing.T) {
 	c := qt.New(t)
 	s := presence.New(presence.DefaultSettings(), record("a", 0))
-	c.Assert(s.Receive(at(0), record("b", 1)), qt.IsTrue)
-	s.Receive(at(0), record("c", 1))
-	s.Receive(at(800), record("c", 2))
+	c.Assert(receive(s, at(0), record("b", 1)), qt.IsTrue)
+	receive(s, at(0), record("c", 1))
+	receive(s, at(800), record("c", 2))
 	c.Assert(s.Entry(at(850), "z", record("a", 0)), qt.DeepEquals, []string{"a:1", "b:1", "c:1"})
 	c.Assert(s.Entry(at(1000), "z", record("a", 0)), qt.DeepEquals, []string{"a:1", "c:1"})
-	c.Assert(s.Receive(at(3000), record("b", 2)), qt.IsTrue)
+	c.Assert(receive(s, at(3000), record("b", 2)), qt.IsTrue)
 	c.Assert(s.Fleet(), qt.Equals, 3)
 }
 
@@ -37,12 +42,12 @@
 	s := presence.New(presence.DefaultSettings(), record("a", 0))
 	leaving := record("b", 7)
 	leaving.Ready = false
-	s.Receive(at(0), leaving)
-	s.Receive(at(1), record("b", 6))
+	receive(s, at(0), leaving)
+	receive(s, at(1), record("b", 6))
 	c.Assert(s.Entry(at(2), "z", record("a", 0)), qt.DeepEquals, []string{"a:1"})
 	again := record("b", 1)
 	again.Boot = 2
-	s.Receive(at(3), again)
+	receive(s, at(3), again)
 	c.Assert(s.Entry(at(4), "z", record("a", 0)), qt.HasLen, 2)
 }
 
@@ -52,11 +57,11 @@
 	s := presence.New(presence.DefaultSettings(), record("a", 0))
 	other := record("b", 1)
 	other.Zone = "y"
-	s.Receive(at(0), other)
+	receive(s, at(0), other)
 	c.Assert(s.Entry(at(1), "y", record("a", 0)), qt.HasLen, 2)
 	second := record("c", 1)
 	second.Zone = "y"
-	s.Receive(at(0), second)
+	receive(s, at(0), second)
 	c.Assert(s.Entry(at(1), "y", record("a", 0)), qt.DeepEquals, []string{"b:1", "c:1"})
 	self := record("a", 0)
 	self.Ready = false
@@ -79,9 +84,9 @@
 				if r.Contact = 100; down[r.ID] {
 					r.Contact = 5000
 				}
-				s.Receive(at(0), r)
+				receive(s, at(0), r)
 			}
-			if s.Watches(at(10), at(0)) {
+			if s.Watches(at(10), at(0), at(0)) {
 				n++
 			}
 		}
@@ -92,7 +97,7 @@
 		c.Assert(watching(map[string]bool{fmt.Sprint("r", i): true}), qt.Equals, 2)
 	}
 	alone := presence.New(presence.DefaultSettings(), record("a", 0))
-	c.Assert(alone.Watches(at(0), time.Time{}), qt.IsTrue)
+	c.Assert(alone.Watches(at(0), time.Time{}, at(0)), qt.IsTrue)
 }
 
 // Guards against a router that waits for watchers that have lost the store.
@@ -102,7 +107,7 @@
 	for i := range 8 {
 		r := record(fmt.Sprint("r", i), 1)
 		r.Contact = 2000
-		s.Receive(at(0), r)
+		receive(s, at(0), r)
 	}
-	c.Assert(s.Watches(at(1), at(-3000)), qt.IsTrue)
+	c.Assert(s.Watches(at(1), at(-3000), at(-9000)), qt.IsTrue)
 }
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -23,7 +23,7 @@
 	roster    *roster.Roster
 	gateway   *gateway.Server
 	upstreams *gateway.Upstreams
-	send      func(presence.Record, []string)
+	send      func(presence.Sending)
 	seeds     []string
 	log       *zap.Logger
 
@@ -90,13 +90,14 @@
 	c.setDuty(now)
 	if now.Sub(c.beaten) >= c.presence.Interval() {
 		c.beat(now)
-		c.upstreams.SetOthers(now, c.presence.Load(now), c.presence.Down(now), c.presence.Fleet(), c.presence.Interval())
+		loads, down := c.presence.Load(now, c.self)
+		c.upstreams.SetOthers(now, loads, down, c.presence.Fleet(), c.presence.Interval())
 	}
 	c.fetch(ctx, now)
 }
 
 func (c *control) setDuty(now time.Time) {
-	duty := now.Sub(c.started) >= joinWait && c.presence.Watches(now, c.own)
+	duty := now.Sub(c.started) >= joinWait && c.presence.Watches(now, c.own, c.started)
 	if c.duty.Set(duty) {
 		c.log.Info("watching the store", zap.Bool("on_duty", duty), zap.Int("routers", c.presence.Live(now)+1),
 			zap.Duration("own_contact", age(now, c.own)))
@@ -127,30 +128,32 @@
 	return r
 }
 
-// beat sends a heartbeat to all known routers and the seeds.
+// beat sends a heartbeat, also to the seeds that are not known yet.
 func (c *control) beat(now time.Time) {
 	c.beaten = now
 	c.self.Sequence++
-	addresses := c.presence.Addresses()
-	known := make(map[string]bool, len(addresses))
-	for _, a := range addresses {
-		known[a] = true
+	own := c.record(now)
+	for _, s := range c.presence.Heartbeat(now, own) {
+		c.send(s)
 	}
+	var unknown []string
 	for _, seed := range c.seeds {
-		if !known[seed] && seed != c.self.Peer {
-			addresses = append(addresses, seed)
+		if seed != c.self.Peer && !c.presence.Knows(seed) {
+			unknown = append(unknown, seed)
 		}
 	}
-	c.send(c.record(now), addresses)
+	c.send(presence.Sending{To: unknown, Message: presence.Message{Records: []presence.Aged{{Record: own}}}})
 }
 
-// heard takes the heartbeat of another router.
-func (c *control) heard(ctx context.Context, r presence.Record) {
+// heard takes a message of another router. Routers that join are told of the others.
+func (c *control) heard(ctx context.Context, m presence.Message) {
 	now := time.Now()
-	if c.presence.Receive(now, r) {
-		c.log.Info("router joined", zap.String("router", r.ID), zap.Int64("boot", r.Boot), zap.Int("routers", c.presence.Live(now)+1))
-		// The others learn of this router by its own heartbeat, and a new one of all of them at once.
-		c.beat(now)
+	direct := len(m.Records) == 1
+	for _, id := range c.presence.Receive(now, m) {
+		c.log.Info("router joined", zap.String("peer", id), zap.Int("routers", c.presence.Live(now)+1), zap.Bool("direct", direct))
+		if direct {
+			c.send(c.presence.Introduce(now, c.record(now), id))
+		}
 	}
 	c.fetch(ctx, now)
 }
@@ -241,7 +244,7 @@
 		c.do(func() {
 			c.fetching[kind] = false
 			if err != nil {
-				c.log.Info("router did not tell", zap.String("router", from.ID), zap.String("kind", kind), zap.Error(err))
+				c.log.Info("router did not tell", zap.String("peer", from.ID), zap.String("kind", kind), zap.Error(err))
 				return
 			}
 			take(value, from.ID)
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -102,7 +102,7 @@
 	e.gateway.Init()
 	peerPort := strconv.Itoa(s.FirstPort)
 	self := presence.Record{
-		ID: s.Name, Zone: s.Zone, Region: s.Region, Boot: time.Now().UnixMilli(), Capacity: s.Cores,
+		ID: s.Name, Zone: s.Zone, Region: s.Region, Boot: time.Now().UnixMilli(), Capacity: presence.Capacity(s.Cores, s.Link),
 		Peer: net.JoinHostPort(s.IP, peerPort), Control: s.Control, Front: s.Front,
 	}
 	e.control = &control{
@@ -130,7 +130,7 @@
 // start runs the parts in the background.
 func (e *Edge) start(ctx context.Context) {
 	c := e.control
-	e.mesh.Received = func(r presence.Record) { c.offer(func() { c.heard(ctx, r) }) }
+	e.mesh.Received = func(m presence.Message) { c.offer(func() { c.heard(ctx, m) }) }
 	watcher := &source.Watcher{
 		Store: e.store, Duty: &c.duty, Log: e.Log.Named("source"),
 		Contact: func() { c.do(c.storeAnswered) },
--- /dev/null
+++ b/hornbeamd/mesh/codec.go
@@ -0,0 +1,108 @@
+package mesh
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hornbeamstep.example/coord/presence"
+)
+
+// message is a presence.Message on the wire.
+type message struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Records []record
+	Zones   []zone
+}
+
+type record struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Age                  int64
+	ID, Zone, Region     string
+	Boot                 int64
+	Sequence             uint64
+	Peer, Control, Front string
+	Ready                bool
+	Capacity             float32
+	Config, Servers      int64
+	Contact              int64
+	Loads                map[string]int
+	Down                 []string
+}
+
+type zone struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Zone        string
+	Loads, Down map[string]int
+	Age         int64
+}
+
+func encode(m presence.Message) ([]byte, error) {
+	var out message
+	for _, r := range m.Records {
+		out.Records = append(out.Records, record{
+			Age: r.Age, ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control,
+			Front: r.Front, Ready: r.Ready, Capacity: float32(r.Capacity), Config: r.Config, Servers: r.Servers, Contact: r.Contact,
+			Loads: r.Loads, Down: r.Down,
+		})
+	}
+	for _, z := range m.Zones {
+		out.Zones = append(out.Zones, zone{Zone: z.Zone, Loads: z.Loads, Down: z.Down, Age: z.Age})
+	}
+	text, err := msgpack.Marshal(&out)
+	return text, eris.Wrap(err, "encode a message")
+}
+
+func decode(text []byte) (presence.Message, error) {
+	var in message
+	if err := msgpack.Unmarshal(text, &in); err != nil {
+		return presence.Message{}, eris.Wrap(err, "decode a message")
+	}
+	var m presence.Message
+	for _, r := range in.Records {
+		m.Records = append(m.Records, presence.Aged{Age: max(0, r.Age), Record: presence.Record{
+			ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control,
+			Front: r.Front, Ready: r.Ready, Capacity: float64(r.Capacity), Config: r.Config, Servers: r.Servers, Contact: r.Contact,
+			Loads: r.Loads, Down: r.Down,
+		}})
+	}
+	for _, z := range in.Zones {
+		m.Zones = append(m.Zones, presence.ZoneLoad{Zone: z.Zone, Loads: z.Loads, Down: z.Down, Age: max(0, z.Age)})
+	}
+	return m, nil
+}
+
+// packed is a compressed answer: configurations hold thousands of similar routes, and some links are slow.
+type packed struct {
+	Gzip []byte `json:"gzip"`
+}
+
+// unpackedLimit bounds an answer in bytes after decompression.
+const unpackedLimit = 64 << 20
+
+func pack(value any) (packed, error) {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		return packed{}, eris.Wrap(err, "encode an answer")
+	}
+	if err := w.Close(); err != nil {
+		return packed{}, eris.Wrap(err, "compress an answer")
+	}
+	return packed{Gzip: out.Bytes()}, nil
+}
+
+func (p packed) unpack(into any) error {
+	r, err := gzip.NewReader(bytes.NewReader(p.Gzip))
+	if err != nil {
+		return eris.Wrap(err, "decompress an answer")
+	}
+	return eris.Wrap(json.NewDecoder(io.LimitReader(r, unpackedLimit)).Decode(into), "decode an answer")
+}
--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -11,7 +10,6 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
-	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"hornbeamstep.example/coord/presence"
@@ -25,11 +23,12 @@
 	methodServers = "servers"
 )
 
-// datagramLimit bounds a heartbeat in bytes.
+// datagramLimit bounds a message in bytes.
 const datagramLimit = 60 << 10
 
-// callTimeout is the longest time for a call to another router, with its connection.
-const callTimeout = 700 * time.Millisecond
+// callTimeout is the longest time for a call to another router, with its connection. A large configuration takes most of it on a
+// slow link.
+const callTimeout = time.Second
 
 // Knowledge is what this router tells others on request.
 type Knowledge interface {
@@ -44,8 +43,8 @@
 	// Listen is the address for datagrams and Control that for calls, as ip:port.
 	Listen, Control string
 	Knowledge       Knowledge
-	// Received is called for each heartbeat. It must not block.
-	Received func(presence.Record)
+	// Received is called for each message. It must not block.
+	Received func(presence.Message)
 	Log      *zap.Logger
 
 	udp *net.UDPConn
@@ -54,22 +53,6 @@
 	Dropped atomic.Int64
 }
 
-// heartbeat is the content of a datagram.
-type heartbeat struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
-	ID, Zone, Region     string
-	Boot                 int64
-	Sequence             uint64
-	Peer, Control, Front string
-	Ready                bool
-	Capacity             float64
-	Config, Servers      int64
-	Contact              int64
-	Loads                map[string]int
-	Down                 []string
-}
-
 // Start opens the sockets.
 func (n *Node) Start() error {
 	address, err := net.ResolveUDPAddr("udp", n.Listen)
@@ -103,33 +86,23 @@
 			n.Dropped.Add(1)
 			continue
 		}
-		var h heartbeat
-		if err := msgpack.Unmarshal(buffer[:size], &h); err != nil || h.ID == "" {
+		m, err := decode(buffer[:size])
+		if err != nil {
 			n.Dropped.Add(1)
 			continue
 		}
-		n.Received(h.record())
+		n.Received(m)
 	}
 }
 
-func (h heartbeat) record() presence.Record {
-	return presence.Record{
-		ID: h.ID, Zone: h.Zone, Region: h.Region, Boot: h.Boot, Sequence: h.Sequence, Peer: h.Peer, Control: h.Control, Front: h.Front,
-		Ready: h.Ready, Capacity: h.Capacity, Config: h.Config, Servers: h.Servers, Contact: h.Contact, Loads: h.Loads, Down: h.Down,
-	}
-}
-
-// Send sends a heartbeat to the addresses. Lost datagrams are made good by the next ones.
-func (n *Node) Send(r presence.Record, addresses []string) {
-	text, err := msgpack.Marshal(&heartbeat{
-		ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control, Front: r.Front,
-		Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact, Loads: r.Loads, Down: r.Down,
-	})
+// Send sends a message to its addresses. Lost datagrams are made good by the next ones.
+func (n *Node) Send(s presence.Sending) {
+	text, err := encode(s.Message)
 	if err != nil || len(text) > datagramLimit {
-		n.Log.Error("heartbeat cannot be encoded", zap.Error(err), zap.Int("bytes", len(text)))
+		n.Log.Error("message to other routers cannot be encoded", zap.Error(err), zap.Int("bytes", len(text)))
 		return
 	}
-	for _, address := range addresses {
+	for _, address := range s.To {
 		to, err := netip.ParseAddrPort(address)
 		if err != nil {
 			n.Dropped.Add(1)
@@ -164,9 +137,9 @@
 		if !ok {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "this router has no configuration yet"}
 		}
-		return c, nil
+		return pack(c)
 	case methodServers:
-		return n.Knowledge.Registration(), nil
+		return pack(n.Knowledge.Registration())
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 }
@@ -198,9 +171,9 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only asks"}
 		}))
 	defer peer.Close()
-	var answer json.RawMessage
+	var answer packed
 	if err := peer.Call(ctx, method, nil, &answer); err != nil {
 		return eris.Wrapf(err, "call %s of the router at %s", method, address)
 	}
-	return eris.Wrapf(json.Unmarshal(answer, into), "decode the answer to %s of the router at %s", method, address)
+	return eris.Wrapf(answer.unpack(into), "decode the answer to %s of the router at %s", method, address)
 }
