--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -9,8 +9,24 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Kind says what a message is for.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	// Heartbeat messages tell of their sender.
+	Heartbeat Kind = iota
+	// Introduction messages tell a router that has joined of the others.
+	Introduction
+	// Digest messages come from the hub of an availability zone.
+	Digest
+)
+
 // Message is what one router sends to another.
 type Message struct {
+	Kind Kind
+	// From is the ID of the sender.
+	From string
 	// Records holds the sender's own record, and in larger fleets those that it relays.
 	Records []Aged
 	// Zones holds the load of whole availability zones, in fleets where loads are summed before they are sent on.
@@ -70,9 +86,9 @@
 
 func (s *State) large() bool { return len(s.members)+1 > meshSize }
 
-// Receive takes a message and returns the IDs of the routers that were lost or unknown before.
-func (s *State) Receive(now time.Time, m Message) []string {
-	var joined []string
+// Receive takes a message. It returns the IDs of the routers that were lost or unknown before, and those of the routers that
+// should be introduced to the others.
+func (s *State) Receive(now time.Time, m Message) (joined, introduce []string) {
 	for _, r := range m.Records {
 		if s.take(now.Add(-time.Duration(r.Age)*time.Millisecond), now, r.Record) {
 			joined = append(joined, r.ID)
@@ -84,7 +100,19 @@
 			s.zones[z.Zone] = zoneLoad{ZoneLoad: z, at: at}
 		}
 	}
-	return joined
+	switch {
+	case m.Kind == Heartbeat && slices.Contains(joined, m.From):
+		introduce = []string{m.From}
+	case m.Kind == Digest && s.large() && s.strayed(now, m.From):
+		introduce = []string{m.From}
+	}
+	return joined, introduce
+}
+
+// strayed is true if the hub of another availability zone takes this router for the hub of its own.
+func (s *State) strayed(now time.Time, from string) bool {
+	m, known := s.members[from]
+	return known && m.Zone != s.self.Zone && !slices.Contains(s.hubsOf(now, s.self, s.self.Zone), s.self.ID)
 }
 
 // take merges one record, which was sent at a time, and is true if its router was lost or unknown.
@@ -110,7 +138,9 @@
 	if !known {
 		return Sending{}
 	}
-	return Sending{To: []string{m.Peer}, Message: Message{Records: s.relayed(now, self, func(o Record) bool { return o.ID != to })}}
+	return Sending{To: []string{m.Peer}, Message: Message{
+		Kind: Introduction, From: self.ID, Records: s.relayed(now, self, func(o Record) bool { return o.ID != to }),
+	}}
 }
 
 // relayed returns the own record and those of other live routers without their loads.
@@ -130,7 +160,7 @@
 // Heartbeat returns what this router has to send now.
 func (s *State) Heartbeat(now time.Time, self Record) []Sending {
 	s.reported = self.Loads
-	own := Message{Records: []Aged{{Record: self}}}
+	own := Message{Kind: Heartbeat, From: self.ID, Records: []Aged{{Record: self}}}
 	if !s.large() {
 		return []Sending{{To: s.addresses(func(Member) bool { return true }), Message: own}}
 	}
@@ -151,16 +181,20 @@
 	sendings := []Sending{{
 		To: s.addresses(func(m Member) bool { return m.Zone == self.Zone }),
 		Message: Message{
-			Records: s.relayed(now, self, func(Record) bool { return true }), Zones: loads,
+			Kind: Digest, From: self.ID, Records: s.relayed(now, self, func(Record) bool { return true }), Zones: loads,
 		},
 	}}
 	var others []string
 	for _, zone := range s.otherZones(self.Zone) {
-		others = append(others, s.addressesOf(s.hubsOf(now, self, zone))...)
+		if hubs := s.hubsOf(now, self, zone); len(hubs) > 0 {
+			others = append(others, s.addressesOf(hubs)...)
+			continue
+		}
+		others = append(others, s.anyOf(zone, self.Sequence))
 	}
 	inZone := s.relayed(now, self, func(r Record) bool { return r.Zone == self.Zone })
 	own := slices.DeleteFunc(slices.Clone(loads), func(z ZoneLoad) bool { return z.Zone != self.Zone })
-	return append(sendings, Sending{To: others, Message: Message{Records: inZone, Zones: own}})
+	return append(sendings, Sending{To: others, Message: Message{Kind: Digest, From: self.ID, Records: inZone, Zones: own}})
 }
 
 // zoneLoads returns the load of the own availability zone as its routers report it, and those of the others as their hubs do.
@@ -217,6 +251,12 @@
 	return ids
 }
 
+// anyOf returns the address of one of the routers of an availability zone of which none is heard, another one each time.
+func (s *State) anyOf(zone string, turn uint64) string {
+	all := s.addresses(func(m Member) bool { return m.Zone == zone })
+	return all[turn%uint64(len(all))]
+}
+
 func (s *State) otherZones(own string) []string {
 	zones := map[string]bool{}
 	for _, m := range s.members {
@@ -243,11 +283,11 @@
 	return out
 }
 
-// Knows is true if a router with an address for heartbeats is known.
-func (s *State) Knows(peer string) bool {
+// Hears is true if a router with an address for heartbeats is not lost.
+func (s *State) Hears(now time.Time, peer string) bool {
 	for _, m := range s.members {
 		if m.Peer == peer {
-			return true
+			return s.live(now, m)
 		}
 	}
 	return false
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -47,8 +48,13 @@
 // tick is the time between two looks at what depends on time.
 const tick = 50 * time.Millisecond
 
-// joinWait is the time after the start in which this router listens for others before it asks the store.
-const joinWait = 50 * time.Millisecond
+// seedWait is the time after the start in which a router that is a seed, or that a seed has answered, listens for others before it
+// asks the store; joinWait is that of a router that has heard of no other. A fleet that starts at once would otherwise ask the
+// store once for each router.
+const (
+	seedWait = 50 * time.Millisecond
+	joinWait = 150 * time.Millisecond
+)
 
 // do runs a function on the control goroutine.
 func (c *control) do(f func()) { c.events <- f }
@@ -97,7 +103,11 @@
 }
 
 func (c *control) setDuty(now time.Time) {
-	duty := now.Sub(c.started) >= joinWait && c.presence.Watches(now, c.own, c.started)
+	wait := joinWait
+	if c.presence.Live(now) > 0 || slices.Contains(c.seeds, c.self.Peer) {
+		wait = seedWait
+	}
+	duty := now.Sub(c.started) >= wait && c.presence.Watches(now, c.own, c.started)
 	if c.duty.Set(duty) {
 		c.log.Info("watching the store", zap.Bool("on_duty", duty), zap.Int("routers", c.presence.Live(now)+1),
 			zap.Duration("own_contact", age(now, c.own)))
@@ -128,7 +138,7 @@
 	return r
 }
 
-// beat sends a heartbeat, also to the seeds that are not known yet.
+// beat sends a heartbeat, also to the seeds that are not heard.
 func (c *control) beat(now time.Time) {
 	c.beaten = now
 	c.self.Sequence++
@@ -136,24 +146,24 @@
 	for _, s := range c.presence.Heartbeat(now, own) {
 		c.send(s)
 	}
-	var unknown []string
+	var silent []string
 	for _, seed := range c.seeds {
-		if seed != c.self.Peer && !c.presence.Knows(seed) {
-			unknown = append(unknown, seed)
+		if seed != c.self.Peer && !c.presence.Hears(now, seed) {
+			silent = append(silent, seed)
 		}
 	}
-	c.send(presence.Sending{To: unknown, Message: presence.Message{Records: []presence.Aged{{Record: own}}}})
+	c.send(presence.Sending{To: silent, Message: presence.Message{From: own.ID, Records: []presence.Aged{{Record: own}}}})
 }
 
 // heard takes a message of another router. Routers that join are told of the others.
 func (c *control) heard(ctx context.Context, m presence.Message) {
 	now := time.Now()
-	direct := len(m.Records) == 1
-	for _, id := range c.presence.Receive(now, m) {
-		c.log.Info("router joined", zap.String("peer", id), zap.Int("routers", c.presence.Live(now)+1), zap.Bool("direct", direct))
-		if direct {
-			c.send(c.presence.Introduce(now, c.record(now), id))
-		}
+	joined, introduce := c.presence.Receive(now, m)
+	for _, id := range joined {
+		c.log.Info("router joined", zap.String("peer", id), zap.Int("routers", c.presence.Live(now)+1), zap.String("from", m.From))
+	}
+	for _, id := range introduce {
+		c.send(c.presence.Introduce(now, c.record(now), id))
 	}
 	c.fetch(ctx, now)
 }
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"slices"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -16,6 +17,8 @@
 type message struct {
 	_msgpack struct{} `msgpack:",as_array"`
 
+	Kind    presence.Kind
+	From    string
 	Records []record
 	Zones   []zone
 }
@@ -29,7 +32,7 @@
 	Sequence             uint64
 	Peer, Control, Front string
 	Ready                bool
-	Capacity             float32
+	Capacity             float64
 	Config, Servers      int64
 	Contact              int64
 	Loads                map[string]int
@@ -44,12 +47,28 @@
 	Age         int64
 }
 
+// recordsEach is the number of relayed records in one datagram. Each takes about 180 bytes, and larger datagrams are cut into
+// packets whose loss loses all.
+const recordsEach = 7
+
+// split returns a message in parts that fit into a packet each.
+func split(m presence.Message) []presence.Message {
+	var parts []presence.Message
+	for records := range slices.Chunk(m.Records, recordsEach) {
+		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, Records: records})
+	}
+	for zones := range slices.Chunk(m.Zones, 1) {
+		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, Zones: zones})
+	}
+	return parts
+}
+
 func encode(m presence.Message) ([]byte, error) {
-	var out message
+	out := message{Kind: m.Kind, From: m.From}
 	for _, r := range m.Records {
 		out.Records = append(out.Records, record{
 			Age: r.Age, ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control,
-			Front: r.Front, Ready: r.Ready, Capacity: float32(r.Capacity), Config: r.Config, Servers: r.Servers, Contact: r.Contact,
+			Front: r.Front, Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact,
 			Loads: r.Loads, Down: r.Down,
 		})
 	}
@@ -65,11 +84,11 @@
 	if err := msgpack.Unmarshal(text, &in); err != nil {
 		return presence.Message{}, eris.Wrap(err, "decode a message")
 	}
-	var m presence.Message
+	m := presence.Message{Kind: in.Kind, From: in.From}
 	for _, r := range in.Records {
 		m.Records = append(m.Records, presence.Aged{Age: max(0, r.Age), Record: presence.Record{
 			ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control,
-			Front: r.Front, Ready: r.Ready, Capacity: float64(r.Capacity), Config: r.Config, Servers: r.Servers, Contact: r.Contact,
+			Front: r.Front, Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact,
 			Loads: r.Loads, Down: r.Down,
 		}})
 	}
--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -95,25 +95,34 @@
 	}
 }
 
-// Send sends a message to its addresses. Lost datagrams are made good by the next ones.
+// Send sends a message to its addresses, in as many datagrams as it needs. Lost ones are made good by the next message.
 func (n *Node) Send(s presence.Sending) {
-	text, err := encode(s.Message)
-	if err != nil || len(text) > datagramLimit {
-		n.Log.Error("message to other routers cannot be encoded", zap.Error(err), zap.Int("bytes", len(text)))
+	if len(s.To) == 0 {
 		return
 	}
-	for _, address := range s.To {
-		to, err := netip.ParseAddrPort(address)
-		if err != nil {
-			n.Dropped.Add(1)
-			continue
+	for _, part := range split(s.Message) {
+		text, err := encode(part)
+		if err != nil || len(text) > datagramLimit {
+			n.Log.Error("message to other routers cannot be encoded", zap.Error(err), zap.Int("bytes", len(text)))
+			return
 		}
-		if _, err := n.udp.WriteToUDPAddrPort(text, to); err != nil {
-			n.Dropped.Add(1)
+		for _, address := range s.To {
+			n.sendTo(text, address)
 		}
 	}
 }
 
+func (n *Node) sendTo(text []byte, address string) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		n.Dropped.Add(1)
+		return
+	}
+	if _, err := n.udp.WriteToUDPAddrPort(text, to); err != nil {
+		n.Dropped.Add(1)
+	}
+}
+
 func (n *Node) accept(ctx context.Context) {
 	for {
 		conn, err := n.tcp.Accept()
