--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -35,6 +35,15 @@
 	Loads map[string]int
 	// Down holds the IDs of the backend servers that it could not reach lately.
 	Down []string
+	// Crashes holds requests that were on backend servers which crashed a moment ago.
+	Crashes []Crash
+}
+
+// Crash is a request that was on crashed backend servers.
+type Crash struct {
+	Fingerprint string
+	// Servers holds the ID and the start of each server, separated by a slash.
+	Servers []string
 }
 
 // newer orders the records of one router.
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -135,6 +135,7 @@
 	r.Servers = c.roster.Revision()
 	r.Ready = r.Config > 0 && !c.draining.Load()
 	r.Loads, r.Down = c.upstreams.Own(now)
+	r.Crashes = crashRecords(c.gateway.Crashes.Fresh(now))
 	return r
 }
 
@@ -159,6 +160,9 @@
 func (c *control) heard(ctx context.Context, m presence.Message) {
 	now := time.Now()
 	joined, introduce := c.presence.Receive(now, m)
+	for _, r := range m.Records {
+		c.gateway.Crashes.Merge(now, crashEntries(now, r.Crashes))
+	}
 	for _, id := range joined {
 		c.log.Info("router joined", zap.String("peer", id), zap.Int("routers", c.presence.Live(now)+1), zap.String("from", m.From))
 	}
@@ -219,7 +223,7 @@
 }
 
 func (c *control) publishServers() {
-	c.upstreams.SetServers(c.roster.Servers())
+	c.upstreams.SetServers(c.roster.Servers(), c.roster.Revision())
 	r := c.roster.Registration()
 	c.registration.Store(&r)
 }
--- /dev/null
+++ b/hornbeamd/edge/crashes.go
@@ -0,0 +1,36 @@
+package edge
+
+import (
+	"strings"
+	"time"
+
+	"hornbeamstep.example/coord/presence"
+	"hornbeamstep.example/routing/quarantine"
+)
+
+// crashRecords returns what the other routers are told of requests on crashed servers.
+func crashRecords(entries []quarantine.Entry) []presence.Crash {
+	var out []presence.Crash
+	for _, e := range entries {
+		c := presence.Crash{Fingerprint: e.Fingerprint}
+		for _, crash := range e.Crashes {
+			c.Servers = append(c.Servers, crash.Engine+"/"+crash.Boot)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// crashEntries returns what another router told a moment ago.
+func crashEntries(now time.Time, crashes []presence.Crash) []quarantine.Entry {
+	var out []quarantine.Entry
+	for _, c := range crashes {
+		e := quarantine.Entry{Fingerprint: c.Fingerprint, At: now}
+		for _, server := range c.Servers {
+			id, boot, _ := strings.Cut(server, "/")
+			e.Crashes = append(e.Crashes, quarantine.Crash{Engine: id, Boot: boot})
+		}
+		out = append(out, e)
+	}
+	return out
+}
--- a/hornbeamd/edge/edge_test.go
+++ b/hornbeamd/edge/edge_test.go
@@ -379,3 +379,29 @@
 	w.store.Silence(false)
 	w.await(func() bool { return w.do(0, "/once/x").Status == 200 })
 }
+
+// Guards against a request that takes down one backend server after another, when its caller sends it again to other routers.
+func TestCrashingRequest(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 3)
+	crash := func(i int) {
+		s := standin.NewServer(fmt.Sprint("plain-crash-", i), "plain")
+		c.Cleanup(s.CloseClientConnections)
+		s.SetFault(standin.Crash)
+		w.servers[s.ID] = s
+		w.store.Put("servers", s.ID, s.Entry("ready"))
+	}
+	for _, id := range []string{"plain-0", "plain-1"} {
+		w.store.Delete("servers", id)
+	}
+	for i := range 6 {
+		crash(i)
+	}
+	time.Sleep(time.Second)
+	for i := range 8 {
+		w.do(i%3, "/once/poison")
+		time.Sleep(600 * time.Millisecond)
+	}
+	c.Assert(w.runs("plain-crash"), qt.HasLen, 3)
+	c.Assert(w.do(0, "/once/poison").Status, qt.Equals, 503)
+}
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -14,6 +14,7 @@
 	"hornbeamstep.example/hornbeamd/backend"
 	"hornbeamstep.example/routing/balance"
 	"hornbeamstep.example/routing/envelope"
+	"hornbeamstep.example/routing/quarantine"
 	"hornbeamstep.example/routing/routes"
 )
 
@@ -35,12 +36,16 @@
 	body     []byte
 	hasBody  bool
 
+	// print identifies the request when it is sent again.
+	print string
 	// tried holds the servers that were asked, and sent counts those that may have received a byte.
 	tried []string
 	sent  int
 	// ran is true if a server may have run the request.
 	ran    bool
-	choice balance.Choice
+	choice decision
+	// cause is that of the latest failed exchange; nil if there was none.
+	cause error
 	// answered is true if a part of an answer went to the caller, and last is the number of the last event that did.
 	answered bool
 	last     string
@@ -76,6 +81,11 @@
 		ctx, cancel = context.WithDeadline(ctx, c.deadline)
 		defer cancel()
 	}
+	c.print = c.fingerprint()
+	if c.s.Crashes.refused(c.received, c.print) {
+		c.answer(&refusal{http.StatusServiceUnavailable, "crashes_servers", quarantined})
+		return
+	}
 	c.s.Upstreams.first(c.received, c.service.Name)
 	for try := 0; ; try++ {
 		now := time.Now()
@@ -164,11 +174,18 @@
 	ending, r := c.exchange(ctx, p)
 	now := time.Now()
 	c.s.Upstreams.finish(now, c.choice.Server.ID, ending, now.Sub(began))
+	switch ending {
+	case balance.Answered, balance.Failed:
+		c.s.Crashes.answered(c.print, c.choice.Server.ID)
+	case balance.Broken:
+		crash := quarantine.Crash{Engine: c.choice.Server.ID, Boot: strconv.FormatInt(c.choice.Server.Born, 10)}
+		c.s.Crashes.broken(c.print, c.choice.Server.Address, crash)
+	}
 	if r != finished {
 		c.s.Metrics.attempt(ending.String())
 		c.s.Log.Info("attempt failed", zap.String("id", c.stated.Attempt), zap.Int("try", try), zap.String("server", c.choice.Server.ID),
 			zap.Stringer("ending", ending), zap.String("reason", string(c.choice.Reason)), zap.Bool("may_have_run", r == mayHaveRun),
-			zap.Duration("took", now.Sub(began)))
+			zap.Duration("took", now.Sub(began)), zap.Error(c.cause))
 	}
 	return r
 }
@@ -215,6 +232,7 @@
 
 // failed judges an exchange that brought no answer.
 func (c *call) failed(ctx context.Context, err *backend.Error) (balance.Ending, result) {
+	c.cause = err
 	if err.Sent {
 		c.sent++
 		c.ran = true
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -34,6 +34,7 @@
 	Codec     Codec
 	Pool      *backend.Pool
 	Upstreams *Upstreams
+	Crashes   *Crashes
 	// Zone is the availability zone of the router.
 	Zone    string
 	Log     *zap.Logger
--- a/hornbeamd/gateway/report.go
+++ b/hornbeamd/gateway/report.go
@@ -61,6 +61,6 @@
 	c.s.Log.Info(message, zap.String("id", c.stated.Attempt), zap.String("outcome", outcome), zap.Int("status", status),
 		zap.String("route", name), zap.Int64("config", version), zap.String("account", c.account), zap.String("service", c.service.Name),
 		zap.String("server", c.choice.Server.ID), zap.String("reason", string(c.choice.Reason)), zap.Int("load", c.choice.Load),
-		zap.Float64("mean", c.choice.Mean), zap.Int("candidates", c.choice.Candidates), zap.Int("sent", c.sent),
+		zap.Float64("mean", c.choice.Mean), zap.Int("candidates", c.choice.Candidates), zap.Int64("servers", c.choice.revision), zap.Duration("reports_age", c.choice.age), zap.Int("sent", c.sent),
 		zap.Bool("may_have_run", c.ran), zap.String("last_event", c.last), zap.Duration("took", took))
 }
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -22,9 +22,12 @@
 	Balancer *balance.Balancer
 	Limits   RetryLimits
 
-	mu      sync.Mutex
-	fleet   int
-	budgets map[string]*retry.Window
+	mu    sync.Mutex
+	fleet int
+	// revision is that of the backend servers, and reported is when the other routers' reports were taken.
+	revision int64
+	reported time.Time
+	budgets  map[string]*retry.Window
 	// streams holds the servers with streams in progress.
 	streams map[string]*streams
 }
@@ -38,10 +41,11 @@
 // leastConnections is the smallest share of a server's connections.
 const leastConnections = 4
 
-// SetServers takes the known backend servers.
-func (u *Upstreams) SetServers(servers []roster.Server) {
+// SetServers takes the known backend servers with the revision that they are from.
+func (u *Upstreams) SetServers(servers []roster.Server, revision int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.revision = revision
 	u.Balancer.SetServers(time.Now(), servers)
 }
 
@@ -50,7 +54,7 @@
 func (u *Upstreams) SetOthers(now time.Time, load, down map[string]int, fleet int, interval time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.fleet = fleet
+	u.fleet, u.reported = fleet, now
 	// A report is sent and taken once in each interval.
 	u.Balancer.SetOthers(load, fleet, 3*interval/2)
 	u.Balancer.Report(now.Add(interval), down)
@@ -103,15 +107,26 @@
 	return b
 }
 
+// decision is the choice of a server with the version and the age of what decided it.
+type decision struct {
+	balance.Choice
+	// revision is that of the backend servers, and age that of the other routers' reports.
+	revision int64
+	age      time.Duration
+}
+
 // take chooses a server and counts the request there.
-func (u *Upstreams) take(now time.Time, a balance.Ask) balance.Choice {
+func (u *Upstreams) take(now time.Time, a balance.Ask) decision {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	c := u.Balancer.Choose(now, a)
-	if c.Server.ID != "" {
-		u.Balancer.Start(now, c.Server.ID)
+	d := decision{Choice: u.Balancer.Choose(now, a), revision: u.revision}
+	if !u.reported.IsZero() {
+		d.age = now.Sub(u.reported)
+	}
+	if d.Server.ID != "" {
+		u.Balancer.Start(now, d.Server.ID)
 	}
-	return c
+	return d
 }
 
 // finish counts the end of a request.
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -37,6 +37,7 @@
 	Contact              int64
 	Loads                map[string]int
 	Down                 []string
+	Crashes              []presence.Crash
 }
 
 type zone struct {
@@ -69,7 +70,7 @@
 		out.Records = append(out.Records, record{
 			Age: r.Age, ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control,
 			Front: r.Front, Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact,
-			Loads: r.Loads, Down: r.Down,
+			Loads: r.Loads, Down: r.Down, Crashes: r.Crashes,
 		})
 	}
 	for _, z := range m.Zones {
@@ -89,7 +90,7 @@
 		m.Records = append(m.Records, presence.Aged{Age: max(0, r.Age), Record: presence.Record{
 			ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control,
 			Front: r.Front, Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact,
-			Loads: r.Loads, Down: r.Down,
+			Loads: r.Loads, Down: r.Down, Crashes: r.Crashes,
 		}})
 	}
 	for _, z := range in.Zones {
