--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -102,8 +102,9 @@
 	seed uint64
 	// since is when the server joined; zero if it was there before this router.
 	since time.Time
-	// own and others are the requests in progress of this router and of all others.
+	// own and others are the requests in progress of this router and of all others, and usual is a moving average of their sum.
 	own, others int
+	usual       float64
 	// sent is the rate of own requests.
 	sent rate
 	// failing is the moving average of failures, from 0 to 1.
@@ -192,12 +193,16 @@
 	b.servers, b.pools = next, pools
 }
 
+// usualWeight is the weight of the latest report in the moving average of a server's load: reports of some seconds count.
+const usualWeight = 0.1
+
 // SetOthers takes the requests in progress of the other routers by server ID, the number of all routers, and the age of the
 // reports.
 func (b *Balancer) SetOthers(load map[string]int, routers int, lag time.Duration) {
 	b.routers, b.lag = max(1, routers), lag
 	for id, e := range b.servers {
 		e.others = load[id]
+		e.usual += (float64(e.load()) - e.usual) * usualWeight
 	}
 }
 
@@ -235,7 +240,7 @@
 			c.Holder = holder.Server
 		}
 	} else {
-		e, c.Reason = b.byLoad(now, usable, a), Least
+		e, c.Reason = b.byLoad(now, p, usable, a), Least
 	}
 	c.Load = e.load()
 	c.Wait = p.wait(e, a.Slots)
@@ -305,7 +310,7 @@
 		}
 	}
 	if best == nil {
-		best = b.byLoad(now, usable, a)
+		best = b.byLoad(now, p, usable, a)
 	}
 	why = Spilled
 	if best == home {
@@ -385,8 +390,48 @@
 	return room >= 1 && draw*unreported <= room
 }
 
-// byLoad returns the server with the least load for its slots and failures, with a preference for the own availability zone.
-func (b *Balancer) byLoad(now time.Time, usable []*entry, a Ask) *entry {
+// byLoad returns a server with little load.
+func (b *Balancer) byLoad(now time.Time, p *pool, usable []*entry, a Ask) *entry {
+	if p.work > 0 && p.work < b.lag {
+		return b.byShare(usable, a)
+	}
+	return b.leastLoaded(now, usable, a)
+}
+
+// byShare draws a server with a chance that grows slowly with its free slots: a steep rise would make all routers swing between the
+// servers, since they learn of the effect late. It is for requests that are shorter than reports are old:
+// all routers would send them to the server that had the least load at the last report, and overload each in turn. Servers of
+// the own availability zone get most of the requests while they have half of their slots free.
+func (b *Balancer) byShare(usable []*entry, a Ask) *entry {
+	shares := make([]float64, len(usable))
+	total := 0.0
+	for i, e := range usable {
+		free := 1 - e.usual/float64(max(1, a.Slots, e.Slots))
+		share := math.Sqrt(max(leastShare, free)) * (1 - excess(usable, e))
+		if e.Zone == a.Zone {
+			share *= 1 + nearShare*max(0, 2*free-1)
+		}
+		shares[i] = share
+		total += share
+	}
+	at := next(a.Draw, b.salt) * total
+	for i, share := range shares {
+		if at -= share; at < 0 {
+			return usable[i]
+		}
+	}
+	return usable[len(usable)-1]
+}
+
+// leastShare is the share of a server without a free slot, relative to an idle one, and nearShare how much more likely an idle
+// server of the own availability zone is.
+const (
+	leastShare = 0.05
+	nearShare  = 4
+)
+
+// leastLoaded returns the server with the least load for its slots and failures, with a preference for the own availability zone.
+func (b *Balancer) leastLoaded(now time.Time, usable []*entry, a Ask) *entry {
 	cost := func(e *entry) float64 {
 		slots := float64(max(1, a.Slots, e.Slots))
 		c := (float64(e.load()) + e.sent.perSecond(now)*b.lag.Seconds()) / (1 - excess(usable, e))
