--- a/hornbeamd/backend/backend.go
+++ b/hornbeamd/backend/backend.go
@@ -160,6 +160,9 @@
 	stop()
 	c.close()
 	kind := Broken
+	if reused && ctx.Err() == nil {
+		p.dropped(time.Now(), c.idleFor)
+	}
 	switch {
 	case ctx.Err() != nil:
 		kind = Ended
@@ -176,6 +179,8 @@
 	// sent counts the bytes that the operating system accepted.
 	sent atomic.Int64
 	used bool
+	// idleFor is how long the connection had waited when it was taken from the pool.
+	idleFor time.Duration
 	// idle is since when the connection has been waiting in the pool, and expires when it may no longer be used.
 	idle, expires time.Time
 	closed        atomic.Bool
--- a/hornbeamd/backend/backend_test.go
+++ b/hornbeamd/backend/backend_test.go
@@ -213,3 +213,48 @@
 	a.Close()
 	c.Assert(opened, qt.Equals, 1)
 }
+
+// Guards against request after request that is lost on connections which a server drops soon after their last use.
+func TestDroppedSoon(t *testing.T) {
+	c := qt.New(t)
+	opened := 0
+	p := newPool(&opened)
+	// Each connection serves one request, and a second one is read and then dropped.
+	address := serve(c, good, "close", good, good, good)
+	once := func() *backend.Error {
+		a, err := p.Do(context.Background(), &backend.Request{
+			Address: address, Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Attempt: "1", HasBody: true, Once: true,
+		})
+		if err == nil {
+			io.Copy(io.Discard, a)
+			a.Close()
+		}
+		time.Sleep(100 * time.Millisecond)
+		return err
+	}
+	c.Assert(once() == nil, qt.IsTrue)
+	c.Assert(once() != nil, qt.IsTrue)
+	for range 3 {
+		c.Assert(once() == nil, qt.IsTrue)
+	}
+	c.Assert(opened, qt.Equals, 4)
+}
+
+// Guards against connections that add up, because each request that runs at most once opens one and none is used again.
+func TestOnceConnections(t *testing.T) {
+	c := qt.New(t)
+	opened := 0
+	p := newPool(&opened)
+	address := serve(c, good, good, good)
+	for range 3 {
+		a, err := p.Do(context.Background(), &backend.Request{
+			Address: address, Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Attempt: "1", HasBody: true, Once: true,
+		})
+		c.Assert(err == nil, qt.IsTrue)
+		io.Copy(io.Discard, a)
+		a.Close()
+		time.Sleep(800 * time.Millisecond)
+	}
+	c.Assert(opened, qt.Equals, 3)
+	c.Assert(p.Open(), qt.Equals, 1)
+}
--- a/hornbeamd/backend/pool.go
+++ b/hornbeamd/backend/pool.go
@@ -19,8 +19,11 @@
 	// DefaultIdle is how long a connection is kept without use if the server does not say.
 	DefaultIdle = 8 * time.Second
 	// onceIdle is how long a connection may have been without use for a request that runs at most once. Servers and what lies
-	// between drop idle connections without notice, and such a request cannot be sent again.
-	onceIdle = 750 * time.Millisecond
+	// between drop idle connections without notice, and such a request cannot be sent again. It is shorter for onceMemory after
+	// a connection turned out to be dropped sooner, down to onceIdleLeast.
+	onceIdle      = 750 * time.Millisecond
+	onceIdleLeast = 20 * time.Millisecond
+	onceMemory    = 30 * time.Second
 	// idleMargin is how much earlier than the server a connection is given up.
 	idleMargin = 500 * time.Millisecond
 	// bufferSize is that of the buffer for answers, in bytes.
@@ -39,6 +42,9 @@
 
 	mu    sync.Mutex
 	hosts map[string]*host
+	// learned replaces onceIdle until learnedUntil.
+	learned      time.Duration
+	learnedUntil time.Time
 }
 
 type host struct {
@@ -87,14 +93,40 @@
 			c.close()
 			continue
 		}
-		if r.Once && now.Sub(c.idle) > onceIdle {
-			p.push(r.Address, c)
+		c.idleFor = now.Sub(c.idle)
+		if r.Once && c.idleFor > p.onceIdle(now) {
+			// The new connection takes its place; otherwise connections would add up to the server's limit.
+			c.close()
 			return nil
 		}
 		return c
 	}
 }
 
+// onceIdle returns how long a connection may have been without use for a request that runs at most once.
+func (p *Pool) onceIdle(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.learnedUntil) {
+		return p.learned
+	}
+	return onceIdle
+}
+
+// dropped takes the time for which a connection had been idle that failed on its next use.
+func (p *Pool) dropped(now time.Time, idle time.Duration) {
+	if idle > onceIdle {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := max(onceIdleLeast, idle/2)
+	if now.Before(p.learnedUntil) {
+		limit = min(limit, p.learned)
+	}
+	p.learned, p.learnedUntil = limit, now.Add(onceMemory)
+}
+
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -334,7 +334,7 @@
 		if e := b.sent(now, p, beginning, a.Avoid); e != nil {
 			return e
 		}
-		if e := b.previous(now, p, a); i == 0 && e != nil && e != chosen {
+		if e := b.previous(now, p, a, chosen); i == 0 && e != nil {
 			return e
 		}
 	}
@@ -353,31 +353,43 @@
 	return nil
 }
 
-// previous returns the server that was the home of a prompt before the latest servers joined and others began to leave.
-func (b *Balancer) previous(now time.Time, p *pool, a Ask) *entry {
+// previous returns the server that most likely has served a prompt until now: the first in its order, leaving ones included, and
+// if that is the chosen one, the first that was there before it joined. Servers that have just joined are passed over.
+func (b *Balancer) previous(now time.Time, p *pool, a Ask, chosen *entry) *entry {
 	var best *entry
-	var bestScore uint64
-	for _, servers := range [][]*entry{p.entries, p.leaving} {
-		for _, e := range servers {
-			score := mix(a.Prompt[0] ^ e.seed)
-			if (best == nil || score > bestScore) && !b.young(now, e) && b.reachable(now, e, a.Avoid) {
-				best, bestScore = e, score
+	bestScore := mix(a.Prompt[0] ^ chosen.seed)
+	first := true
+	scan := func(wanted func(*entry, uint64) bool) {
+		for _, servers := range [][]*entry{p.entries, p.leaving} {
+			for _, e := range servers {
+				score := mix(a.Prompt[0] ^ e.seed)
+				if e != chosen && b.reachable(now, e, a.Avoid) && wanted(e, score) && (first || score > bestScore) {
+					best, bestScore, first = e, score, false
+				}
 			}
 		}
 	}
+	own := bestScore
+	scan(func(e *entry, score uint64) bool { return score > own && !b.joined(now, e, justJoined) })
+	if best == nil && b.joined(now, chosen, b.settings.Young) {
+		scan(func(e *entry, _ uint64) bool { return e.since.Before(chosen.since) })
+	}
 	return best
 }
 
+// justJoined is the time after its start in which a server has hardly served a prompt.
+const justJoined = time.Second
+
+// joined is true for a server that joined within a time.
+func (b *Balancer) joined(now time.Time, e *entry, within time.Duration) bool {
+	return !e.since.IsZero() && now.Sub(e.since) < within
+}
+
 // reachable is true for a server that is neither paused nor one that was tried before.
 func (b *Balancer) reachable(now time.Time, e *entry, avoid []string) bool {
 	return !now.Before(e.paused) && !now.Before(e.reported) && !slices.Contains(avoid, e.ID)
 }
 
-// young is true for a server that joined a short time ago.
-func (b *Balancer) young(now time.Time, e *entry) bool {
-	return !e.since.IsZero() && now.Sub(e.since) < b.settings.Young
-}
-
 // limit is the greatest load of a server that does not fail more than the others.
 func (b *Balancer) limit(mean float64) float64 { return b.settings.Bound*mean + b.settings.Allowance }
 
--- a/routing/balance/balance_test.go
+++ b/routing/balance/balance_test.go
@@ -311,3 +311,33 @@
 	}
 	c.Assert(refused, qt.Equals, 0, qt.Commentf("of %d", sent))
 }
+
+// Guards against shared prompts that are computed again because several servers joined one after another: the last home is asked for
+// them, by a router that did not send it any.
+func TestHolderChain(t *testing.T) {
+	c := qt.New(t)
+	b, steps := newBalancer(8, 64), newBalancer(8, 64)
+	ask := func(i int) balance.Ask {
+		return balance.Ask{Service: "pool", Prompt: balance.Prompt("m", []string{fmt.Sprint("doc", i), "own"})}
+	}
+	last := map[int]string{}
+	for n := 8; n <= 11; n++ {
+		now := start.Add(time.Duration(n) * 3 * time.Second)
+		b.SetServers(now, servers(n, 64))
+		steps.SetServers(now, servers(n, 64))
+		if n < 11 {
+			for i := range 200 {
+				last[i] = steps.Choose(now.Add(2*time.Second), ask(i)).Server.ID
+			}
+		}
+	}
+	moved := 0
+	for i, home := range last {
+		choice := b.Choose(start.Add(35*time.Second), ask(i))
+		if choice.Server.ID == "s10" {
+			moved++
+			c.Assert(choice.Holder.ID, qt.Equals, home)
+		}
+	}
+	c.Assert(moved > 0, qt.IsTrue)
+}
