--- a/coord/presence/fleet_test.go
+++ b/coord/presence/fleet_test.go
@@ -182,3 +182,35 @@
 	f.run(6 * time.Second)
 	f.check(c)
 }
+
+// Guards against news that waits until a lost hub is noticed: a router that was cut off with a part of the fleet, hubs among them,
+// leaves the others with fresh records. News may take three seconds in all, and a second of it is the store's.
+func TestFleetNewsWithLostHubs(t *testing.T) {
+	for zone := range 3 {
+		c := qt.New(t)
+		f := newFleet(30)
+		f.run(4 * time.Second)
+		// The strongest routers of a zone are equal here; the first by hash is its hub.
+		for lost := range 10 {
+			id := fmt.Sprint("r", lost*3+zone)
+			f.dead[id] = true
+			news := fmt.Sprint("r", (zone+1)%3)
+			self := f.selves[news]
+			self.Config++
+			f.selves[news] = self
+			f.run(2 * time.Second)
+			for _, at := range f.order {
+				if f.dead[at] || at == news {
+					continue
+				}
+				for _, m := range f.states[at].Members(f.now) {
+					if m.ID == news {
+						c.Assert(m.Config, qt.Equals, self.Config, qt.Commentf("at %s after the loss of %s", at, id))
+					}
+				}
+			}
+			f.dead[id] = false
+			f.run(2 * time.Second)
+		}
+	}
+}
--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -55,14 +55,15 @@
 }
 
 // meshSize is the number of routers up to which each sends to every other. The messages of a mesh grow with the square of its
-// size. Larger fleets have hubs: in each availability zone one router gathers the records of the others, exchanges them with the
-// hubs of the other zones, and sends all of them to the routers of its own. A second one stands by with the same knowledge.
+// size. Larger fleets have hubs: in each availability zone some routers gather the records of the others, exchange them with the
+// hubs of the other zones, and send all of them to the routers of their own. Each does all of it, so that the loss of one holds
+// nothing up.
 const meshSize = 12
 
 // hubRouters is the number of routers for each step of the interval in a fleet with hubs: their messages grow with the fleet.
 const hubRouters = 30
 
-// hubs is the number of routers of an availability zone that gather records: the hub and the one that stands by.
+// hubs is the number of routers of an availability zone that gather records.
 const hubs = 2
 
 // Interval returns the time until the next heartbeat.
@@ -168,10 +169,6 @@
 	if !slices.Contains(first, self.ID) {
 		return []Sending{{To: s.addressesOf(first), Message: own}}
 	}
-	if first[0] != self.ID {
-		// The one that stands by reports to the hub, and lost routers may take it for the hub.
-		return []Sending{{To: s.addressesOf(first[:1]), Message: own}}
-	}
 	return s.digests(now, self)
 }
 
@@ -230,7 +227,7 @@
 	}
 }
 
-// hubsOf returns the IDs of the routers that gather the records of an availability zone, the hub first.
+// hubsOf returns the IDs of the routers that gather the records of an availability zone.
 func (s *State) hubsOf(now time.Time, self Record, zone string) []string {
 	var candidates []Record
 	if self.Zone == zone {
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -31,6 +31,8 @@
 	Config, Servers int64
 	// Contact is the time since the platform's store answered this router itself, in milliseconds; negative if it never did.
 	Contact int64
+	// Lost is true if the store did not answer this router's latest call.
+	Lost bool
 	// Loads holds its requests in progress by ID of the backend server.
 	Loads map[string]int
 	// Down holds the IDs of the backend servers that it could not reach lately.
@@ -89,7 +91,7 @@
 	Silence time.Duration
 	// Keep is how long lost routers are still sent heartbeats, so that two parts of a cut fleet find each other again.
 	Keep time.Duration
-	// Watchers is the number of routers that watch the store for all.
+	// Watchers is the number of routers that watch the store for all in a small fleet.
 	Watchers int
 	// Contact is the age of a store answer up to which a router can watch for the others.
 	Contact time.Duration
@@ -169,31 +171,40 @@
 	return at, id
 }
 
-// Watches is true if this router has to watch the store itself: it is one of the first by rank that the store answers, or the
-// answers of the others are out of date. Own is the time of the last answer to this router, and started that of its start.
-func (s *State) Watches(now, own, started time.Time) bool {
-	newest, _ := s.Contact(now, own)
-	limit := s.contactLimit()
-	rank, before, healthy := s.rank(s.self.ID), 0, 0
+// Watches is true if this router has to watch the store itself: it is one of the first by rank that have not lost the store, or
+// nobody has heard of the store for too long. Own is the time of the last answer to this router, started that of its start, and
+// lost is true if its latest call was not answered.
+func (s *State) Watches(now, own, started time.Time, lost bool) bool {
+	rank, before, able := s.rank(s.self.ID), 0, 0
 	for _, m := range s.members {
 		if !s.live(now, m) || s.rank(m.ID) >= rank {
 			continue
 		}
 		before++
-		if now.Sub(m.ContactAt()) <= limit {
-			healthy++
+		if !m.Lost {
+			able++
 		}
 	}
-	if now.Sub(newest) > limit {
-		// Nobody is known to reach the store. The first by rank try at once and the others one after another, so that a store
-		// which comes back is not met by a whole fleet.
-		since := newest.Add(limit)
-		if newest.IsZero() {
-			since = started
-		}
-		return now.Sub(since) >= time.Duration(before/firstTries)*nextTries
+	// The first by rank of all keep trying, so that the fleet notices when the store is back.
+	if !lost && able < s.watchers() || before < s.watchers() {
+		return true
+	}
+	newest, _ := s.Contact(now, own)
+	since := newest.Add(s.contactLimit())
+	if newest.IsZero() {
+		since = started
+	}
+	// The others try one after another, so that a store which comes back is not met by a whole fleet.
+	return now.Sub(since) > time.Duration(before/firstTries)*nextTries
+}
+
+// watchers is the number of routers that watch the store. A fault that cuts off a share of a large fleet is more likely to take
+// any two of them.
+func (s *State) watchers() int {
+	if s.large() {
+		return s.settings.Watchers + 1
 	}
-	return healthy < s.settings.Watchers
+	return s.settings.Watchers
 }
 
 // firstTries is the number of routers that try a silent store at once, and nextTries the time after which as many more do.
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -31,6 +31,8 @@
 	events chan func()
 	// started is when the process began; own is when the store last answered this router.
 	started, own time.Time
+	// lost is when the store did not answer this router's latest call; zero if it did.
+	lost time.Time
 	// fetching holds the kinds of knowledge that are being asked from another router.
 	fetching map[string]bool
 	beaten   time.Time
@@ -102,12 +104,18 @@
 	c.fetch(ctx, now)
 }
 
+// lostMemory is the time after which a router that lost the store and stopped trying counts as able to reach it again.
+const lostMemory = 5 * time.Second
+
 func (c *control) setDuty(now time.Time) {
+	if !c.lost.IsZero() && now.Sub(c.lost) > lostMemory {
+		c.lost = time.Time{}
+	}
 	wait := joinWait
 	if c.presence.Live(now) > 0 || slices.Contains(c.seeds, c.self.Peer) {
 		wait = seedWait
 	}
-	duty := now.Sub(c.started) >= wait && c.presence.Watches(now, c.own, c.started)
+	duty := now.Sub(c.started) >= wait && c.presence.Watches(now, c.own, c.started, !c.lost.IsZero())
 	if c.duty.Set(duty) {
 		c.log.Info("watching the store", zap.Bool("on_duty", duty), zap.Int("routers", c.presence.Live(now)+1),
 			zap.Duration("own_contact", age(now, c.own)))
@@ -132,6 +140,7 @@
 	if t := c.gateway.Table(); t != nil {
 		r.Config = t.Version()
 	}
+	r.Lost = !c.lost.IsZero()
 	r.Servers = c.roster.Revision()
 	r.Ready = r.Config > 0 && !c.draining.Load()
 	r.Loads, r.Down = c.upstreams.Own(now)
@@ -174,15 +183,22 @@
 
 // storeAnswered notes that the store answered this router.
 func (c *control) storeAnswered() {
-	c.own = time.Now()
+	c.own, c.lost = time.Now(), time.Time{}
 	if !c.contact.Swap(true) {
 		c.log.Info("store reached")
 	}
 }
 
 func (c *control) storeFailed(err error) {
+	now := time.Now()
+	known := !c.lost.IsZero()
+	c.lost = now
 	if c.contact.Swap(false) {
-		c.log.Warn("store lost", zap.Error(err), zap.Duration("own_contact", age(time.Now(), c.own)))
+		c.log.Warn("store lost", zap.Error(err), zap.Duration("own_contact", age(now, c.own)))
+	}
+	if !known {
+		// Another router takes over when it hears of this.
+		c.beat(now)
 	}
 }
 
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -48,8 +48,10 @@
 
 // Times and sizes of a router.
 const (
-	// storeTimeout is the longest time for a call to the store, beyond the wait of a watch.
+	// storeTimeout is the longest time for a call to the store that is no watch, and storeMargin the longest time for a watch
+	// beyond its wait: many times the usual answer.
 	storeTimeout = 700 * time.Millisecond
+	storeMargin  = 300 * time.Millisecond
 	// sweepEvery is the time between two looks for idle connections whose time is up.
 	sweepEvery = time.Second
 	// headerTimeout is the longest time for the head of a request; the configuration's limits are of that order.
@@ -106,13 +108,13 @@
 		Peer: net.JoinHostPort(s.IP, peerPort), Control: s.Control, Front: s.Front,
 	}
 	e.control = &control{
-		self: self, presence: presence.New(presence.DefaultSettings(), self), roster: roster.New(roster.DefaultSettings()),
+		self: self, presence: presence.New(presence.DefaultSettings(), self), roster: roster.New(roster.DefaultSettings(s.Heartbeat)),
 		gateway: e.gateway, upstreams: upstreams, seeds: peers(s.Seeds, peerPort), log: e.Log.Named("control"),
 		events: make(chan func(), eventQueue), started: time.Now(), fetching: map[string]bool{},
 	}
 	e.mesh = &mesh.Node{Listen: self.Peer, Control: s.Control, Knowledge: e.control, Log: e.Log.Named("mesh")}
 	e.control.send = e.mesh.Send
-	e.store = metastore.New(s.Store, storeTimeout)
+	e.store = metastore.New(s.Store, storeTimeout, storeMargin)
 	e.store.Count = e.storeCounter()
 }
 
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -35,6 +35,7 @@
 	Capacity             float64
 	Config, Servers      int64
 	Contact              int64
+	Lost                 bool
 	Loads                map[string]int
 	Down                 []string
 	Crashes              []presence.Crash
@@ -69,7 +70,7 @@
 	for _, r := range m.Records {
 		out.Records = append(out.Records, record{
 			Age: r.Age, ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control,
-			Front: r.Front, Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact,
+			Front: r.Front, Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact, Lost: r.Lost,
 			Loads: r.Loads, Down: r.Down, Crashes: r.Crashes,
 		})
 	}
@@ -89,7 +90,7 @@
 	for _, r := range in.Records {
 		m.Records = append(m.Records, presence.Aged{Age: max(0, r.Age), Record: presence.Record{
 			ID: r.ID, Zone: r.Zone, Region: r.Region, Boot: r.Boot, Sequence: r.Sequence, Peer: r.Peer, Control: r.Control,
-			Front: r.Front, Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact,
+			Front: r.Front, Ready: r.Ready, Capacity: r.Capacity, Config: r.Config, Servers: r.Servers, Contact: r.Contact, Lost: r.Lost,
 			Loads: r.Loads, Down: r.Down, Crashes: r.Crashes,
 		}})
 	}
--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -38,6 +38,9 @@
 	Registration() roster.Registration
 }
 
+// dialTimeout is the longest time to connect to another router, which may be cut off; a third one is asked then.
+const dialTimeout = 250 * time.Millisecond
+
 // Node is this router's end of the mesh. Fields are set before Run.
 type Node struct {
 	// Listen is the address for datagrams and Control that for calls, as ip:port.
@@ -170,7 +173,7 @@
 func call(ctx context.Context, address, method string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var dialer net.Dialer
+	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "connect to the router at %s", address)
--- a/hornbeamd/source/source.go
+++ b/hornbeamd/source/source.go
@@ -26,8 +26,9 @@
 // Times of the watches.
 const (
 	// watchWait is how long a watch waits for a change. With the timeout of a call it bounds how long a silent connection goes
-	// unnoticed, which has to be less than the time in which a configuration applies.
-	watchWait = time.Second
+	// unnoticed, and another router needs as long again to take over and spread the news, within the time in which a
+	// configuration applies.
+	watchWait = 700 * time.Millisecond
 	// serversPause is the least time between two answers about backend servers: each of them renews its entry about once a
 	// second, which would end every watch at once.
 	serversPause = 600 * time.Millisecond
--- a/routing/roster/roster.go
+++ b/routing/roster/roster.go
@@ -48,10 +48,12 @@
 	Return time.Duration
 }
 
-// DefaultSettings returns the default times. A watch without changes answers about once a second, so that shorter gaps are no
-// outage; entries lapse after three heartbeats of more than a second each. The platform states that entries are back about 2 s
-// after an outage.
-func DefaultSettings() Settings { return Settings{Outage: 2 * time.Second, Return: 2 * time.Second} }
+// DefaultSettings returns the default times for servers that renew their entry after each heartbeat. An entry lapses after three
+// heartbeats without renewal, of which one may have passed when an outage begins. The platform states that entries are back about
+// 2 s after an outage.
+func DefaultSettings(heartbeat time.Duration) Settings {
+	return Settings{Outage: 2 * heartbeat, Return: 2 * time.Second}
+}
 
 // Roster decides which servers may be used. It is not safe for concurrent use.
 type Roster struct {
