--- a/hornbeamd/backend/backend.go
+++ b/hornbeamd/backend/backend.go
@@ -96,11 +96,7 @@
 // a server may answer before it has read them.
 const inlineBody = 8 << 10
 
-var (
-	errForeign  = eris.New("the answer belongs to another request")
-	errTrailing = eris.New("bytes follow the answer")
-	errStale    = eris.New("the connection was closed or holds bytes of no request")
-)
+var errForeign = eris.New("the answer belongs to another request")
 
 // Answer is the answer of a backend server. Close must be called; before the end of the body it closes the connection.
 type Answer struct {
@@ -196,7 +192,8 @@
 
 func (c *conn) close() {
 	if c.closed.CompareAndSwap(false, true) {
-		c.Conn.Close()
+		// The connection is given up, whatever else fails.
+		_ = c.Conn.Close()
 		c.release()
 	}
 }
@@ -239,7 +236,7 @@
 // read returns the answer to a request. Late answers to earlier requests are skipped.
 func (c *conn) read(codec Codec, r *Request) (*Answer, error) {
 	for range skipLimit + 1 {
-		resp, err := c.readHead(r)
+		resp, err := c.readHead(r) //nolint:bodyclose // the body is that of the connection, which Answer.Close closes
 		if err != nil {
 			return nil, err
 		}
--- a/hornbeamd/edge/drain.go
+++ b/hornbeamd/edge/drain.go
@@ -70,5 +70,8 @@
 	if state != http.StateIdle || t == nil || t.Limits().IdleTimeout <= 0 {
 		return
 	}
-	l.timers.Store(conn, time.AfterFunc(t.Limits().IdleTimeout, func() { conn.Close() }))
+	l.timers.Store(conn, time.AfterFunc(t.Limits().IdleTimeout, func() {
+		// The caller may have closed it in the meantime.
+		_ = conn.Close()
+	}))
 }
--- a/hornbeamd/gateway/crashes.go
+++ b/hornbeamd/gateway/crashes.go
@@ -103,7 +103,8 @@
 	if err != nil {
 		return false
 	}
-	conn.Close()
+	// That it was accepted is all that was asked.
+	_ = conn.Close()
 	return true
 }
 
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -15,8 +15,6 @@
 
 // message is a presence.Message on the wire.
 type message struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Kind    presence.Kind
 	From    string
 	Records []record
@@ -24,8 +22,6 @@
 }
 
 type record struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Age                  int64
 	ID, Zone, Region     string
 	Boot                 int64
@@ -42,8 +38,6 @@
 }
 
 type zone struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Zone        string
 	Loads, Down map[string]int
 	Age         int64
@@ -77,8 +71,12 @@
 	for _, z := range m.Zones {
 		out.Zones = append(out.Zones, zone{Zone: z.Zone, Loads: z.Loads, Down: z.Down, Age: z.Age})
 	}
-	text, err := msgpack.Marshal(&out)
-	return text, eris.Wrap(err, "encode a message")
+	var text bytes.Buffer
+	encoder := msgpack.NewEncoder(&text)
+	// Field names would double the size.
+	encoder.UseArrayEncodedStructs(true)
+	err := encoder.Encode(&out)
+	return text.Bytes(), eris.Wrap(err, "encode a message")
 }
 
 func decode(text []byte) (presence.Message, error) {
--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -66,7 +66,8 @@
 		return eris.Wrapf(err, "listen for heartbeats on %s; check that no other process uses the port", n.Listen)
 	}
 	if n.tcp, err = net.Listen("tcp", n.Control); err != nil {
-		n.udp.Close()
+		// The start has failed already.
+		_ = n.udp.Close()
 		return eris.Wrapf(err, "listen for other routers on %s; check that no other process uses the port", n.Control)
 	}
 	return nil
@@ -75,8 +76,9 @@
 // Run receives heartbeats and answers calls until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	context.AfterFunc(ctx, func() {
-		n.udp.Close()
-		n.tcp.Close()
+		// The process ends; nothing depends on an orderly close.
+		_ = n.udp.Close()
+		_ = n.tcp.Close()
 	})
 	go n.accept(ctx)
 	buffer := make([]byte, datagramLimit)
@@ -138,7 +140,10 @@
 			continue
 		}
 		peer := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(n.handle))
-		time.AfterFunc(2*callTimeout, func() { peer.Close() })
+		time.AfterFunc(2*callTimeout, func() {
+			// It is closed already if the other router has its answer.
+			_ = peer.Close()
+		})
 	}
 }
 
@@ -182,7 +187,8 @@
 		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only asks"}
 		}))
-	defer peer.Close()
+	// Each connection serves one call.
+	defer func() { _ = peer.Close() }()
 	var answer packed
 	if err := peer.Call(ctx, method, nil, &answer); err != nil {
 		return eris.Wrapf(err, "call %s of the router at %s", method, address)
