--- a/hornbeamd/backend/backend.go
+++ b/hornbeamd/backend/backend.go
@@ -193,7 +193,7 @@
 func (c *conn) close() {
 	if c.closed.CompareAndSwap(false, true) {
 		// The connection is given up, whatever else fails.
-		_ = c.Conn.Close()
+		_ = c.Close()
 		c.release()
 	}
 }
