--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -33,6 +33,8 @@
 	started, own time.Time
 	// lost is when the store did not answer this router's latest call; zero if it did.
 	lost time.Time
+	// reached is false until the store answers, and while it does not.
+	reached bool
 	// fetching holds the kinds of knowledge that are being asked from another router.
 	fetching map[string]bool
 	beaten   time.Time
@@ -41,7 +43,6 @@
 	duty         source.Duty
 	draining     atomic.Bool
 	registration atomic.Pointer[roster.Registration]
-	contact      atomic.Bool
 }
 
 // eventQueue bounds the functions that wait for the control goroutine.
@@ -184,18 +185,20 @@
 // storeAnswered notes that the store answered this router.
 func (c *control) storeAnswered() {
 	c.own, c.lost = time.Now(), time.Time{}
-	if !c.contact.Swap(true) {
+	if !c.reached {
 		c.log.Info("store reached")
 	}
+	c.reached = true
 }
 
 func (c *control) storeFailed(err error) {
 	now := time.Now()
 	known := !c.lost.IsZero()
 	c.lost = now
-	if c.contact.Swap(false) {
+	if c.reached {
 		c.log.Warn("store lost", zap.Error(err), zap.Duration("own_contact", age(now, c.own)))
 	}
+	c.reached = false
 	if !known {
 		// Another router takes over when it hears of this.
 		c.beat(now)
