test(edge): a planned stop lasts longer than the HTTP library's own limit

TestStop ends within its grace of 4 s. The router of the tests also handled a second signal differently from the daemon, which hid the kill.

TestLongStop streams for 7.5 s after SIGTERM.

--- a/hornbeamd/edge/edge_test.go
+++ b/hornbeamd/edge/edge_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -19,6 +18,7 @@
 
 	"hornbeamstep.example/hornbeamd/edge"
 	"hornbeamstep.example/hornbeamd/logs"
+	"hornbeamstep.example/hornbeamd/shutdown"
 	"hornbeamstep.example/platform/bootfile"
 	"hornbeamstep.example/platform/standin"
 )
@@ -43,9 +43,7 @@
 	if err != nil {
 		panic(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-	defer stop()
-	if err := (&edge.Edge{Path: bootfile.Path(), Metrics: metrics, Log: log}).Run(ctx); err != nil {
+	if err := (&edge.Edge{Path: bootfile.Path(), Metrics: metrics, Log: log}).Run(shutdown.Context()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
@@ -61,6 +59,7 @@
 	metrics int
 	ips     []string
 	routers []*router
+	grace   time.Duration
 	attempt int
 	mu      sync.Mutex
 }
@@ -122,8 +121,11 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", ip, w.ports[2]))
 	}
 	path := filepath.Join(w.c.TempDir(), "settings.conf")
-	text := standin.Settings(fmt.Sprint("router-", i), w.ips[i], "z1", w.store.Address(w.ips[i]), w.ports, seeds)
-	w.c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	settings := standin.Router{
+		Name: fmt.Sprint("router-", i), IP: w.ips[i], Zone: "z1", Store: w.store.Address(w.ips[i]), Ports: w.ports, Seeds: seeds,
+		Grace: w.grace,
+	}
+	w.c.Assert(os.WriteFile(path, []byte(settings.Settings()), 0o600), qt.IsNil)
 	process := exec.Command(os.Args[0])
 	process.Env = append(os.Environ(), metricsVariable+"="+strconv.Itoa(w.metrics), bootfile.Variable+"="+path)
 	if testing.Verbose() {
@@ -141,6 +143,14 @@
 	}
 }
 
+// restart kills a router and starts it again.
+func (w *world) restart(i int) {
+	w.c.Assert(w.routers[i].process.Process.Kill(), qt.IsNil)
+	<-w.routers[i].done
+	w.start(i)
+	w.await(func() bool { return w.do(i, "/once/x").Status == 200 })
+}
+
 func (w *world) front(i int) string     { return fmt.Sprintf("%s:%d", w.ips[i], w.ports[0]) }
 func (w *world) directory(i int) string { return fmt.Sprintf("%s:%d", w.ips[i], w.ports[3]) }
 
@@ -336,6 +346,30 @@
 	c.Assert(time.Since(stopped) < 4*time.Second, qt.IsTrue)
 }
 
+// Guards against a stream that is cut at a planned stop by the HTTP library, which ends the process 5.5 s after SIGTERM by itself.
+func TestLongStop(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 1)
+	w.grace = 9 * time.Second
+	w.restart(0)
+	for _, s := range w.servers {
+		s.Pause = 1500 * time.Millisecond
+	}
+	answer := make(chan standin.Answer, 1)
+	go func() {
+		answer <- w.request(standin.Request{Address: w.front(0), Path: "/long/stream/x", Key: "key", Left: 20 * time.Second})
+	}()
+	w.await(func() bool { return len(w.runs("pool")) == 1 })
+	c.Assert(w.routers[0].process.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	stopped := time.Now()
+	a := <-answer
+	c.Assert(a.Err, qt.IsNil)
+	c.Assert(a.Body, qt.Equals, wholeStream)
+	c.Assert(time.Since(stopped) > 6*time.Second, qt.IsTrue)
+	c.Assert(<-w.routers[0].done, qt.IsNil)
+	c.Assert(time.Since(stopped) < w.grace, qt.IsTrue)
+}
+
 // Guards against callers that are sent to a router that was killed, and a fleet that does not take it back.
 func TestKill(t *testing.T) {
 	c := qt.New(t)
--- a/hornbeamd/main.go
+++ b/hornbeamd/main.go
@@ -4,8 +4,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -13,6 +11,7 @@
 	"hornbeamstep.example/hornbeamd/edge"
 	"hornbeamstep.example/hornbeamd/logs"
 	"hornbeamstep.example/hornbeamd/settings"
+	"hornbeamstep.example/hornbeamd/shutdown"
 )
 
 type commands struct {
@@ -33,9 +32,7 @@
 	}
 	log, err := newLog(level)
 	parsed.FatalIfErrorf(err)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	context.AfterFunc(ctx, stop) // A second signal ends the process at once.
-	if err := run(ctx, parsed.Command(), c, log); err != nil {
+	if err := run(shutdown.Context(), parsed.Command(), c, log); err != nil {
 		log.Error("daemon failed", zap.Error(err))
 		_ = log.Sync()
 		os.Exit(1)
--- a/hornbeamd/shutdown/shutdown.go
+++ b/hornbeamd/shutdown/shutdown.go
@@ -1,7 +1,11 @@
-// Package shutdown keeps the HTTP library from ending the process before its own drain is over.
+// Package shutdown turns signals into the end of a context, and keeps the HTTP library from ending the process before the drain
+// is over.
 package shutdown
 
 import (
+	"context"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/proc"
@@ -15,3 +19,10 @@
 func Extend(limit time.Duration) {
 	proc.Setup(proc.ShutdownConf{WrapUpTime: limit, WaitTime: limit + shutdownMargin})
 }
+
+// Context returns a context that ends at the first SIGTERM or SIGINT. A second one ends the process at once.
+func Context() context.Context {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	return ctx
+}
