--- a/coord/presence/presence_test.go
+++ b/coord/presence/presence_test.go
@@ -69,33 +69,85 @@
 	c.Assert(s.Entry(at(5000), "y", self), qt.DeepEquals, []string{"a:1"})
 }
 
+// statesOf returns the states of routers r0 to r(n-1), each of which has just heard all others.
+func statesOf(n int, told func(*presence.Record)) []*presence.State {
+	states := make([]*presence.State, n)
+	for i := range states {
+		states[i] = presence.New(presence.DefaultSettings(), record(fmt.Sprint("r", i), 0))
+		for j := range n {
+			r := record(fmt.Sprint("r", j), 1)
+			told(&r)
+			receive(states[i], at(0), r)
+		}
+	}
+	return states
+}
+
 // Guards against a fleet in which no router watches the store, and against one in which all do.
 func TestWatches(t *testing.T) {
 	c := qt.New(t)
-	watching := func(down map[string]bool) int {
-		n := 0
-		for i := range 20 {
-			self := fmt.Sprint("r", i)
-			s := presence.New(presence.DefaultSettings(), record(self, 0))
-			for j := range 20 {
-				r := record(fmt.Sprint("r", j), 1)
-				r.Contact, r.Lost = 100, down[r.ID]
-				receive(s, at(0), r)
-			}
-			if s.Watches(at(10), at(0), at(0), down[self]) {
-				n++
+	// Able routers reach the store; those that are down still try.
+	watching := func(down string) (able, all int) {
+		for i, s := range statesOf(20, func(r *presence.Record) { r.Contact, r.Lost = 100, r.ID == down }) {
+			lost := fmt.Sprint("r", i) == down
+			if s.Watches(at(10), at(0), at(0), lost) {
+				all++
+				if !lost {
+					able++
+				}
 			}
 		}
-		return n
+		return able, all
 	}
-	c.Assert(watching(nil), qt.Equals, 3)
+	able, _ := watching("")
+	c.Assert(able, qt.Equals, 3)
 	for i := range 20 {
-		c.Assert(watching(map[string]bool{fmt.Sprint("r", i): true}) >= 3, qt.IsTrue)
+		able, all := watching(fmt.Sprint("r", i))
+		c.Assert(able, qt.Equals, 3)
+		c.Assert(all <= 4, qt.IsTrue)
 	}
 	alone := presence.New(presence.DefaultSettings(), record("a", 0))
 	c.Assert(alone.Watches(at(0), time.Time{}, at(0), false), qt.IsTrue)
 }
 
+// Guards against routers that rely on watchers which have stopped.
+func TestWatchersStop(t *testing.T) {
+	c := qt.New(t)
+	states := statesOf(20, func(r *presence.Record) { r.Contact = 100 })
+	for _, survivors := range [][]int{{0, 1, 2, 3}, {4, 5, 6, 7}, {16, 17, 18, 19}} {
+		watching := 0
+		for _, i := range survivors {
+			for _, j := range survivors {
+				r := record(fmt.Sprint("r", j), 2)
+				r.Contact = 100
+				receive(states[i], at(5000), r)
+			}
+			if states[i].Watches(at(5010), at(4990), at(0), false) {
+				watching++
+			}
+		}
+		c.Assert(watching, qt.Equals, 3)
+	}
+}
+
+// Guards against a store that comes back and is met by a whole fleet at once.
+func TestWatchersTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	watching := func(now int) int {
+		n := 0
+		for _, s := range statesOf(60, func(r *presence.Record) { r.Contact, r.Lost = int64(now), true }) {
+			// All records have just arrived, and the store was last heard at 0.
+			if s.Watches(at(0), at(-now), at(-60_000), true) {
+				n++
+			}
+		}
+		return n
+	}
+	soon := watching(2700)
+	c.Assert(soon >= 3 && soon <= 12, qt.IsTrue, qt.Commentf("%d routers", soon))
+	c.Assert(watching(9000), qt.Equals, 60)
+}
+
 // Guards against a router that waits for watchers that have lost the store.
 func TestWatchersWithoutStore(t *testing.T) {
 	c := qt.New(t)
--- a/hornbeamd/edge/edge_test.go
+++ b/hornbeamd/edge/edge_test.go
@@ -346,6 +346,16 @@
 	c.Assert(time.Since(stopped) < 4*time.Second, qt.IsTrue)
 }
 
+// Guards against a router without work that stops while callers still keep its address.
+func TestStopServesLateCallers(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 2)
+	c.Assert(w.routers[0].process.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	time.Sleep(1200 * time.Millisecond)
+	c.Assert(w.do(0, "/once/x").Status, qt.Equals, 200)
+	c.Assert(<-w.routers[0].done, qt.IsNil)
+}
+
 // Guards against a stream that is cut at a planned stop by the HTTP library, which ends the process 5.5 s after SIGTERM by itself.
 func TestLongStop(t *testing.T) {
 	c := qt.New(t)
--- a/routing/balance/balance_test.go
+++ b/routing/balance/balance_test.go
@@ -104,6 +104,41 @@
 	c.Assert(over*100 <= 3*sent, qt.IsTrue, qt.Commentf("%d of %d requests above the limit", over, sent))
 }
 
+// Guards against a server above the load bound when one router sees all requests of one prompt.
+func TestBound(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(9, 64)
+	for i := range 200 {
+		choice := b.Choose(start, balance.Ask{Service: "pool", Prompt: []uint64{77}})
+		c.Assert(float64(choice.Load+1) <= 2*float64(i)/9+3, qt.IsTrue, qt.Commentf("request %d at a load of %d", i, choice.Load))
+		b.Start(start, choice.Server.ID)
+	}
+}
+
+// Guards against a prompt that is computed again although a server that leaves has it.
+func TestHolderSpilledAndLeaves(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(3, 64)
+	ask := balance.Ask{Service: "pool", Prompt: []uint64{77}}
+	home := newBalancer(3, 64).Choose(start, ask).Server.ID
+	for range 8 {
+		b.Start(start, home)
+	}
+	spilled := b.Choose(start, ask)
+	c.Assert(spilled.Server.ID, qt.Not(qt.Equals), home)
+	for range 8 {
+		b.Finish(start, home, balance.Answered, time.Second)
+	}
+	next := servers(3, 64)
+	for i := range next {
+		next[i].Leaving = next[i].ID == spilled.Server.ID
+	}
+	b.SetServers(start.Add(time.Minute), next)
+	choice := b.Choose(start.Add(time.Minute), ask)
+	c.Assert(choice.Server.ID, qt.Equals, home)
+	c.Assert(choice.Holder.ID, qt.Equals, spilled.Server.ID)
+}
+
 // Guards against requests that go on to a server which accepts no connection, and against its loss for good.
 func TestUnreachable(t *testing.T) {
 	c := qt.New(t)
--- a/routing/retry/window_test.go
+++ b/routing/retry/window_test.go
@@ -39,3 +39,22 @@
 	}
 	c.Assert(w.Retry(now), qt.IsFalse)
 }
+
+// Guards against a budget that grows with requests of long ago.
+func TestWindowSlides(t *testing.T) {
+	c := qt.New(t)
+	w := retry.Window{Length: 10 * time.Second, Share: 0.2, Extra: 5}
+	now := time.Unix(1000, 0)
+	for range 200 {
+		w.Request(now)
+	}
+	for range 15 {
+		now = now.Add(time.Second)
+		w.Request(now)
+	}
+	allowed := 0
+	for w.Retry(now) {
+		allowed++
+	}
+	c.Assert(allowed, qt.Equals, 7, qt.Commentf("10 requests within the window"))
+}
