feat(inspect): hornbeamctl inspect shows what a router on the platform believes

Cause: an engineer had to piece together from log lines which configuration a router has, whether it hears the store and the others, and why it does not use a backend server.

Change: the metrics address also answers /status, from the control loop and the balancer (used, leaving, paused, on trial, reported, failing); hornbeamctl inspect IP:PORT prints it as tables or JSON, with requests by outcome. Callers' addresses do not answer it; metrics moved off them too. The field call.print is named identity.

Tests: TestInspect with router processes, TestStates, TestTable.

--- a/hornbeamctl/command/command.go
+++ b/hornbeamctl/command/command.go
@@ -15,6 +15,7 @@
 	"hornbeamstep.example/hornbeamctl/doctor"
 	"hornbeamstep.example/hornbeamctl/drain"
 	"hornbeamstep.example/hornbeamctl/exit"
+	"hornbeamstep.example/hornbeamctl/inspect"
 	"hornbeamstep.example/hornbeamctl/orders"
 	"hornbeamstep.example/hornbeamctl/output"
 	"hornbeamstep.example/hornbeamctl/quarantine"
@@ -32,6 +33,7 @@
 	connection.Flags
 
 	Status     status.Command      `cmd:"" help:"Show members, backend servers and the revision in force."`
+	Inspect    inspect.Command     `cmd:"" help:"Show what a router on the platform believes: configuration, other routers, backend servers and why each is or is not used, outcomes."`
 	Doctor     doctor.Command      `cmd:"" help:"Say what is wrong and what to do about it."`
 	Where      where.Command       `cmd:"" help:"Say where a chat goes, and why."`
 	Top        top.Command         `cmd:"" help:"Show the busiest client accounts and engines."`
--- /dev/null
+++ b/hornbeamctl/inspect/inspect.go
@@ -0,0 +1,63 @@
+// Package inspect is the command that shows what a router on the platform believes.
+package inspect
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"hornbeamstep.example/hornbeamctl/output"
+	"hornbeamstep.example/hornbeamd/inspect"
+)
+
+// Command shows the report of one router.
+type Command struct {
+	Router string        `arg:"" help:"Metrics address of the router, as ip:port." placeholder:"IP:PORT"`
+	Wait   time.Duration `help:"Longest time to wait for the report." default:"5s"`
+}
+
+// Run runs the command.
+func (c *Command) Run(ctx context.Context, out *output.Printer) error {
+	report, err := inspect.Client{Timeout: c.Wait}.Fetch(ctx, c.Router)
+	if err != nil {
+		return err
+	}
+	return out.Print(report, func(rows output.Rows) { table(report, rows) })
+}
+
+func table(r inspect.Report, rows output.Rows) {
+	rows.Row("ROUTER", "ZONE", "UPTIME", "READY", "DRAINING", "ACTIVE", "CONFIG", "AGE", "ROUTES", "FROM")
+	rows.Row(r.Router, r.Zone, age(r.Uptime), r.Ready, r.Draining, r.Active, r.Config.Version, age(r.Config.Age), r.Config.Routes, r.Config.From)
+	rows.Gap()
+	rows.Row("STORE", "WATCHING", "CONTACT", "NEWEST", "SERVERS", "KEPT")
+	state := "reached"
+	if r.Store.Lost {
+		state = "lost"
+	}
+	rows.Row(state, r.Store.Watching, age(r.Store.Contact), age(r.Store.Newest), r.Store.Servers, r.Store.Kept)
+	rows.Gap()
+	rows.Row("PEER", "ZONE", "READY", "HEARD", "CONFIG", "SERVERS")
+	for _, p := range r.Routers {
+		rows.Row(p.ID, p.Zone, p.Ready, age(p.Heard), p.Config, p.Servers)
+	}
+	rows.Gap()
+	rows.Row("SERVER", "SERVICE", "ZONE", "ADDRESS", "STATE", "OWN", "OTHERS", "SLOTS", "FAILING")
+	for _, s := range r.Servers {
+		rows.Row(s.ID, s.Service, s.Zone, s.Address, s.State, s.Own, s.Others, s.Slots, fmt.Sprintf("%.2f", s.Failing))
+	}
+	rows.Gap()
+	rows.Row("OUTCOME", "REQUESTS")
+	for _, outcome := range slices.Sorted(maps.Keys(r.Outcomes)) {
+		rows.Row(outcome, r.Outcomes[outcome])
+	}
+}
+
+// age is a time in milliseconds as text; empty if it never was.
+func age(ms int64) string {
+	if ms < 0 {
+		return ""
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
--- /dev/null
+++ b/hornbeamctl/inspect/inspect_test.go
@@ -0,0 +1,45 @@
+package inspect_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	command "hornbeamstep.example/hornbeamctl/inspect"
+	"hornbeamstep.example/hornbeamctl/output"
+	"hornbeamstep.example/hornbeamd/inspect"
+)
+
+// Guards against a table in which operators cannot see why a server gets no requests, or that a router never met the store.
+func TestTable(t *testing.T) {
+	c := qt.New(t)
+	mux := http.NewServeMux()
+	mux.HandleFunc(inspect.Path, inspect.Handler(func(context.Context) (inspect.Report, error) {
+		return inspect.Report{
+			Router: "edge-1", Uptime: 61_000, Config: inspect.Config{Version: 7, Age: 1500, From: "edge-2"},
+			Store:    inspect.Store{Lost: true, Contact: -1, Newest: 250},
+			Routers:  []inspect.Peer{{ID: "edge-2", Heard: 120}},
+			Servers:  []inspect.Usage{{ID: "i-1", Service: "pool", State: "paused", Own: 3, Failing: 0.5}},
+			Outcomes: map[string]int{"served": 12, "no_server": 1},
+		}, nil
+	}))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	var out bytes.Buffer
+	printer := &output.Printer{Format: output.Table, Out: &out}
+	router := strings.TrimPrefix(server.URL, "http://")
+	c.Assert((&command.Command{Router: router, Wait: time.Second}).Run(context.Background(), printer), qt.IsNil)
+	for _, row := range []string{
+		`edge-1 +- +1m1s +no +no +0 +7 +1.5s +0 +edge-2`, `lost +no +- +250ms +0 +0`, `edge-2 +- +no +120ms +0 +0`,
+		`i-1 +pool +- +- +paused +3 +0 +0 +0.50`, `no_server +1`, `served +12`,
+	} {
+		c.Assert(out.String(), qt.Matches, `(?s).*\n`+row+`\n.*`)
+	}
+	c.Assert((&command.Command{Router: "127.0.0.1:1", Wait: time.Second}).Run(context.Background(), printer), qt.ErrorMatches, ".*metrics address.*")
+}
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -33,6 +33,9 @@
 	started, own time.Time
 	// lost is when the store did not answer this router's latest call; zero if it did.
 	lost time.Time
+	// configured is when the configuration in force was taken, and configuredBy from where.
+	configured   time.Time
+	configuredBy string
 	// reached is false until the store answers, and while it does not.
 	reached bool
 	// fetching holds the kinds of knowledge that are being asked from another router.
@@ -235,6 +238,7 @@
 		return
 	}
 	if c.gateway.SetTable(table) {
+		c.configured, c.configuredBy = time.Now(), from
 		c.log.Info("configuration in force", zap.Int64("config", config.Version), zap.Int("routes", table.Routes()), zap.String("from", from))
 		c.announceReady()
 		c.beat(time.Now())
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -243,17 +243,26 @@
 	if err != nil {
 		return nil, err
 	}
+	operators, err := e.operatorHandler()
+	if err != nil {
+		return nil, err
+	}
 	front := &http.Server{
 		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit, ConnState: idle.state,
 		ErrorLog: zap.NewStdLog(e.Log.Named("http")),
 	}
 	servers := []*http.Server{front}
 	addresses := []string{e.settings.Front}
-	for _, address := range []string{
-		e.settings.Readiness, e.settings.Directory, net.JoinHostPort(e.settings.IP, strconv.Itoa(e.Metrics)),
+	for _, other := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{e.settings.Readiness, entry},
+		{e.settings.Directory, entry},
+		{net.JoinHostPort(e.settings.IP, strconv.Itoa(e.Metrics)), operators},
 	} {
-		servers = append(servers, &http.Server{Handler: entry, ReadHeaderTimeout: headerTimeout})
-		addresses = append(addresses, address)
+		servers = append(servers, &http.Server{Handler: other.handler, ReadHeaderTimeout: headerTimeout})
+		addresses = append(addresses, other.address)
 	}
 	for i, server := range servers {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addresses[i])
--- a/hornbeamd/edge/edge_test.go
+++ b/hornbeamd/edge/edge_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/hornbeamd/edge"
+	"hornbeamstep.example/hornbeamd/inspect"
 	"hornbeamstep.example/hornbeamd/logs"
 	"hornbeamstep.example/hornbeamd/shutdown"
 	"hornbeamstep.example/platform/bootfile"
@@ -209,7 +210,7 @@
 	a := w.do(0, "/once/x?q=1")
 	c.Assert(a.Status, qt.Equals, 200)
 	c.Assert(strings.HasPrefix(a.Body, "body by plain-"), qt.IsTrue)
-	c.Assert(a.Signature, qt.Equals, "signed-by-"+strings.TrimPrefix(a.Body, "body by "))
+	c.Assert(a.Signature, qt.Equals, standin.Signature(strings.TrimPrefix(a.Body, "body by "), fmt.Sprintf("%016x", w.attempt)))
 	run := w.runs("plain")[0]
 	c.Assert(run.Account, qt.Equals, "clerks")
 	c.Assert(run.HasKey, qt.IsFalse)
@@ -380,6 +381,41 @@
 	c.Assert(time.Since(stopped) < w.grace, qt.IsTrue)
 }
 
+// Guards against a report to operators that differs from what the router does.
+func TestInspect(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, 2)
+	report := func() inspect.Report {
+		r, err := inspect.Client{Timeout: time.Second}.Fetch(context.Background(), fmt.Sprintf("%s:%d", w.ips[0], w.metrics))
+		c.Assert(err, qt.IsNil)
+		return r
+	}
+	c.Assert(w.do(0, "/once/x").Status, qt.Equals, 200)
+	c.Assert(w.do(0, "/nowhere").Status, qt.Equals, 404)
+	leaving := w.servers["pool-2"]
+	w.store.Put("servers", leaving.ID, leaving.Entry("draining"))
+	w.await(func() bool {
+		for _, s := range report().Servers {
+			if s.ID == leaving.ID {
+				return s.State == "leaving"
+			}
+		}
+		return false
+	})
+	r := report()
+	c.Assert(r.Router, qt.Equals, "router-0")
+	c.Assert(r.Ready, qt.IsTrue)
+	c.Assert(r.Config.Version, qt.Equals, int64(3))
+	c.Assert(r.Config.Routes, qt.Equals, 5)
+	c.Assert(r.Routers, qt.HasLen, 1)
+	c.Assert(r.Routers[0].ID, qt.Equals, "router-1")
+	c.Assert(r.Servers, qt.HasLen, 4)
+	c.Assert(r.Outcomes["served"], qt.Equals, 1)
+	c.Assert(r.Outcomes["no_route"], qt.Equals, 1)
+	_, err := inspect.Client{Timeout: time.Second}.Fetch(context.Background(), w.directory(0))
+	c.Assert(err, qt.ErrorMatches, "the router at .* answered with status 404; give its metrics address", qt.Commentf("callers get no report"))
+}
+
 // Guards against callers that are sent to a router that was killed, and a fleet that does not take it back.
 func TestKill(t *testing.T) {
 	c := qt.New(t)
--- a/hornbeamd/edge/entry.go
+++ b/hornbeamd/edge/entry.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
 
+	"hornbeamstep.example/hornbeamd/inspect"
 	"hornbeamstep.example/platform/entry"
 )
 
@@ -19,23 +20,36 @@
 // caller asks that often.
 const entryLifetime = time.Second
 
-// entryHandler answers callers that ask where to connect, the platform's checks of readiness, and requests for metrics.
+// entryHandler answers callers that ask where to connect and the platform's checks of readiness.
 func (e *Edge) entryHandler() (http.Handler, error) {
+	return serverless("entry",
+		rest.Route{Method: http.MethodGet, Path: entry.ResolvePath, Handler: e.resolve},
+		rest.Route{Method: http.MethodGet, Path: entry.ReadyPath, Handler: e.ready},
+	)
+}
+
+// operatorHandler answers requests for metrics and for what this router believes, and checks of readiness.
+func (e *Edge) operatorHandler() (http.Handler, error) {
+	metrics := promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})
+	return serverless("operator",
+		rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
+		rest.Route{Method: http.MethodGet, Path: inspect.Path, Handler: inspect.Handler(e.report)},
+		rest.Route{Method: http.MethodGet, Path: entry.ReadyPath, Handler: e.ready},
+	)
+}
+
+// serverless returns a handler of routes.
+func serverless(name string, routes ...rest.Route) (http.Handler, error) {
 	server, err := rest.NewServer(rest.RestConf{ServiceConf: service.ServiceConf{
-		Name: "entry", Log: logx.LogConf{Mode: "console", Level: "severe", Stat: false},
+		Name: name, Log: logx.LogConf{Mode: "console", Level: "severe", Stat: false},
 	}})
 	if err != nil {
-		return nil, eris.Wrap(err, "build the routes of the entry")
+		return nil, eris.Wrapf(err, "build the routes of %s", name)
 	}
-	metrics := promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})
-	server.AddRoutes([]rest.Route{
-		{Method: http.MethodGet, Path: entry.ResolvePath, Handler: e.resolve},
-		{Method: http.MethodGet, Path: entry.ReadyPath, Handler: e.ready},
-		{Method: http.MethodGet, Path: "/metrics", Handler: metrics.ServeHTTP},
-	})
+	server.AddRoutes(routes)
 	handler, err := rest.NewServerless(server)
 	if err != nil {
-		return nil, eris.Wrap(err, "build the routes of the entry")
+		return nil, eris.Wrapf(err, "build the routes of %s", name)
 	}
 	return http.HandlerFunc(handler.Serve), nil
 }
--- /dev/null
+++ b/hornbeamd/edge/inspect.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"hornbeamstep.example/hornbeamd/inspect"
+)
+
+// report tells operators what this router believes.
+func (e *Edge) report(ctx context.Context) (inspect.Report, error) {
+	answer := make(chan inspect.Report, 1)
+	e.control.do(func() { answer <- e.control.report(time.Now()) })
+	select {
+	case r := <-answer:
+		outcomes, err := outcomes(e.registry)
+		r.Outcomes = outcomes
+		return r, err
+	case <-ctx.Done():
+		return inspect.Report{}, eris.Wrap(ctx.Err(), "wait for the control loop")
+	}
+}
+
+func (c *control) report(now time.Time) inspect.Report {
+	own := c.record(now)
+	newest, _ := c.presence.Contact(now, c.own)
+	r := inspect.Report{
+		Router: c.self.ID, Zone: c.self.Zone, Uptime: now.Sub(c.started).Milliseconds(), Ready: own.Ready, Draining: c.draining.Load(),
+		Active: c.gateway.Active(),
+		Store: inspect.Store{
+			Watching: c.duty.On(), Lost: own.Lost, Contact: own.Contact, Newest: -1, Servers: own.Servers, Kept: c.roster.Kept(),
+		},
+	}
+	if !newest.IsZero() {
+		r.Store.Newest = now.Sub(newest).Milliseconds()
+	}
+	if t := c.gateway.Table(); t != nil {
+		r.Config = inspect.Config{Version: t.Version(), Age: now.Sub(c.configured).Milliseconds(), Routes: t.Routes(), From: c.configuredBy}
+	}
+	for _, m := range c.presence.Members(now) {
+		r.Routers = append(r.Routers, inspect.Peer{
+			ID: m.ID, Zone: m.Zone, Ready: m.Ready, Heard: now.Sub(m.Heard).Milliseconds(), Config: m.Config, Servers: m.Servers,
+		})
+	}
+	for _, s := range c.upstreams.States(now) {
+		r.Servers = append(r.Servers, inspect.Usage{
+			ID: s.ID, Service: s.Service, Zone: s.Zone, Address: s.Address, State: string(s.Condition), Own: s.Own, Others: s.Others,
+			Slots: s.Slots, Failing: s.Failing,
+		})
+	}
+	return r
+}
+
+// outcomes sums the requests by outcome from their metric.
+func outcomes(registry *prometheus.Registry) (map[string]int, error) {
+	families, err := registry.Gather()
+	if err != nil {
+		return nil, eris.Wrap(err, "gather the metrics")
+	}
+	out := map[string]int{}
+	for _, family := range families {
+		if family.GetName() != "hornbeam_gateway_requests_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			for _, label := range metric.GetLabel() {
+				if label.GetName() == "outcome" {
+					out[label.GetValue()] += int(metric.GetCounter().GetValue())
+				}
+			}
+		}
+	}
+	return out, nil
+}
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -36,8 +36,8 @@
 	body     []byte
 	hasBody  bool
 
-	// print identifies the request when it is sent again.
-	print string
+	// identity identifies the request when it is sent again.
+	identity string
 	// tried holds the servers that were asked, and sent counts those that may have received a byte.
 	tried []string
 	sent  int
@@ -81,8 +81,8 @@
 		ctx, cancel = context.WithDeadline(ctx, c.deadline)
 		defer cancel()
 	}
-	c.print = c.fingerprint()
-	if c.s.Crashes.refused(c.received, c.print) {
+	c.identity = c.fingerprint()
+	if c.s.Crashes.refused(c.received, c.identity) {
 		c.answer(&refusal{http.StatusServiceUnavailable, "crashes_servers", quarantined})
 		return
 	}
@@ -176,10 +176,10 @@
 	c.s.Upstreams.finish(now, c.choice.Server.ID, ending, now.Sub(began))
 	switch ending {
 	case balance.Answered, balance.Failed:
-		c.s.Crashes.answered(c.print, c.choice.Server.ID)
+		c.s.Crashes.answered(c.identity, c.choice.Server.ID)
 	case balance.Broken:
 		crash := quarantine.Crash{Engine: c.choice.Server.ID, Boot: strconv.FormatInt(c.choice.Server.Born, 10)}
-		c.s.Crashes.broken(c.print, c.choice.Server.Address, crash)
+		c.s.Crashes.broken(c.identity, c.choice.Server.Address, crash)
 	}
 	if r != finished {
 		c.s.Metrics.attempt(ending.String())
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -67,6 +67,13 @@
 	return u.Balancer.Own(), u.Balancer.Paused(now)
 }
 
+// States returns the servers with what is known of them.
+func (u *Upstreams) States(now time.Time) []balance.State {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.Balancer.States(now)
+}
+
 // Draw returns a random number in [0,1).
 func (u *Upstreams) Draw() float64 { return rand.Float64() }
 
--- a/hornbeamd/source/duty.go
+++ b/hornbeamd/source/duty.go
@@ -28,6 +28,13 @@
 	return true
 }
 
+// On is true if the watcher has to watch.
+func (d *Duty) On() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.on
+}
+
 // wait returns when there is a duty, or the error of the context.
 func (d *Duty) wait(ctx context.Context) error {
 	d.mu.Lock()
--- a/routing/balance/balance_test.go
+++ b/routing/balance/balance_test.go
@@ -139,6 +139,32 @@
 	c.Assert(choice.Holder.ID, qt.Equals, spilled.Server.ID)
 }
 
+// Guards against operators who are told that a server is used although it gets no requests.
+func TestStates(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(6, 6)
+	b.Start(start, "s0")
+	b.Failure(start, "s1", balance.Unreachable)
+	b.Report(start.Add(time.Second), map[string]int{"s2": 2})
+	for range 12 {
+		b.Failure(start, "s3", balance.Failed)
+	}
+	next := servers(6, 6)
+	next[4].Leaving = true
+	b.SetServers(start, next)
+	conditions := func(now time.Time) (out []balance.Condition) {
+		for _, s := range b.States(now) {
+			out = append(out, s.Condition)
+		}
+		return out
+	}
+	c.Assert(conditions(start), qt.DeepEquals, []balance.Condition{
+		balance.Used, balance.Paused, balance.Reported, balance.Failing, balance.Leaving, balance.Used,
+	})
+	c.Assert(conditions(start.Add(2 * time.Second))[1:3], qt.DeepEquals, []balance.Condition{balance.OnTrial, balance.Used})
+	c.Assert(b.States(start)[0].Own, qt.Equals, 1)
+}
+
 // Guards against requests that go on to a server which accepts no connection, and against its loss for good.
 func TestUnreachable(t *testing.T) {
 	c := qt.New(t)
