feat(soak): real routers and stand-ins as processes, with random faults from outside, judged by the platform's promises

Not covered: datagrams between routers pass no proxy; a router's clock is not stepped in a process of its own.

--- a/hornbeambench/command/command.go
+++ b/hornbeambench/command/command.go
@@ -15,6 +15,7 @@
 	"hornbeamstep.example/hornbeambench/load"
 	"hornbeamstep.example/hornbeambench/replay"
 	"hornbeamstep.example/hornbeambench/report"
+	"hornbeamstep.example/hornbeambench/soak"
 	"hornbeamstep.example/hornbeambench/standin"
 	"hornbeamstep.example/hornbeambench/standin/modelengine"
 	"hornbeamstep.example/hornbeambench/variants"
@@ -34,6 +35,7 @@
 	Variants variants.Command `cmd:"" help:"Compare three designs of admission in a model in virtual time."`
 	Fleet    fleet.Commands   `cmd:"" help:"Watch and judge an experiment with several real processes; see scripts/fleet.sh."`
 	Standin  standin.Commands `cmd:"" help:"Run a stand-in as a process of its own."`
+	Soak     soak.Commands    `cmd:"" help:"Run routers on the platform's stand-ins as processes, inject random faults, and check the platform's promises."`
 }
 
 // Main runs one command line and returns the exit code: 0 if every outcome held, 1 if one did not or the command failed, and 2
