fix(edge): a connection is closed for being idle, or its next request is served, never both

Cause: connections of callers were closed by a timer that ran beside the server. A timer also kept the limit of an older configuration.

Change: the idle limit is the deadline of the read for the next request; a connection whose limit was raised meanwhile waits on.

--- a/hornbeamd/edge/drain.go
+++ b/hornbeamd/edge/drain.go
@@ -1,14 +1,10 @@
 package edge
 
 import (
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
-
-	"hornbeamstep.example/hornbeamd/gateway"
 )
 
 // Parts of the time between SIGTERM and SIGKILL.
@@ -54,24 +50,3 @@
 		_ = s.Close()
 	}
 }
-
-// idleLimit closes callers' connections that are idle for longer than the configuration allows. The library's own limit cannot
-// change while a server runs.
-type idleLimit struct {
-	gateway *gateway.Server
-	timers  sync.Map
-}
-
-func (l *idleLimit) state(conn net.Conn, state http.ConnState) {
-	if old, found := l.timers.LoadAndDelete(conn); found {
-		old.(*time.Timer).Stop()
-	}
-	t := l.gateway.Table()
-	if state != http.StateIdle || t == nil || t.Limits().IdleTimeout <= 0 {
-		return
-	}
-	l.timers.Store(conn, time.AfterFunc(t.Limits().IdleTimeout, func() {
-		// The caller may have closed it in the meantime.
-		_ = conn.Close()
-	}))
-}
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -238,7 +238,6 @@
 
 // listen opens the addresses for callers and for the platform.
 func (e *Edge) listen(ctx context.Context) ([]*http.Server, error) {
-	idle := &idleLimit{gateway: e.gateway}
 	entry, err := e.entryHandler()
 	if err != nil {
 		return nil, err
@@ -248,7 +247,7 @@
 		return nil, err
 	}
 	front := &http.Server{
-		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit, ConnState: idle.state,
+		Handler: e.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit,
 		ErrorLog: zap.NewStdLog(e.Log.Named("http")),
 	}
 	servers := []*http.Server{front}
@@ -269,6 +268,9 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s; check that no other process uses the port", addresses[i])
 		}
+		if server == front {
+			listener = limitIdle(front, listener, e.gateway)
+		}
 		go func() {
 			if err := server.Serve(listener); err != http.ErrServerClosed {
 				e.Log.Error("listener ended", zap.String("address", addresses[i]), zap.Error(err))
