fix(presence): routers of a large fleet find each other within seconds after all were killed

Records have told a router's addresses in its first five heartbeats and then in one of five since the last change. Each change of configuration or servers is a heartbeat too, so that the five were over within the first second; at an interval of 2 s the next complete record came 10 s later, which is when most of the missing joins were logged (8.5 to 12 s and 19 s). The first joins count also cost a look at all members for each record received.

Change: records are complete for 5 s after their router joined. The interval grows at 75 routers a step, not 30: 0.8 s at 300, paid for by smaller digests. Hubs send their members one sum of loads in place of one for each zone. Live members are counted once a message. A message that brings many routers is one log line, not one a router.

Ruled out: lost packets alone; TestFleetSettles with 2 in 100 messages lost passes on the code before as well.

Result: TestFleetStartsBusy (300 routers, 6 s) fails on the code before (291 known of 300) and passes.

--- a/coord/presence/fleet_test.go
+++ b/coord/presence/fleet_test.go
@@ -214,3 +214,39 @@
 		}
 	}
 }
+
+// Guards against routers that stay unknown because they sent many heartbeats in their first second, as each change makes them do, and
+// tell little in later ones.
+func TestFleetStartsBusy(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(300)
+	for _, id := range f.order {
+		self := f.selves[id]
+		self.Sequence = 41
+		f.selves[id] = self
+	}
+	f.run(6 * time.Second)
+	f.check(c)
+}
+
+// Guards against routers that take each other for lost again and again although no more than one in 50 messages is, in a fleet whose
+// records pass two hubs.
+func TestFleetSettles(t *testing.T) {
+	for _, n := range []int{60, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(n)
+			f.run(8 * time.Second)
+			random := rand.New(rand.NewPCG(1, 3))
+			f.cut = func(string, string) bool { return random.IntN(50) == 0 }
+			lost := 0
+			for range 20 {
+				f.run(500 * time.Millisecond)
+				for _, id := range f.order[:20] {
+					lost += n - 1 - f.states[id].Live(f.now)
+				}
+			}
+			c.Assert(lost, qt.Equals, 0, qt.Commentf("routers that 20 others took for lost, in 20 looks"))
+		})
+	}
+}
--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -41,8 +41,9 @@
 	Brief bool
 }
 
-// ZoneLoad is the sum over the routers of an availability zone.
+// ZoneLoad is the sum over the routers of an availability zone, or of all.
 type ZoneLoad struct {
+	// Zone is empty for the sum over all availability zones.
 	Zone string
 	// Loads holds the requests in progress by backend server.
 	Loads map[ServerKey]int
@@ -65,7 +66,7 @@
 const meshSize = 12
 
 // hubRouters is the number of routers for each step of the interval in a fleet with hubs: their messages grow with the fleet.
-const hubRouters = 30
+const hubRouters = 75
 
 // hubs is the number of routers of an availability zone that gather records.
 const hubs = 2
@@ -78,7 +79,8 @@
 	return s.settings.Interval * time.Duration(max(2, (len(s.members)+1)/hubRouters))
 }
 
-// silence is the time without a newer record after which a router counts as lost. A relayed record is up to two intervals older.
+// silence is the time without a newer record after which a router counts as lost. A record that two hubs relay is up to three
+// intervals old.
 func (s *State) silence() time.Duration { return max(s.settings.Silence, 4*s.Interval()) }
 
 // contactLimit is the age of a store answer up to which a router can watch for the others.
@@ -99,6 +101,9 @@
 			joined = append(joined, r.ID)
 		}
 	}
+	if len(joined) > 0 {
+		s.most = max(s.most, s.Live(now)+1)
+	}
 	for _, z := range m.Zones {
 		at := now.Add(-time.Duration(z.Age) * time.Millisecond)
 		if old, known := s.zones[z.Zone]; !known || at.After(old.at) {
@@ -139,9 +144,13 @@
 	if r.Loads == nil && known && r.Boot == old.Boot {
 		r.Loads, r.Down = old.Loads, old.Down
 	}
-	s.members[r.ID] = Member{Record: r, Heard: sent}
-	s.most = max(s.most, s.Live(now)+1)
-	return !known || r.Boot != old.Boot || now.Sub(old.Heard) > s.silence()
+	joined := !known || r.Boot != old.Boot || now.Sub(old.Heard) > s.silence()
+	since := old.since
+	if joined {
+		since = now
+	}
+	s.members[r.ID] = Member{Record: r, Heard: sent, since: since}
+	return joined
 }
 
 // Introduce returns the message for a router that has just joined: all that is known of the others.
@@ -157,14 +166,14 @@
 
 // relayed returns the own record and those of other live routers without their loads.
 func (s *State) relayed(now time.Time, self Record, wanted func(Record) bool) []Aged {
-	out := []Aged{{Record: self, Brief: self.brief()}}
+	out := []Aged{{Record: self, Brief: self.brief(now, s.started)}}
 	for _, m := range s.Members(now) {
 		if !wanted(m.Record) {
 			continue
 		}
 		r := m.Record
 		r.Loads, r.Down = nil, nil
-		out = append(out, Aged{Record: r, Age: now.Sub(m.Heard).Milliseconds(), Brief: r.brief()})
+		out = append(out, Aged{Record: r, Age: now.Sub(m.Heard).Milliseconds(), Brief: r.brief(now, m.since)})
 	}
 	return out
 }
@@ -180,7 +189,10 @@
 // Heartbeat returns what this router has to send now.
 func (s *State) Heartbeat(now time.Time, self Record) []Sending {
 	s.reported = self.Loads
-	own := Message{Kind: Heartbeat, From: self.ID, Records: []Aged{{Record: self, Brief: self.brief()}}}
+	if s.started.IsZero() {
+		s.started = now
+	}
+	own := Message{Kind: Heartbeat, From: self.ID, Records: []Aged{{Record: self, Brief: self.brief(now, s.started)}}}
 	if !s.large() {
 		return []Sending{{To: s.addresses(func(Member) bool { return true }), Message: own}}
 	}
@@ -197,7 +209,8 @@
 	sendings := []Sending{{
 		To: s.addresses(func(m Member) bool { return m.Zone == self.Zone }),
 		Message: Message{
-			Kind: Digest, From: self.ID, Records: s.relayed(now, self, func(Record) bool { return true }), Zones: loads,
+			Kind: Digest, From: self.ID, Records: s.relayed(now, self, func(Record) bool { return true }),
+			Zones: []ZoneLoad{sum(loads)},
 		},
 	}}
 	var others []string
@@ -213,6 +226,16 @@
 	return append(sendings, Sending{To: others, Message: Message{Kind: Digest, From: self.ID, Records: inZone, Zones: own}})
 }
 
+// sum returns the load of all availability zones together. Its age is that of the own zone, which comes first.
+func sum(zones []ZoneLoad) ZoneLoad {
+	all := ZoneLoad{Loads: map[ServerKey]int{}, Down: map[string]int{}, Age: zones[0].Age}
+	for _, z := range zones {
+		add(all.Loads, z.Loads)
+		add(all.Down, z.Down)
+	}
+	return all
+}
+
 // zoneLoads returns the load of the own availability zone as its routers report it, and those of the others as their hubs do.
 func (s *State) zoneLoads(now time.Time, self Record) []ZoneLoad {
 	own := ZoneLoad{Zone: self.Zone, Loads: maps.Clone(self.Loads), Down: map[string]int{}}
@@ -232,7 +255,7 @@
 	}
 	out := []ZoneLoad{own}
 	for _, z := range s.zones {
-		if z.Zone != self.Zone && now.Sub(z.at) <= s.silence() {
+		if z.Zone != self.Zone && z.Zone != "" && now.Sub(z.at) <= s.silence() {
 			z.Age = now.Sub(z.at).Milliseconds()
 			out = append(out, z.ZoneLoad)
 		}
@@ -312,29 +335,32 @@
 // Load sums the requests in progress of the other routers, and counts those that could not reach a server, by its ID.
 func (s *State) Load(now time.Time, self Record) (loads map[ServerKey]int, down map[string]int) {
 	loads, down = map[ServerKey]int{}, map[string]int{}
-	if !s.large() || slices.Contains(s.hubsOf(now, self, self.Zone), self.ID) {
-		for _, m := range s.members {
-			if !s.live(now, m) || s.large() && m.Zone != self.Zone {
-				continue
-			}
-			add(loads, m.Loads)
-			for _, id := range m.Down {
-				down[id]++
-			}
+	hub := slices.Contains(s.hubsOf(now, self, self.Zone), self.ID)
+	if s.large() && !hub {
+		z, known := s.zones[""]
+		if !known || now.Sub(z.at) > s.silence() {
+			return loads, down
 		}
-	} else if z, known := s.zones[self.Zone]; known && now.Sub(z.at) <= s.silence() {
 		add(loads, z.Loads)
 		add(down, z.Down)
 		for key, n := range s.reported {
 			loads[key] = max(0, loads[key]-n)
 		}
+		return loads, down
 	}
-	if s.large() {
-		for _, z := range s.zones {
-			if z.Zone != self.Zone && now.Sub(z.at) <= s.silence() {
-				add(loads, z.Loads)
-				add(down, z.Down)
-			}
+	for _, m := range s.members {
+		if !s.live(now, m) || s.large() && m.Zone != self.Zone {
+			continue
+		}
+		add(loads, m.Loads)
+		for _, id := range m.Down {
+			down[id]++
+		}
+	}
+	for _, z := range s.zones {
+		if s.large() && z.Zone != self.Zone && z.Zone != "" && now.Sub(z.at) <= s.silence() {
+			add(loads, z.Loads)
+			add(down, z.Down)
 		}
 	}
 	return loads, down
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -48,12 +48,16 @@
 // KeyOf returns the key of the backend server with an ID.
 func KeyOf(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
 
-// identityEvery is the number of records of a router of which one tells what does not change while its process runs. So do as many
-// after its start, for those that do not know it yet.
+// identityEvery is the number of records of a router of which one tells what does not change while its process runs.
 const identityEvery = 5
 
-// brief is true if a record is sent without what does not change while the process runs.
-func (r Record) brief() bool { return r.Sequence > identityEvery && r.Sequence%identityEvery != 0 }
+// identityFor is the time after a router joined in which all its records tell that.
+const identityFor = 5 * time.Second
+
+// brief is true if a record is sent without what does not change while the process runs. Since is when the router joined.
+func (r Record) brief(now, since time.Time) bool {
+	return now.Sub(since) > identityFor && r.Sequence%identityEvery != 0
+}
 
 // withIdentity returns the record with what another one of the same process told.
 func (r Record) withIdentity(o Record) Record {
@@ -88,6 +92,8 @@
 	Record
 	// Heard is when the record arrived.
 	Heard time.Time
+	// since is when the router was first heard, or again after it had been lost.
+	since time.Time
 }
 
 // ContactAt is when the store answered the member itself; zero if it never did.
@@ -135,6 +141,8 @@
 	reported map[ServerKey]int
 	// most is the greatest number of routers seen at once.
 	most int
+	// started is the time of the first heartbeat.
+	started time.Time
 }
 
 // New returns a state that knows no other router.
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -188,6 +188,9 @@
 	c.send(presence.Sending{To: silent, Message: presence.Message{From: own.ID, Records: []presence.Aged{{Record: own}}}})
 }
 
+// joinedLogged bounds the routers that are named in one log line.
+const joinedLogged = 8
+
 // heard takes a message of another router. Routers that join are told of the others.
 func (c *control) heard(ctx context.Context, m presence.Message) {
 	now := time.Now()
@@ -195,8 +198,10 @@
 	for _, r := range m.Records {
 		c.gateway.Crashes.Merge(now, crashEntries(now, r.Crashes))
 	}
-	for _, id := range joined {
-		c.log.Info("router joined", zap.String("peer", id), zap.Int("routers", c.presence.Live(now)+1), zap.String("from", m.From))
+	if len(joined) > 0 {
+		// A fleet that starts at once would otherwise log the square of its size.
+		c.log.Info("routers joined", zap.Strings("peers", joined[:min(len(joined), joinedLogged)]), zap.Int("joined", len(joined)),
+			zap.Int("routers", c.presence.Live(now)+1), zap.String("from", m.From))
 	}
 	for _, id := range introduce {
 		c.send(c.presence.Introduce(now, c.record(now), id))
