feat(balance): short requests are shed too, once their answers come near the target

A full queue is 150 ms long there, as is the target, so nearly all answers were late: 3,069 of 9,003 posting-status in time, 5,167 late.

Change: for requests that are shorter than reports are old, shedding begins at three quarters of the room that the target leaves and is complete a quarter beyond it. Datagrams of large digests are paced (64 KB, then 5 ms) by a goroutine of their own: hubs of 300 routers send megabytes at once, which links drop.

Ruled out: the thresholds of long requests (half to all of the room: 3,919 and 1,668 in time, 2,334 refused).

Tests: TestOverload keeps its two cases.

--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -52,16 +52,28 @@
 
 	udp *net.UDPConn
 	tcp net.Listener
-	// Dropped counts the datagrams that could not be sent or read.
+	// outgoing holds the messages that wait to be sent.
+	outgoing chan presence.Sending
+	// Dropped counts the datagrams that could not be sent or read, and the messages that found too many waiting.
 	Dropped atomic.Int64
 }
 
+// A hub of a large fleet sends megabytes in each interval. Links drop what exceeds their queues, and would drop the same part of
+// each digest, so that burst bytes are followed by a pause: about 13 MB/s at most.
+const (
+	burst      = 64 << 10
+	burstPause = 5 * time.Millisecond
+	// outgoingLimit bounds the messages that wait: some intervals of a hub.
+	outgoingLimit = 64
+)
+
 // Start opens the sockets.
 func (n *Node) Start() error {
 	address, err := net.ResolveUDPAddr("udp", n.Listen)
 	if err != nil {
 		return eris.Wrapf(err, "the address for heartbeats %q", n.Listen)
 	}
+	n.outgoing = make(chan presence.Sending, outgoingLimit)
 	if n.udp, err = net.ListenUDP("udp", address); err != nil {
 		return eris.Wrapf(err, "listen for heartbeats on %s; check that no other process uses the port", n.Listen)
 	}
@@ -81,6 +93,7 @@
 		_ = n.tcp.Close()
 	})
 	go n.accept(ctx)
+	go n.deliver(ctx)
 	buffer := make([]byte, datagramLimit)
 	for {
 		size, _, err := n.udp.ReadFromUDPAddrPort(buffer)
@@ -100,11 +113,33 @@
 	}
 }
 
-// Send sends a message to its addresses, in as many datagrams as it needs. Lost ones are made good by the next message.
+// Send sends a message to its addresses without waiting, in as many datagrams as it needs. Lost ones are made good by the next
+// message.
 func (n *Node) Send(s presence.Sending) {
 	if len(s.To) == 0 {
 		return
 	}
+	select {
+	case n.outgoing <- s:
+	default:
+		n.Dropped.Add(1)
+	}
+}
+
+// deliver sends what waits until the context ends.
+func (n *Node) deliver(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-n.outgoing:
+			n.deliverOne(ctx, s)
+		}
+	}
+}
+
+func (n *Node) deliverOne(ctx context.Context, s presence.Sending) {
+	sent := 0
 	for _, part := range split(s.Message) {
 		text, err := encode(part)
 		if err != nil || len(text) > datagramLimit {
@@ -113,6 +148,15 @@
 		}
 		for _, address := range s.To {
 			n.sendTo(text, address)
+			if sent += len(text); sent < burst {
+				continue
+			}
+			sent = 0
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(burstPause):
+			}
 		}
 	}
 }
--- /dev/null
+++ b/hornbeamd/mesh/mesh_test.go
@@ -0,0 +1,50 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"hornbeamstep.example/coord/presence"
+)
+
+// Guards against a control loop that waits for a large message to be sent, and against one of which a part is never sent.
+func TestSend(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	received := make(chan presence.Message, 1000)
+	node := func(received chan presence.Message) *Node {
+		n := &Node{Listen: "127.0.0.1:0", Control: "127.0.0.1:0", Log: zap.NewNop(), Received: func(m presence.Message) { received <- m }}
+		c.Assert(n.Start(), qt.IsNil)
+		go n.Run(ctx)
+		return n
+	}
+	from, to := node(received), node(received)
+	m := presence.Message{Kind: presence.Digest, From: "a"}
+	for i := range 300 {
+		m.Records = append(m.Records, presence.Aged{Record: presence.Record{ID: fmt.Sprint("r", i), Boot: 1, Sequence: 2}})
+	}
+	began := time.Now()
+	for range 4 {
+		from.Send(presence.Sending{To: []string{to.udp.LocalAddr().String()}, Message: m})
+	}
+	c.Assert(time.Since(began) < burstPause, qt.IsTrue)
+	seen := map[string]int{}
+	for records := 0; records < 4*300; {
+		select {
+		case part := <-received:
+			records += len(part.Records)
+			for _, r := range part.Records {
+				seen[r.ID]++
+			}
+		case <-time.After(5 * time.Second):
+			c.Fatalf("%d records arrived", records)
+		}
+	}
+	c.Assert(seen, qt.HasLen, 300)
+}
--- a/routing/balance/shed.go
+++ b/routing/balance/shed.go
@@ -15,23 +15,30 @@
 	// none to all. Delays settle between them, below the target with room for swings.
 	shedFrom = 1.0 / 3
 	shedAll  = 2.0 / 3
+	// shortFrom and shortAll replace them for requests that are shorter than reports are old: the queue of a server changes faster
+	// than routers learn of it, and its own refusals keep it short.
+	shortFrom = 0.75
+	shortAll  = 1.25
 	// shedMost is the greatest share of requests that are shed; the others show when the overload is over.
 	shedMost = 0.95
 )
 
 // sheds is true for a request that is refused because its service is overloaded. Under a load that lasts, a queue in which all wait
 // for longer than their target makes all answers late, while as many as the servers can take could be in time. It is judged by the
-// delays of each priority, and a request is shed at least as often as more urgent ones. Requests that are shorter than reports are
-// old are left to the servers, whose queues change faster than routers learn of it.
+// delays of each priority, and a request is shed at least as often as more urgent ones.
 func (b *Balancer) sheds(now time.Time, p *pool, a Ask, mean float64, wait time.Duration) bool {
 	p.busy = mean >= busyShare*p.slots(a)
-	if !p.busy || a.Target <= 0 || p.work > 0 && p.work < b.lag {
+	if !p.busy || a.Target <= 0 {
 		return false
 	}
+	from, all := shedFrom, shedAll
+	if p.work > 0 && p.work < b.lag {
+		from, all, wait = shortFrom, shortAll, 0
+	}
 	share := 0.0
 	for priority, d := range p.delays {
 		if priority <= a.Priority && now.Sub(d.at) < delayMemory {
-			share = max(share, d.share(wait))
+			share = max(share, (d.used(wait)-from)/(all-from))
 		}
 	}
 	return next(a.Draw, b.salt) < min(shedMost, share)
@@ -46,8 +53,9 @@
 	at     time.Time
 }
 
-// share is the share of requests to shed for such delays. Wait is the expected time until a server begins a further request.
-func (d delay) share(wait time.Duration) float64 {
+// used is the part of what the target leaves for the queue that answers wait there. Wait is the expected time until a server begins
+// a further request, or 0.
+func (d delay) used(wait time.Duration) float64 {
 	room := d.target - d.base
 	if room <= 0 {
 		return 0
@@ -57,7 +65,7 @@
 		// The expected wait tells of a growing queue before answers are late.
 		queued = max(queued, min(wait, 2*queued))
 	}
-	return (float64(queued)/float64(room) - shedFrom) / (shedAll - shedFrom)
+	return float64(queued) / float64(room)
 }
 
 // slots is the mean number of slots of a server.
