feat(balance): requests of a surging client account yield while its service is busy

Cause: under overload all accounts were shed alike, so that one that sends ten times its usual took the others' places.

Change: an account that sends over three times its usual rate (averaged over 30 s, of a surge only one request in eight counts) gets a priority one lower while most slots of the service are in use. Servers begin its requests later, and it is shed first.

--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -94,6 +94,7 @@
 		now := time.Now()
 		c.asked = c.ask(now)
 		c.choice = c.s.Upstreams.take(now, c.asked)
+		c.asked.Priority = c.choice.Priority
 		if c.choice.Server.ID == "" {
 			c.giveUp(string(c.choice.Reason))
 			return
@@ -135,7 +136,7 @@
 func (c *call) ask(now time.Time) balance.Ask {
 	a := balance.Ask{
 		Service: c.service.Name, Zone: c.s.Zone, Avoid: c.tried, Slots: c.service.Slots, Draw: c.s.Upstreams.Draw(),
-		Target: c.route.Target, Priority: c.priority,
+		Target: c.route.Target, Priority: c.priority, Account: c.account,
 	}
 	if c.route.Sticky || c.service.Engine {
 		a.Prompt = balance.Prompt(c.stated.Model, c.stated.Parts)
@@ -225,7 +226,7 @@
 
 func (c *call) request() *backend.Request {
 	f := envelope.Forward{
-		Server: c.choice.Server.ID, Account: c.account, Priority: c.priority, Holder: c.choice.Holder.Address,
+		Server: c.choice.Server.ID, Account: c.account, Priority: c.choice.Priority, Holder: c.choice.Holder.Address,
 		After: c.last,
 	}
 	if !c.deadline.IsZero() {
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -79,6 +79,8 @@
 	Target time.Duration
 	// Priority is lower for more urgent requests, which servers begin first.
 	Priority int
+	// Account is the client account.
+	Account string
 	// Slots replaces the number of slots that a server registered; 0 keeps that.
 	Slots int
 }
@@ -93,6 +95,8 @@
 	// Load is the number of requests at the server before this one, and Mean that of its service.
 	Load int
 	Mean float64
+	// Priority is that of the request, or a lower one while its client account surges at a busy service.
+	Priority int
 	// Candidates is the number of servers that could take the request.
 	Candidates int
 	// Wait is the expected time until the server begins; for Full also that after which a return is worth while.
@@ -150,11 +154,13 @@
 	servers map[string]*entry
 	pools   map[string]*pool
 	caches  *caches
+	// accounts holds the rates of client accounts.
+	accounts map[string]*account
 }
 
 // New returns a balancer without servers for the router with an ID.
 func New(s Settings, router string) *Balancer {
-	return &Balancer{settings: s, routers: 1, salt: xxhash.Sum64String(router), caches: newCaches(), servers: map[string]*entry{}, pools: map[string]*pool{}}
+	return &Balancer{settings: s, routers: 1, salt: xxhash.Sum64String(router), caches: newCaches(), accounts: map[string]*account{}, servers: map[string]*entry{}, pools: map[string]*pool{}}
 }
 
 // SetServers takes the known servers. What is known of a server is forgotten when it starts again.
@@ -239,6 +245,10 @@
 		total += e.load()
 	}
 	c := Choice{Mean: float64(total) / float64(len(p.entries)), Candidates: len(usable)}
+	if len(a.Avoid) == 0 && b.surges(now, a.Account) && p.busy {
+		a.Priority++
+	}
+	c.Priority = a.Priority
 	var e *entry
 	if len(a.Prompt) > 0 {
 		var holder *entry
--- a/routing/balance/rate.go
+++ b/routing/balance/rate.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// memory is the time in which the weight of a request in a rate falls to 1/e. Less would take a few requests that arrive together
+// memory is the default of rate.memory, the time in which the weight of a request in a rate falls to 1/e. Less would take a few requests that arrive together
 // for a surge, and much more would miss one.
 const memory = time.Second
 
@@ -13,6 +13,15 @@
 type rate struct {
 	weight  float64
 	counted time.Time
+	// memory is the time in which the weight of an event falls to 1/e. Default 1 s.
+	memory time.Duration
+}
+
+func (r rate) over() time.Duration {
+	if r.memory > 0 {
+		return r.memory
+	}
+	return memory
 }
 
 // perSecond returns the rate now.
@@ -20,10 +29,10 @@
 	if r.weight == 0 {
 		return 0
 	}
-	return r.weight * math.Exp(-float64(now.Sub(r.counted))/float64(memory)) / memory.Seconds()
+	return r.weight * math.Exp(-float64(now.Sub(r.counted))/float64(r.over())) / r.over().Seconds()
 }
 
 func (r *rate) count(now time.Time) {
-	r.weight = r.perSecond(now)*memory.Seconds() + 1
+	r.weight = r.perSecond(now)*r.over().Seconds() + 1
 	r.counted = now
 }
