--- a/routing/balance/accounts.go
+++ b/routing/balance/accounts.go
@@ -12,8 +12,8 @@
 	// surge is the multiple of its usual rate from which on an account surges, and surgeLeast the rate below which none does.
 	surge      = 3
 	surgeLeast = 2
-	// surgeLearned is the number of requests of a surge of which one counts as usual.
-	surgeLearned = 8
+	// surgeLearned is the number of requests of a surge of which one counts as usual; fewer than surge, or a lasting rise would never be.
+	surgeLearned = 2
 	// accountsMost bounds the accounts whose rates are kept.
 	accountsMost = 4096
 )
