--- a/routing/balance/affinity.go
+++ b/routing/balance/affinity.go
@@ -32,12 +32,15 @@
 	if best == home {
 		why = Home
 	}
-	holder = b.holder(now, p, a, best)
+	b.caches.count(now, a.Prompt[0])
+	return best, b.holder(now, p, a, best), why
+}
+
+// remember notes that a request is sent to a server.
+func (b *Balancer) remember(a Ask, e *entry) {
 	for _, beginning := range a.Prompt {
-		b.caches.put(beginning, best.instance())
+		b.caches.put(beginning, e.instance())
 	}
-	b.caches.count(now, a.Prompt[0])
-	return best, holder, why
 }
 
 // holder returns a server that most likely holds more of the shared beginning of a prompt than the chosen one; nil if none is
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -137,7 +137,7 @@
 	// work is the moving average of the time that a request takes when it need not wait.
 	work time.Duration
 	// delays holds the time until an answer begins by priority.
-	delays map[int]delay
+	delays map[int]*delay
 	// busy is true while most slots are in use.
 	busy bool
 }
@@ -184,7 +184,7 @@
 		next[s.ID] = e
 		p := pools[s.Service]
 		if p == nil {
-			p = &pool{delays: map[int]delay{}}
+			p = &pool{delays: map[int]*delay{}}
 			if old := b.pools[s.Service]; old != nil {
 				p.work, p.delays = old.work, old.delays
 			}
@@ -266,6 +266,7 @@
 		return c
 	}
 	c.Server = e.Server
+	b.remember(a, e)
 	if e.strikes > 0 {
 		e.trial = now
 	}
--- a/routing/balance/balance_test.go
+++ b/routing/balance/balance_test.go
@@ -77,6 +77,49 @@
 	c.Assert(choice.Holder.ID, qt.Equals, spilled.Server.ID)
 }
 
+// Guards against a request that waits for a slot at the home of its prompt while another server has a free one.
+func TestSpillsAtSlots(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(4, 8)
+	ask := balance.Ask{Service: "pool", Prompt: []uint64{77}}
+	home := b.Choose(start, ask).Server.ID
+	for i := range 4 {
+		for range 4 {
+			b.Start(start, fmt.Sprint("s", i))
+			b.Start(start, home)
+		}
+	}
+	for range 12 {
+		b.Finish(start, home, balance.Abandoned, 0)
+	}
+	choice := b.Choose(start, ask)
+	c.Assert(choice.Server.ID, qt.Not(qt.Equals), home)
+	c.Assert(choice.Reason, qt.Equals, balance.Spilled)
+}
+
+// Guards against a prompt that is taken to be in a server's cache although its request was refused.
+func TestRefusedNotRemembered(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(1, 1)
+	// The service learns that a request takes a second.
+	b.Start(start, "s0")
+	b.Finish(start, "s0", balance.Answered, time.Second)
+	// The home of the prompt is s1, once it has joined.
+	prompt := uint64(77)
+	for newBalancer(2, 1).Choose(start, balance.Ask{Service: "pool", Prompt: []uint64{prompt}}).Server.ID != "s1" {
+		prompt++
+	}
+	ask := balance.Ask{Service: "pool", Prompt: []uint64{prompt}, Left: time.Millisecond}
+	c.Assert(b.Choose(start, ask).Reason, qt.Equals, balance.Full)
+	next := servers(2, 1)
+	next[0].Leaving = true
+	b.SetServers(start.Add(time.Minute), next)
+	ask.Left = 0
+	choice := b.Choose(start.Add(2*time.Minute), ask)
+	c.Assert(choice.Server.ID, qt.Equals, "s1")
+	c.Assert(choice.Holder.ID, qt.Equals, "", qt.Commentf("s0 was never sent the prompt"))
+}
+
 // Guards against operators who are told that a server is used although it gets no requests.
 func TestStates(t *testing.T) {
 	c := qt.New(t)
