fix(gateway): streams that go on elsewhere, and retries, are not shed

Cause: shedding judged each choice of a server, also that for a stream which has lost its server midway; it would have been cut off while its service was busy.

Change: only first attempts state a target. The soak's callers send their requests by the stand-in, which alone names the platform's headers.

Result: TestRetriesAreNotShed fails without the condition (target of 1 s for the second attempt) by construction of the test, which sets the route's target; it passes. go test ./hornbeamd/gateway ./hornbeambench/soak passes.

--- a/hornbeambench/soak/caller.go
+++ b/hornbeambench/soak/caller.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"hornbeamstep.example/platform/standin"
@@ -123,22 +121,13 @@
 
 // exchange is true if the connection is of no further use.
 func (c *caller) exchange(ctx context.Context, q *request) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+standin.Host+q.Path, strings.NewReader(q.Body))
-	if err != nil {
-		panic(err) // The address is a constant.
-	}
-	// The library must not send a request again by itself.
-	r.GetBody = nil
-	r.Header.Set("Attempt-Id", q.Attempt)
-	r.Header.Set("Api-Key", q.Key)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
-	answer, err := c.client.Do(r)
+	answer, err := standin.Request{
+		Address: standin.Host, Path: q.Path, Attempt: q.Attempt, Key: q.Key, Body: q.Body, Left: patience,
+	}.Send(ctx, c.client)
 	if err != nil {
 		q.Broken = true
 		return true
 	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(answer.Body)
-	q.Status, q.Answer, q.Signature, q.Broken = answer.StatusCode, string(body), answer.Header.Get("Response-Signature"), err != nil
-	return err != nil || answer.Close
+	q.Status, q.Answer, q.Signature, q.Broken = answer.Status, answer.Body, answer.Signature, answer.Err != nil
+	return answer.Err != nil || answer.Close
 }
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -136,7 +136,11 @@
 func (c *call) ask(now time.Time) balance.Ask {
 	a := balance.Ask{
 		Service: c.service.Name, Zone: c.s.Zone, Avoid: c.tried, Slots: c.service.Slots, Draw: c.s.Upstreams.Draw(),
-		Target: c.route.Target, Priority: c.priority, Account: c.account,
+		Priority: c.priority, Account: c.account,
+	}
+	if len(c.tried) == 0 {
+		// Only first attempts are shed: a stream that goes on elsewhere, or a retry, has cost a server work already.
+		a.Target = c.route.Target
 	}
 	if c.route.Sticky || c.service.Engine {
 		a.Prompt = balance.Prompt(c.stated.Model, c.stated.Parts)
--- a/hornbeamd/gateway/gateway_test.go
+++ b/hornbeamd/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -23,3 +24,12 @@
 		c.Assert(s.Table().Version(), qt.Equals, step.inForce)
 	}
 }
+
+// Guards against a stream that is cut off because its service is overloaded when it goes on at another server.
+func TestRetriesAreNotShed(t *testing.T) {
+	c := qt.New(t)
+	q := &call{s: &Server{Upstreams: &Upstreams{}}, route: &routes.Route{Target: time.Second}}
+	c.Assert(q.ask(time.Now()).Target, qt.Equals, time.Second)
+	q.tried = []string{"s1"}
+	c.Assert(q.ask(time.Now()).Target, qt.Equals, time.Duration(0))
+}
