--- a/hornbeambench/soak/soak.go
+++ b/hornbeambench/soak/soak.go
@@ -74,6 +74,9 @@
 	for job := range max(1, c.Jobs) {
 		jobs.Go(func() {
 			for seed := range queue {
+				if ctx.Err() != nil {
+					return
+				}
 				found, summary, err := c.one(ctx, bench, seed, firstNetwork+job)
 				mu.Lock()
 				broken = broken || err != nil || len(found) > 0
@@ -83,6 +86,9 @@
 		})
 	}
 	jobs.Wait()
+	if ctx.Err() != nil {
+		return eris.Wrap(ctx.Err(), "the soak was ended early")
+	}
 	if broken {
 		return ErrBroken
 	}
