fix(mesh): no datagram ends a router or changes what it believes

A datagram from any program also passed for that of a router: one with a later start time made a router unreachable for callers. Change: messages are decoded field by field; each length is checked against the bytes that are left, each value against a limit, and the message against a format version. A message counts only if it comes from the heartbeat address of the router that it names. Calls between routers are limited to 4 KB, responses to 16 MB, and calls in progress to 256. Dropped messages have a metric and one log line in 5 s. Ruled out: decoding by reflection after a walk over the message, which also works, but costs twice.

--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -133,6 +133,18 @@
 	return joined, introduce
 }
 
+// IsAuthentic reports whether a message was sent from the heartbeat address of the router that it
+// names as its sender, which is that of the sender's own record in the message, or else the known
+// one. source is the address that the message came from, as ip:port.
+func (s *State) IsAuthentic(m Message, source string) bool {
+	for _, r := range m.Records {
+		if r.ID == m.From && !r.WithoutIdentity {
+			return r.Peer == source
+		}
+	}
+	return s.members[m.From].Peer == source
+}
+
 // isMisdirected reports whether a hub update from another availability zone reached this router
 // although it is not a hub of its own zone. The sender then does not know the hubs of this zone.
 func (s *State) isMisdirected(now time.Time, from string) bool {
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -47,6 +47,10 @@
 	// fetching holds the kinds of data for which a call to another router is in progress.
 	fetching      map[string]bool
 	lastHeartbeat time.Time
+	// foreignMessages counts the messages that were not sent from the address of their sender;
+	// foreignLoggedAt is when the count was last logged.
+	foreignMessages int
+	foreignLoggedAt time.Time
 
 	// Other goroutines may read the fields below. serverSnapshot holds the list of backend servers
 	// that other routers can fetch; nil before the first one.
@@ -211,9 +215,14 @@
 const maxJoinedLogged = 8
 
 // handleMessage processes a message from another router. It sends the records of the other routers
-// to routers that have just joined.
-func (c *controlLoop) handleMessage(ctx context.Context, m presence.Message) {
+// to routers that have just joined. A message from an address other than that of its sender is
+// dropped.
+func (c *controlLoop) handleMessage(ctx context.Context, m presence.Message, source string) {
 	now := time.Now()
+	if !c.presence.IsAuthentic(m, source) {
+		c.countForeign(now, m, source)
+		return
+	}
 	joined, introduce := c.presence.Receive(now, m)
 	for _, r := range m.Records {
 		c.gateway.Crashes.Merge(now, crashEntries(now, r.Crashes))
@@ -230,6 +239,21 @@
 	c.fetchNewer(ctx, now)
 }
 
+// foreignLogInterval is the minimum time between two log lines about dropped messages.
+const foreignLogInterval = 5 * time.Second
+
+// countForeign counts a message that was not sent from the address of its sender. It logs the count
+// once per foreignLogInterval, since any program can send such messages.
+func (c *controlLoop) countForeign(now time.Time, m presence.Message, source string) {
+	c.foreignMessages++
+	if now.Sub(c.foreignLoggedAt) < foreignLogInterval {
+		return
+	}
+	c.foreignLoggedAt = now
+	c.log.Warn("dropped messages that were not sent from the address of their sender", zap.String("sender", m.From),
+		zap.String("source", source), zap.Int("dropped", c.foreignMessages))
+}
+
 // storeAnswered records that the store responded to this router.
 func (c *controlLoop) storeAnswered() {
 	c.storeContact, c.storeFailedAt = time.Now(), time.Time{}
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -117,6 +117,7 @@
 		tasks: make(chan func(), taskQueueSize), started: time.Now(), fetching: map[string]bool{},
 	}
 	e.mesh = &mesh.Node{Listen: self.Peer, Control: s.Control, State: e.control, Log: e.Log.Named("mesh")}
+	e.registerDroppedMessages()
 	e.control.send = e.mesh.Send
 	e.store = metastore.New(s.Store, storeTimeout, watchMargin)
 	e.store.Count = e.storeCounter()
@@ -137,7 +138,7 @@
 // start runs the components in the background.
 func (e *Router) start(ctx context.Context) {
 	c := e.control
-	e.mesh.OnMessage = func(m presence.Message) { c.tryEnqueue(func() { c.handleMessage(ctx, m) }) }
+	e.mesh.OnMessage = func(m presence.Message, source string) { c.tryEnqueue(func() { c.handleMessage(ctx, m, source) }) }
 	watcher := &storewatch.Watcher{
 		Store: e.store, Active: &c.watching, Log: e.Log.Named("source"),
 		OnSuccess: func() { c.enqueue(c.storeAnswered) },
--- a/hornbeamd/edge/edge_test.go
+++ b/hornbeamd/edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -69,6 +70,8 @@
 	// attempt is the number of requests sent so far. The attempt ID of a request is its number.
 	attempt int
 	mu      sync.Mutex
+	// output receives the logs of the routers; optional.
+	output io.Writer
 }
 
 type router struct {
@@ -81,7 +84,12 @@
 // newTestPlatform starts a store, two backend servers for each service, and routers. It returns
 // when the service discovery endpoint of the last router lists all routers.
 func newTestPlatform(c *qt.C, routers int) *testPlatform {
-	p := &testPlatform{c: c, store: standin.NewStore(), servers: map[string]*standin.Server{}}
+	return newTestPlatformWithOutput(c, routers, nil)
+}
+
+// newTestPlatformWithOutput also copies the logs of the routers to output, unless it is nil.
+func newTestPlatformWithOutput(c *qt.C, routers int, output io.Writer) *testPlatform {
+	p := &testPlatform{c: c, store: standin.NewStore(), servers: map[string]*standin.Server{}, output: output}
 	c.Cleanup(p.store.CloseClientConnections)
 	p.store.Put("config", "main", standin.Config(3, "key", "revoked"))
 	for i, service := range []string{"plain", "plain", "pool", "pool"} {
@@ -140,7 +148,8 @@
 	p.c.Assert(os.WriteFile(path, []byte(settings.FileContent()), 0o600), qt.IsNil)
 	process := exec.Command(os.Args[0])
 	process.Env = append(os.Environ(), metricsPortVariable+"="+strconv.Itoa(p.metricsPort), bootfile.PathEnv+"="+path)
-	if testing.Verbose() {
+	process.Stdout = p.output
+	if testing.Verbose() && p.output == nil {
 		process.Stdout = os.Stdout
 	}
 	process.Stderr = os.Stderr
--- a/hornbeamd/edge/handlers.go
+++ b/hornbeamd/edge/handlers.go
@@ -86,6 +86,13 @@
 	return func(string) { opened.Inc() }
 }
 
+// registerDroppedMessages registers a metric of the messages of other routers that were dropped.
+func (e *Router) registerDroppedMessages() {
+	e.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "hornbeam_mesh_dropped_messages_total", Help: "Datagrams and calls between routers that could not be sent, received or decoded.",
+	}, func() float64 { return float64(e.mesh.Dropped.Load()) }))
+}
+
 // storeCounter registers a metric and returns a function that counts a call to the store.
 func (e *Router) storeCounter() func(string, int) {
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -13,47 +13,8 @@
 	"hornbeamstep.example/coord/presence"
 )
 
-// message is the wire format of presence.Message. Messages are encoded as arrays, so the order of
-// the fields is part of the format.
-type message struct {
-	Kind    presence.Kind
-	From    string
-	Records []record
-	Zones   []zone
-}
-
-// record is the wire format of presence.AgedRecord; presence.Record describes the fields.
-type record struct {
-	Age             int64
-	ID              string
-	Boot            int64
-	Sequence        uint64
-	Ready           bool
-	Config, Servers int64
-	StoreContactAge int64
-	StoreLost       bool
-	Loads           map[presence.ServerKey]int
-	Down            []string
-	Crashes         []presence.Crash
-	// Identity is nil in brief records, which are sent to routers that know the identity from an
-	// earlier record.
-	Identity *identity
-}
-
-// identity holds the fields of a record that rarely change.
-type identity struct {
-	Zone, Region         string
-	Peer, Control, Front string
-	Capacity             float64
-}
-
-// zone is the wire format of presence.ZoneLoad.
-type zone struct {
-	Zone  string
-	Loads map[presence.ServerKey]int
-	Down  map[string]int
-	Age   int64
-}
+// formatVersion is the first element of each datagram. A router drops datagrams of other versions.
+const formatVersion = 16
 
 // Sizes in bytes: the largest encoded record without and with an identity, not counting its loads,
 // and the payload of one packet. A larger datagram would be fragmented, and the loss of one
@@ -89,55 +50,114 @@
 	return parts
 }
 
-// encode returns the wire format of a message.
+// encode returns the wire format of a message: nested arrays without field names, which would
+// double the size. decode documents the order of the fields.
 func encode(m presence.Message) ([]byte, error) {
-	out := message{Kind: m.Kind, From: m.From}
+	var data bytes.Buffer
+	w := datagramWriter{encoder: msgpack.NewEncoder(&data)}
+	w.encoder.UseCompactInts(true)
+	w.list(messageFields)
+	w.integer(formatVersion)
+	w.integer(int64(m.Kind))
+	w.text(m.From)
+	w.list(len(m.Records))
 	for _, r := range m.Records {
-		o := record{
-			Age: r.Age, ID: r.ID, Boot: r.Boot, Sequence: r.Sequence, Ready: r.Ready, Config: r.Config, Servers: r.Servers,
-			StoreContactAge: r.StoreContactAge, StoreLost: r.StoreLost, Loads: r.Loads, Down: r.Down, Crashes: r.Crashes,
-		}
-		if !r.WithoutIdentity {
-			o.Identity = &identity{
-				Zone: r.Zone, Region: r.Region, Peer: r.Peer, Control: r.Control, Front: r.Front, Capacity: r.Capacity,
-			}
-		}
-		out.Records = append(out.Records, o)
+		w.record(r)
 	}
+	w.list(len(m.ZoneLoads))
 	for _, z := range m.ZoneLoads {
-		out.Zones = append(out.Zones, zone{Zone: z.Zone, Loads: z.Loads, Down: z.Down, Age: z.Age})
+		w.zoneLoad(z)
 	}
-	var data bytes.Buffer
-	encoder := msgpack.NewEncoder(&data)
-	// Encoding the field names would double the size.
-	encoder.UseArrayEncodedStructs(true)
-	encoder.UseCompactInts(true)
-	err := encoder.Encode(&out)
-	return data.Bytes(), eris.Wrap(err, "encode heartbeat message")
+	return data.Bytes(), eris.Wrap(w.err, "encode heartbeat message")
+}
+
+// Numbers of fields in the wire format.
+const (
+	messageFields  = 5
+	recordFields   = 13
+	identityFields = 6
+	crashFields    = 2
+	zoneLoadFields = 4
+)
+
+// datagramWriter encodes the fields of a datagram. err is the first error.
+type datagramWriter struct {
+	encoder *msgpack.Encoder
+	err     error
 }
 
-// decode parses the wire format of a message. The data is untrusted, because any program can send
-// datagrams to the router.
-func decode(data []byte) (presence.Message, error) {
-	var in message
-	if err := msgpack.Unmarshal(data, &in); err != nil {
-		return presence.Message{}, eris.Wrap(err, "decode heartbeat message")
+func (w *datagramWriter) keep(err error) {
+	if w.err == nil {
+		w.err = err
 	}
-	m := presence.Message{Kind: in.Kind, From: in.From}
-	for _, r := range in.Records {
-		o := presence.AgedRecord{Age: max(0, r.Age), WithoutIdentity: r.Identity == nil, Record: presence.Record{
-			ID: r.ID, Boot: r.Boot, Sequence: r.Sequence, Ready: r.Ready, Config: r.Config, Servers: r.Servers, StoreContactAge: r.StoreContactAge,
-			StoreLost: r.StoreLost, Loads: r.Loads, Down: r.Down, Crashes: r.Crashes,
-		}}
-		if i := r.Identity; i != nil {
-			o.Zone, o.Region, o.Peer, o.Control, o.Front, o.Capacity = i.Zone, i.Region, i.Peer, i.Control, i.Front, i.Capacity
-		}
-		m.Records = append(m.Records, o)
+}
+
+func (w *datagramWriter) list(n int)      { w.keep(w.encoder.EncodeArrayLen(n)) }
+func (w *datagramWriter) text(s string)   { w.keep(w.encoder.EncodeString(s)) }
+func (w *datagramWriter) integer(n int64) { w.keep(w.encoder.EncodeInt(n)) }
+func (w *datagramWriter) flag(b bool)     { w.keep(w.encoder.EncodeBool(b)) }
+
+func (w *datagramWriter) texts(list []string) {
+	w.list(len(list))
+	for _, s := range list {
+		w.text(s)
 	}
-	for _, z := range in.Zones {
-		m.ZoneLoads = append(m.ZoneLoads, presence.ZoneLoad{Zone: z.Zone, Loads: z.Loads, Down: z.Down, Age: max(0, z.Age)})
+}
+
+// loads writes a map as a list of keys, each followed by its value.
+func (w *datagramWriter) loads(loads map[presence.ServerKey]int) {
+	w.list(2 * len(loads))
+	for key, n := range loads {
+		w.integer(int64(key))
+		w.integer(int64(n))
+	}
+}
+
+func (w *datagramWriter) record(r presence.AgedRecord) {
+	w.list(recordFields)
+	w.integer(r.Age)
+	w.text(r.ID)
+	w.integer(r.Boot)
+	w.keep(w.encoder.EncodeUint(r.Sequence))
+	w.flag(r.Ready)
+	w.integer(r.Config)
+	w.integer(r.Servers)
+	w.integer(r.StoreContactAge)
+	w.flag(r.StoreLost)
+	// A relayed record has no loads, which is not the same as a router without load.
+	if r.Loads == nil {
+		w.keep(w.encoder.EncodeNil())
+	} else {
+		w.loads(r.Loads)
+	}
+	w.texts(r.Down)
+	w.list(len(r.Crashes))
+	for _, c := range r.Crashes {
+		w.list(crashFields)
+		w.text(c.Fingerprint)
+		w.texts(c.Servers)
+	}
+	if r.WithoutIdentity {
+		w.keep(w.encoder.EncodeNil())
+		return
+	}
+	w.list(identityFields)
+	for _, s := range []string{r.Zone, r.Region, r.Peer, r.Control, r.Front} {
+		w.text(s)
+	}
+	w.keep(w.encoder.EncodeFloat64(r.Capacity))
+}
+
+func (w *datagramWriter) zoneLoad(z presence.ZoneLoad) {
+	w.list(zoneLoadFields)
+	w.text(z.Zone)
+	w.loads(z.Loads)
+	w.list(2 * len(z.Down))
+	for id, n := range z.Down {
+		w.text(id)
+		w.integer(int64(n))
 	}
-	return m, nil
+	w.integer(z.Age)
 }
 
 // packed is a compressed response. Compression saves time on slow links, because a configuration
@@ -146,8 +166,9 @@
 	Gzip []byte `json:"gzip"`
 }
 
-// maxUnpackedBytes limits the size of a response after decompression.
-const maxUnpackedBytes = 64 << 20
+// maxUnpackedBytes limits the size of a response after decompression. The store limits a
+// configuration to 1 MB, and its encoding here is at most a few times longer.
+const maxUnpackedBytes = 16 << 20
 
 // pack encodes a value as compressed JSON.
 func pack(value any) (packed, error) {
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"os"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -74,9 +73,6 @@
 
 // Guards against a datagram from another program that crashes the router.
 func FuzzDecode(f *testing.F) {
-	if os.Getenv("KNOWN_RED") == "" {
-		f.Skip("listed in KNOWN-RED.txt; set KNOWN_RED=1 to run it")
-	}
 	data, err := encode(fullMessage)
 	if err != nil {
 		f.Fatal(err)
--- /dev/null
+++ b/hornbeamd/mesh/decode.go
@@ -0,0 +1,240 @@
+package mesh
+
+import (
+	"bytes"
+	"io"
+	"math"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"hornbeamstep.example/coord/presence"
+)
+
+// Limits of the values in a datagram. A message with a value beyond them is rejected.
+const (
+	maxTextBytes = 256
+	// maxAgeMillis is the longest age, one hour. Records and loads are relayed for seconds.
+	maxAgeMillis = 3_600_000
+	// maxLoad is the highest number of requests in progress at one backend server. The sum over
+	// all servers and routers fits an int.
+	maxLoad = 1 << 20
+	// maxCapacity is the highest capacity of a machine, in cores.
+	maxCapacity = 4096
+)
+
+var (
+	errFormatVersion = eris.New("heartbeat message has another format version; upgrade all routers to the same release")
+	errInvalidField  = eris.New("heartbeat message has an invalid field")
+)
+
+// decode parses the wire format of a message. The data is untrusted, because any program can send
+// datagrams to the router. A message is [version, kind, from, records, zone loads].
+func decode(data []byte) (presence.Message, error) {
+	remaining := bytes.NewReader(data)
+	r := datagramReader{data: remaining, decoder: msgpack.NewDecoder(remaining)}
+	var m presence.Message
+	r.fields(messageFields)
+	if r.integer(0, math.MaxInt64) != formatVersion && r.err == nil {
+		return presence.Message{}, errFormatVersion
+	}
+	m.Kind = presence.Kind(r.integer(0, int64(presence.HubUpdate)))
+	m.From = r.text()
+	for range r.list(recordFields) {
+		m.Records = append(m.Records, r.record())
+	}
+	for range r.list(zoneLoadFields) {
+		m.ZoneLoads = append(m.ZoneLoads, r.zoneLoad())
+	}
+	if remaining.Len() > 0 {
+		r.fail(errInvalidField)
+	}
+	if r.err != nil {
+		return presence.Message{}, eris.Wrap(r.err, "decode heartbeat message")
+	}
+	return m, nil
+}
+
+// datagramReader decodes the fields of a datagram. err is the first error. After an error, all
+// methods return zero values. Lengths are checked against the bytes that are left before anything
+// is allocated for them, because the library allocates memory for any length that a message states.
+type datagramReader struct {
+	data    *bytes.Reader
+	decoder *msgpack.Decoder
+	err     error
+}
+
+func (r *datagramReader) fail(err error) {
+	if r.err == nil {
+		r.err = err
+	}
+}
+
+// list returns the length of a list whose elements have at least minSize bytes each.
+func (r *datagramReader) list(minSize int) int {
+	if r.err != nil {
+		return 0
+	}
+	n, err := r.decoder.DecodeArrayLen()
+	if err != nil {
+		r.fail(err)
+		return 0
+	}
+	if n < 0 || n > r.data.Len()/minSize {
+		r.fail(errInvalidField)
+		return 0
+	}
+	return n
+}
+
+// fields checks that a list has n elements.
+func (r *datagramReader) fields(n int) {
+	if r.list(1) != n {
+		r.fail(errInvalidField)
+	}
+}
+
+// isNil reads a nil and returns true, or returns false without reading anything.
+func (r *datagramReader) isNil() bool {
+	if r.err != nil {
+		return true
+	}
+	// The code of nil in MessagePack.
+	const nilCode = 0xc0
+	code, err := r.decoder.PeekCode()
+	if err != nil {
+		r.fail(err)
+		return true
+	}
+	if code != nilCode {
+		return false
+	}
+	if err := r.decoder.DecodeNil(); err != nil {
+		r.fail(err)
+	}
+	return true
+}
+
+func (r *datagramReader) text() string {
+	if r.err != nil {
+		return ""
+	}
+	n, err := r.decoder.DecodeBytesLen()
+	if err != nil || n < 0 || n > min(maxTextBytes, r.data.Len()) {
+		r.fail(errInvalidField)
+		return ""
+	}
+	text := make([]byte, n)
+	if _, err := io.ReadFull(r.data, text); err != nil {
+		r.fail(err)
+	}
+	return string(text)
+}
+
+func (r *datagramReader) integer(least, most int64) int64 {
+	if r.err != nil {
+		return 0
+	}
+	n, err := r.decoder.DecodeInt64()
+	if err != nil {
+		r.fail(err)
+		return 0
+	}
+	if n < least || n > most {
+		r.fail(errInvalidField)
+		return 0
+	}
+	return n
+}
+
+func (r *datagramReader) number() int64 { return r.integer(0, math.MaxInt64) }
+
+func (r *datagramReader) flag() bool {
+	if r.err != nil {
+		return false
+	}
+	b, err := r.decoder.DecodeBool()
+	if err != nil {
+		r.fail(err)
+	}
+	return b
+}
+
+func (r *datagramReader) texts() []string {
+	var list []string
+	for range r.list(1) {
+		list = append(list, r.text())
+	}
+	return list
+}
+
+func (r *datagramReader) loads() map[presence.ServerKey]int {
+	loads := map[presence.ServerKey]int{}
+	for range r.list(1) / 2 {
+		key := presence.ServerKey(r.integer(0, math.MaxUint32))
+		loads[key] = int(r.integer(0, maxLoad))
+	}
+	return loads
+}
+
+// record reads [age, ID, boot, sequence, ready, config, servers, store contact age, store lost,
+// loads or nil, down, crashes, identity or nil].
+func (r *datagramReader) record() presence.AgedRecord {
+	var a presence.AgedRecord
+	r.fields(recordFields)
+	a.Age = r.integer(0, maxAgeMillis)
+	a.ID = r.text()
+	a.Boot = r.number()
+	a.Sequence = uint64(r.number())
+	a.Ready = r.flag()
+	a.Config = r.number()
+	a.Servers = r.number()
+	a.StoreContactAge = r.integer(-1, math.MaxInt64/int64(1e6))
+	a.StoreLost = r.flag()
+	if !r.isNil() {
+		a.Loads = r.loads()
+	}
+	a.Down = r.texts()
+	for range r.list(crashFields) {
+		r.fields(crashFields)
+		a.Crashes = append(a.Crashes, presence.Crash{Fingerprint: r.text(), Servers: r.texts()})
+	}
+	if a.WithoutIdentity = r.isNil(); !a.WithoutIdentity {
+		r.identity(&a.Record)
+	}
+	return a
+}
+
+// identity reads [zone, region, peer, control, front, capacity].
+func (r *datagramReader) identity(into *presence.Record) {
+	r.fields(identityFields)
+	for _, s := range []*string{&into.Zone, &into.Region, &into.Peer, &into.Control, &into.Front} {
+		*s = r.text()
+	}
+	if r.err != nil {
+		return
+	}
+	capacity, err := r.decoder.DecodeFloat64()
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	// The comparison is false for NaN.
+	if !(capacity >= 0 && capacity <= maxCapacity) {
+		r.fail(errInvalidField)
+		return
+	}
+	into.Capacity = capacity
+}
+
+// zoneLoad reads [zone, loads, down, age].
+func (r *datagramReader) zoneLoad() presence.ZoneLoad {
+	r.fields(zoneLoadFields)
+	z := presence.ZoneLoad{Zone: r.text(), Loads: r.loads(), Down: map[string]int{}}
+	for range r.list(1) / 2 {
+		id := r.text()
+		z.Down[id] = int(r.integer(0, maxLoad))
+	}
+	z.Age = r.integer(0, maxAgeMillis)
+	return z
+}
--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -50,8 +50,9 @@
 	// Listen is the UDP address for heartbeats and Control the TCP address for calls, as ip:port.
 	Listen, Control string
 	State           StateProvider
-	// OnMessage is called for each message that arrives. It must not block.
-	OnMessage func(presence.Message)
+	// OnMessage is called for each message that arrives, with the address that it was sent from, as
+	// ip:port. It must not block.
+	OnMessage func(m presence.Message, source string)
 	Log       *zap.Logger
 
 	udp *net.UDPConn
@@ -75,6 +76,37 @@
 	outgoingQueueSize = 64
 )
 
+// Limits of the calls between routers. The data is untrusted, because any program can connect to
+// the router's port.
+const (
+	// maxRequestBytes limits the size of a call, which holds little more than the name of a method.
+	maxRequestBytes = 4 << 10
+	// maxResponseBytes limits the size of a response before decompression.
+	maxResponseBytes = maxUnpackedBytes
+	// maxCalls is the number of connections that are served at the same time. Further ones are
+	// closed. It exceeds the number of routers in an availability zone, which may all fetch a new
+	// configuration from one router.
+	maxCalls = 256
+)
+
+var errTooLarge = eris.New("message exceeds the size limit for calls between routers")
+
+// limitedConn is a connection from which at most remaining bytes can be read.
+type limitedConn struct {
+	net.Conn
+	remaining int
+}
+
+// Read implements io.Reader.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.remaining <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
+	c.remaining -= n
+	return n, err
+}
+
 // Start opens the UDP and TCP sockets.
 func (n *Node) Start() error {
 	address, err := net.ResolveUDPAddr("udp", n.Listen)
@@ -105,7 +137,7 @@
 	go n.sendQueued(ctx)
 	buffer := make([]byte, maxDatagramBytes)
 	for {
-		size, _, err := n.udp.ReadFromUDPAddrPort(buffer)
+		size, source, err := n.udp.ReadFromUDPAddrPort(buffer)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -118,7 +150,7 @@
 			n.Dropped.Add(1)
 			continue
 		}
-		n.OnMessage(m)
+		n.OnMessage(m, netip.AddrPortFrom(source.Addr().Unmap(), source.Port()).String())
 	}
 }
 
@@ -186,6 +218,7 @@
 
 // accept serves the connections of other routers until the context is canceled.
 func (n *Node) accept(ctx context.Context) {
+	calls := make(chan struct{}, maxCalls)
 	for {
 		conn, err := n.tcp.Accept()
 		if err != nil {
@@ -196,13 +229,27 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		peer := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(n.handle))
-		// A connection carries one call, which ends within callTimeout on the other side.
-		time.AfterFunc(2*callTimeout, func() {
+		select {
+		case calls <- struct{}{}:
+		default:
+			n.Dropped.Add(1)
+			// The other router gets an error and asks again.
+			_ = conn.Close()
+			continue
+		}
+		limited := &limitedConn{Conn: conn, remaining: maxRequestBytes}
+		peer := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(limited), jsonrpc2.HandlerWithError(n.handle))
+		go func() {
+			defer func() { <-calls }()
+			select {
+			case <-peer.DisconnectNotify():
+			// A connection carries one call, which ends within callTimeout on the other side.
+			case <-time.After(2 * callTimeout):
+			}
 			// Close returns an error if the other router has already closed the connection after
 			// its call.
 			_ = peer.Close()
-		})
+		}()
 	}
 }
 
@@ -244,7 +291,8 @@
 	if err != nil {
 		return eris.Wrapf(err, "connect to the router at %s", address)
 	}
-	peer := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(
+	limited := &limitedConn{Conn: conn, remaining: maxResponseBytes}
+	peer := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(limited), jsonrpc2.HandlerWithError(
 		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this end only asks"}
 		}))
--- a/hornbeamd/mesh/mesh_test.go
+++ b/hornbeamd/mesh/mesh_test.go
@@ -20,7 +20,7 @@
 	defer cancel()
 	received := make(chan presence.Message, 1000)
 	node := func(received chan presence.Message) *Node {
-		n := &Node{Listen: "127.0.0.1:0", Control: "127.0.0.1:0", Log: zap.NewNop(), OnMessage: func(m presence.Message) { received <- m }}
+		n := &Node{Listen: "127.0.0.1:0", Control: "127.0.0.1:0", Log: zap.NewNop(), OnMessage: func(m presence.Message, _ string) { received <- m }}
 		c.Assert(n.Start(), qt.IsNil)
 		go n.Run(ctx)
 		return n
