--- a/coord/presence/entry.go
+++ b/coord/presence/entry.go
@@ -18,7 +18,7 @@
 // router's record. If no router is ready, only its address is returned.
 func (s *State) EntryAddresses(now time.Time, zone string, self Record) []string {
 	var inZone, all []string
-	add := func(r Record) {
+	add := func(r *Record) {
 		if !r.Ready || r.Front == "" {
 			return
 		}
@@ -27,9 +27,11 @@
 			inZone = append(inZone, r.Front)
 		}
 	}
-	add(self)
-	for _, m := range s.Members(now) {
-		add(m.Record)
+	add(&self)
+	for _, m := range s.members {
+		if s.live(now, m) {
+			add(&m.Record)
+		}
 	}
 	switch {
 	case len(inZone) >= minZoneRouters:
--- a/coord/presence/fleet_test.go
+++ b/coord/presence/fleet_test.go
@@ -20,6 +20,8 @@
 	now        time.Time
 	// sent and records count the messages and the records in them, by sender.
 	sent, records map[string]int
+	// bytes counts the bytes sent, and received the records received, by router.
+	bytes, received map[string]int
 	// due holds the time of each router's next heartbeat.
 	due map[string]time.Time
 	// drop selects the messages that are lost; nil means none.
@@ -29,7 +31,7 @@
 func newFleet(n int) *fleet {
 	f := &fleet{
 		states: map[string]*presence.State{}, ownRecords: map[string]presence.Record{}, dead: map[string]bool{}, now: start,
-		sent: map[string]int{}, records: map[string]int{}, due: map[string]time.Time{},
+		sent: map[string]int{}, records: map[string]int{}, bytes: map[string]int{}, received: map[string]int{}, due: map[string]time.Time{},
 	}
 	for i := range n {
 		id := fmt.Sprint("r", i)
@@ -48,6 +50,8 @@
 	for _, to := range out.To {
 		f.sent[from]++
 		f.records[from] += len(out.Message.Records)
+		f.bytes[from] += sizeOf(out.Message)
+		f.received[to] += len(out.Message.Records)
 		state := f.states[to]
 		if f.dead[to] || state == nil || to == from {
 			continue
@@ -82,6 +86,9 @@
 					f.deliver(id, presence.OutgoingMessage{To: []string{seed}, Message: presence.Message{From: id, Records: []presence.AgedRecord{{Record: self}}}})
 				}
 			}
+			for _, out := range state.Requests(f.now) {
+				f.deliver(id, out)
+			}
 			f.due[id] = f.now.Add(state.Interval() + time.Duration(i%4)*time.Millisecond)
 		}
 	}
@@ -105,7 +112,7 @@
 		}
 		self := f.ownRecords[id]
 		c.Assert(f.states[id].LiveCount(f.now)+1, qt.Equals, live, qt.Commentf("live routers according to %s", id))
-		loads, _ := f.states[id].OtherLoads(f.now, self)
+		loads := f.states[id].OtherReports(f.now, self).Loads
 		for server, n := range total {
 			c.Assert(loads[server]+self.Loads[server], qt.Equals, n, qt.Commentf("load of server %d according to %s", server, id))
 		}
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hornbeamstep.example/routing/roster"
 )
 
 // Record is the state that a router reports of itself.
@@ -31,9 +33,10 @@
 	Ready bool
 	// Capacity is the capacity of the machine, as the function Capacity returns it.
 	Capacity float64
-	// Config is the version of the router's configuration and Servers the revision of its list of
-	// backend servers.
-	Config, Servers int64
+	// Config is the version of the router's configuration, and Servers that of its list of backend
+	// servers.
+	Config  int64
+	Servers roster.Revision
 	// StoreContactAge is the time since the platform's store last responded to this router, in
 	// milliseconds; negative if it never did.
 	StoreContactAge int64
@@ -43,6 +46,9 @@
 	Loads map[ServerKey]int
 	// Down holds the IDs of the backend servers that the router recently failed to reach.
 	Down []string
+	// Leaving holds the backend servers that recently told the router that they are leaving, each as
+	// ID and start time, separated by a slash.
+	Leaving []string
 	// Crashes holds the requests that were running on backend servers which crashed recently.
 	Crashes []Crash
 }
@@ -108,14 +114,15 @@
 	// joinedAt is when the first record of the router's process arrived, or the first one after the
 	// router had been lost.
 	joinedAt time.Time
-}
-
-// StoreContactAt returns when the store last responded to the member, or zero if it never did.
-func (m Member) StoreContactAt() time.Time {
-	if m.StoreContactAge < 0 {
-		return time.Time{}
-	}
-	return m.SentAt.Add(-time.Duration(m.StoreContactAge) * time.Millisecond)
+	// changedAt is when the member joined, or when the crashes in its record last changed. Hubs
+	// relay its record for a short time after that.
+	changedAt time.Time
+	// storeContactAt is when the store last responded to the member as of its record; zero if it
+	// never did.
+	storeContactAt time.Time
+	key            MemberKey
+	// rank is the result of rank for the member's ID.
+	rank uint64
 }
 
 // timedZoneLoad is the load of a zone and the time at which a hub computed it, converted to the
@@ -157,13 +164,34 @@
 type State struct {
 	settings Settings
 	self     Record
+	selfKey  MemberKey
+	selfRank uint64
 	// members holds the other routers by ID, including those that are lost but not yet forgotten.
-	members map[string]Member
+	members map[string]*Member
+	// byKey holds the same members by the key of their process.
+	byKey map[MemberKey]*Member
+	// liveness holds the last livenessUpdate by scope, and requestedLiveness when this router last
+	// asked a hub for its complete liveness, by the ID of the hub.
+	liveness          map[string]sentLiveness
+	requestedLiveness map[string]time.Time
+	// incomplete holds the hubs whose liveness differs from what this router believes.
+	incomplete map[string]bool
+	// missing holds the processes whose records this router lacks, and requested when it last asked
+	// for each. wanted holds the processes whose records other routers have asked for, by the ID of
+	// the router.
+	missing   map[MemberKey]missingRecord
+	requested map[MemberKey]time.Time
+	wanted    map[string][]MemberKey
+	// introducedAt is when this router last introduced the others to a router, by its ID.
+	introducedAt map[string]time.Time
+	// storeContact is the time of the latest response of the store to any router, as far as hubs
+	// have reported it.
+	storeContact time.Time
 	// zoneLoads holds the latest load that hubs reported by availability zone; the key "" holds the
 	// sum over all zones.
 	zoneLoads map[string]timedZoneLoad
-	// lastSentLoads holds the loads in the latest heartbeat of this router.
-	lastSentLoads map[ServerKey]int
+	// lastSent is the record in the latest heartbeat of this router.
+	lastSent Record
 	// maxFleet is the greatest number of routers that were live at the same time, including this
 	// one. Tick lowers it to the number of live routers once all lost routers are forgotten.
 	maxFleet int
@@ -173,13 +201,27 @@
 
 // New returns a State without other routers. self is this router's record.
 func New(s Settings, self Record) *State {
-	return &State{settings: s, self: self, members: map[string]Member{}, zoneLoads: map[string]timedZoneLoad{}, maxFleet: 1}
+	return &State{
+		settings: s, self: self, selfKey: keyOf(self), selfRank: rank(self.ID), members: map[string]*Member{}, byKey: map[MemberKey]*Member{},
+		missing: map[MemberKey]missingRecord{}, requested: map[MemberKey]time.Time{}, wanted: map[string][]MemberKey{},
+		introducedAt: map[string]time.Time{}, liveness: map[string]sentLiveness{}, requestedLiveness: map[string]time.Time{},
+		incomplete: map[string]bool{}, lastSent: self, zoneLoads: map[string]timedZoneLoad{}, maxFleet: 1,
+	}
 }
 
 // Tick forgets the routers whose latest heartbeat is older than Settings.ForgetAfter, and lowers
 // the result of FleetSize once no lost router is left.
 func (s *State) Tick(now time.Time) {
-	maps.DeleteFunc(s.members, func(_ string, m Member) bool { return now.Sub(m.SentAt) > s.settings.ForgetAfter })
+	for id, m := range s.members {
+		if now.Sub(m.SentAt) > s.settings.ForgetAfter {
+			delete(s.members, id)
+			delete(s.byKey, m.key)
+		}
+	}
+	forgotten := func(at time.Time) bool { return now.Sub(at) > s.settings.ForgetAfter }
+	maps.DeleteFunc(s.requested, func(_ MemberKey, at time.Time) bool { return forgotten(at) })
+	maps.DeleteFunc(s.introducedAt, func(_ string, at time.Time) bool { return forgotten(at) })
+	maps.DeleteFunc(s.requestedLiveness, func(_ string, at time.Time) bool { return forgotten(at) })
 	if live := s.LiveCount(now) + 1; live < s.maxFleet && len(s.members) == live-1 {
 		s.maxFleet = live
 	}
@@ -190,7 +232,7 @@
 	var live []Member
 	for _, m := range s.members {
 		if s.live(now, m) {
-			live = append(live, m)
+			live = append(live, *m)
 		}
 	}
 	slices.SortFunc(live, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
@@ -209,19 +251,22 @@
 }
 
 // live reports whether the member sent its latest record at most s.lostAfter() ago.
-func (s *State) live(now time.Time, m Member) bool { return now.Sub(m.SentAt) <= s.lostAfter() }
+func (s *State) live(now time.Time, m *Member) bool { return now.Sub(m.SentAt) <= s.lostAfter() }
 
 // FleetSize returns the number of routers that may share a fleet-wide limit, such as the connection
 // limit of a backend server: this one and the others, including lost ones.
 func (s *State) FleetSize() int { return max(s.maxFleet, len(s.members)+1) }
 
 // LastStoreContact returns when the store last responded to any live router, as far as this router
-// knows, and that router's ID. own is the time of the last response to this router.
+// knows, and that router's ID, which is empty if only a hub has reported the time. own is the time of the last response to this router.
 func (s *State) LastStoreContact(now, own time.Time) (at time.Time, id string) {
 	at, id = own, s.self.ID
+	if s.storeContact.After(at) {
+		at, id = s.storeContact, ""
+	}
 	for _, m := range s.members {
-		if c := m.StoreContactAt(); s.live(now, m) && c.After(at) {
-			at, id = c, m.ID
+		if s.live(now, m) && m.storeContactAt.After(at) {
+			at, id = m.storeContactAt, m.ID
 		}
 	}
 	return at, id
@@ -234,9 +279,9 @@
 // the time at which this router started, and lost is true if the store did not respond to this
 // router's latest call.
 func (s *State) MustWatchStore(now, own, started time.Time, lost bool) bool {
-	rank, lowerRanked, reachingStore := s.rank(s.self.ID), 0, 0
+	lowerRanked, reachingStore := 0, 0
 	for _, m := range s.members {
-		if !s.live(now, m) || s.rank(m.ID) >= rank {
+		if !s.live(now, m) || m.rank >= s.selfRank {
 			continue
 		}
 		lowerRanked++
@@ -277,28 +322,25 @@
 
 // rank returns a hash that orders the routers. The order is the same on every router and unrelated
 // to the machines' names.
-func (s *State) rank(id string) uint64 { return xxhash.Sum64String(id) }
+func rank(id string) uint64 { return xxhash.Sum64String(id) }
 
 // UpdateSources returns a live member that has a newer version of the configuration than config,
 // and a live member that has a newer revision of the list of backend servers than servers. The ID
 // of a returned member is empty if there is no such member. Members in this router's availability
 // zone are preferred, so that a few routers do not have to serve the whole fleet.
-func (s *State) UpdateSources(now time.Time, config, servers int64) (forConfig, forServers Member) {
-	better := func(m, best Member, version, current int64) bool {
-		if version <= current {
-			return false
-		}
+func (s *State) UpdateSources(now time.Time, config int64, servers roster.Revision) (forConfig, forServers Member) {
+	prefer := func(m *Member, best Member) bool {
 		return best.ID == "" || m.Zone == s.self.Zone && best.Zone != s.self.Zone
 	}
 	for _, m := range s.members {
 		if !s.live(now, m) {
 			continue
 		}
-		if better(m, forConfig, m.Config, config) {
-			forConfig = m
+		if m.Config > config && prefer(m, forConfig) {
+			forConfig = *m
 		}
-		if better(m, forServers, m.Servers, servers) {
-			forServers = m
+		if m.Servers.After(servers) && prefer(m, forServers) {
+			forServers = *m
 		}
 	}
 	return forConfig, forServers
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -54,8 +54,10 @@
 
 	// Other goroutines may read the fields below. serverSnapshot holds the list of backend servers
 	// that other routers can fetch; nil before the first one.
-	watching       storewatch.Switch
-	draining       atomic.Bool
+	watching storewatch.Switch
+	draining atomic.Bool
+	// storeEra is the era of the list of backend servers.
+	storeEra       atomic.Int64
 	serverSnapshot atomic.Pointer[roster.Snapshot]
 }
 
@@ -111,7 +113,7 @@
 	newest, _ := c.presence.LastStoreContact(now, c.storeContact)
 	c.roster.RecordResponse(newest)
 	if c.roster.Tick(now) {
-		c.log.Info("removed backend servers whose store entries did not reappear", zap.Int64("revision", c.roster.Revision()))
+		c.log.Info("removed backend servers whose store entries did not reappear", revisionField(c.roster.Revision()))
 		c.publishServers()
 	}
 	for _, id := range c.upstreams.CheckStalls(now) {
@@ -120,12 +122,25 @@
 	c.updateWatching(now)
 	if now.Sub(c.lastHeartbeat) >= c.presence.Interval() {
 		c.sendHeartbeat(now)
-		loads, down := c.presence.OtherLoads(now, c.self)
-		c.upstreams.SetPeerReports(now, loadsByServerID(c.roster.Servers(), loads), down, c.presence.FleetSize(), c.presence.Interval())
+		c.applyPeerReports(now)
+	}
+	for _, m := range c.presence.Requests(now) {
+		c.send(m)
 	}
 	c.fetchNewer(ctx, now)
 }
 
+// applyPeerReports passes what the other routers report about backend servers to the gateway.
+func (c *controlLoop) applyPeerReports(now time.Time) {
+	reports := c.presence.OtherReports(now, c.self)
+	leaving := c.upstreams.SetPeerReports(now, gateway.PeerReports{
+		Load: loadsByServerID(c.roster.Servers(), reports.Loads), Down: reports.Down, Leaving: reports.Leaving,
+	}, c.presence.FleetSize(), c.presence.Interval())
+	if len(leaving) > 0 {
+		c.log.Info("other routers report leaving backend servers", zap.Strings("servers", leaving))
+	}
+}
+
 // storeFailureExpiry is the time after which a failed call to the store is disregarded. A router
 // that cannot reach the store may stop calling it, and would otherwise never learn that it can
 // again.
@@ -168,13 +183,16 @@
 	}
 	r.StoreLost = !c.storeFailedAt.IsZero()
 	r.Servers = c.roster.Revision()
-	r.Ready = r.Config > 0 && !c.draining.Load()
-	loads, down := c.upstreams.LocalReport(now)
-	r.Loads, r.Down = loadsByKey(loads), down
+	r.Ready = c.isReady()
+	report := c.upstreams.LocalReport(now)
+	r.Loads, r.Down, r.Leaving = loadsByKey(report.Load), report.Down, report.Leaving
 	r.Crashes = crashRecords(c.gateway.Crashes.Outgoing(now))
 	return r
 }
 
+// isReady reports whether this router takes callers.
+func (c *controlLoop) isReady() bool { return c.gateway.Table() != nil && !c.draining.Load() }
+
 // loadsByKey converts loads by server ID to loads by the short server key that messages carry.
 func loadsByKey(loads map[string]int) map[presence.ServerKey]int {
 	out := make(map[presence.ServerKey]int, len(loads))
@@ -300,7 +318,7 @@
 // updateReadiness releases the requests that wait in the gateway, once both the configuration and
 // the backend servers are known.
 func (c *controlLoop) updateReadiness() {
-	if c.gateway.Table() != nil && c.roster.Revision() > 0 {
+	if c.gateway.Table() != nil && !c.roster.Revision().IsZero() {
 		c.gateway.SetReady()
 	}
 }
@@ -310,13 +328,18 @@
 	if !c.roster.Update(time.Now(), next) {
 		return
 	}
-	c.log.Info("backend servers changed", zap.Int64("revision", next.Revision), zap.Int("servers", len(next.Servers)),
+	c.log.Info("backend servers changed", revisionField(next.Revision), eraField(next.Revision), zap.Int("servers", len(next.Servers)),
 		zap.Int("kept", c.roster.RetainedCount()), zap.String("from", from))
+	c.storeEra.Store(next.Revision.Era)
 	c.publishServers()
 	c.updateReadiness()
 	c.sendHeartbeat(time.Now())
 }
 
+// revisionField and eraField are the log fields of a revision of the list of backend servers.
+func revisionField(r roster.Revision) zap.Field { return zap.Int64("revision", r.Number) }
+func eraField(r roster.Revision) zap.Field      { return zap.Int64("era", r.Era) }
+
 // publishServers passes the list of backend servers to the gateway, and makes it available to other
 // routers. Only the gateway's list includes the servers that are retained although their store
 // entries are missing.
@@ -335,8 +358,11 @@
 // fetchNewer fetches the configuration and the list of backend servers from other routers that have
 // newer ones.
 func (c *controlLoop) fetchNewer(ctx context.Context, now time.Time) {
-	own := c.record(now)
-	forConfig, forServers := c.presence.UpdateSources(now, own.Config, own.Servers)
+	config := int64(0)
+	if t := c.gateway.Table(); t != nil {
+		config = t.Version()
+	}
+	forConfig, forServers := c.presence.UpdateSources(now, config, c.roster.Revision())
 	if forConfig.ID != "" {
 		fetchFrom(ctx, c, configKind, forConfig, mesh.FetchConfig, c.applyConfig)
 	}
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,6 +47,8 @@
 	control  *controlLoop
 	store    *metastore.Client
 	mesh     *mesh.Node
+	// seeds holds the seeds of the settings file, as it was last read.
+	seeds atomic.Pointer[[]string]
 }
 
 // Timeouts, intervals and limits.
@@ -71,6 +75,7 @@
 		return err
 	}
 	e.settings = settings
+	e.seeds.Store(&settings.Seeds)
 	shutdown.SetDrainTimeout(settings.GracePeriod)
 	e.Log = e.Log.With(zap.String("router", settings.Name))
 	e.registry = prometheus.NewRegistry()
@@ -155,34 +160,39 @@
 }
 
 // registerAndDiscover registers this router in the store, where routers that reach none of their
-// seeds look for others. After that, it looks there itself whenever this router receives no
-// heartbeats.
+// seeds look for others, and registers it again when the store has been restored from a copy, which
+// may lack the entry. After that, it looks there itself whenever this router receives no heartbeats.
 func (e *Router) registerAndDiscover(ctx context.Context) {
 	const retryInterval = 5 * time.Second
+	registered, registeredEra := false, int64(0)
 	for {
-		err := e.store.Put(ctx, registry.RoutersKind, e.settings.Name, registry.Router{Control: e.settings.Control})
-		if err == nil {
-			break
+		if !registered || e.control.storeEra.Load() > registeredEra {
+			registered, registeredEra = e.register(ctx)
 		}
-		e.Log.Info("registering this router in the metadata store failed; retrying", zap.Error(err))
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(retryInterval):
-		}
-	}
-	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(retryInterval):
+		// The jitter spreads the calls of a fleet that notices a restore at the same time.
+		case <-time.After(retryInterval/2 + rand.N(retryInterval)):
 		}
-		if e.isAlone(ctx) {
+		if registered && e.isAlone(ctx) {
 			e.discoverSeeds(ctx)
 		}
 	}
 }
 
+// register writes the entry of this router to the store, and returns the era in which the store
+// acknowledged it.
+func (e *Router) register(ctx context.Context) (registered bool, era int64) {
+	era, err := e.store.Put(ctx, registry.RoutersKind, e.settings.Name, registry.Router{Control: e.settings.Control})
+	if err != nil {
+		e.Log.Info("registering this router in the metadata store failed; retrying", zap.Error(err))
+		return false, 0
+	}
+	e.Log.Info("registered this router in the metadata store", zap.Int64("era", era))
+	return true, era
+}
+
 // isAlone reports whether this router receives no heartbeats from other routers.
 func (e *Router) isAlone(ctx context.Context) bool {
 	answer := make(chan bool, 1)
@@ -196,7 +206,7 @@
 }
 
 // discoverSeeds sets the seeds to the routers that are registered in the store and the seeds that
-// the settings file listed when this router started.
+// the settings file lists.
 func (e *Router) discoverSeeds(ctx context.Context) {
 	found, err := e.store.List(ctx, registry.RoutersKind)
 	if err != nil {
@@ -207,7 +217,7 @@
 	for _, r := range registry.DecodeRouters(found.Objects) {
 		addresses = append(addresses, r.Control)
 	}
-	seeds := heartbeatAddresses(append(addresses, e.settings.Seeds...), strconv.Itoa(e.settings.FirstPort))
+	seeds := heartbeatAddresses(append(addresses, *e.seeds.Load()...), strconv.Itoa(e.settings.FirstPort))
 	e.control.enqueue(func() { e.control.seeds = seeds })
 }
 
@@ -242,6 +252,7 @@
 			e.Log.Error("reloading the settings failed; keeping the current ones", zap.Error(err))
 			continue
 		}
+		e.seeds.Store(&s.Seeds)
 		e.control.enqueue(func() { e.control.seeds = heartbeatAddresses(s.Seeds, strconv.Itoa(e.settings.FirstPort)) })
 		e.Log.Info("settings reloaded", zap.Strings("seeds", s.Seeds))
 	}
--- a/hornbeamd/edge/handlers.go
+++ b/hornbeamd/edge/handlers.go
@@ -62,7 +62,9 @@
 	answer := make(chan []string, 1)
 	e.control.enqueue(func() {
 		now := time.Now()
-		answer <- e.control.presence.EntryAddresses(now, zone, e.control.record(now))
+		self := e.control.self
+		self.Ready = e.control.isReady()
+		answer <- e.control.presence.EntryAddresses(now, zone, self)
 	})
 	httpx.OkJson(w, endpoints.ResolveResponse{Addresses: <-answer, TTLSeconds: min(resolveTTL, e.settings.MaxResolveTTL).Seconds()})
 }
@@ -70,7 +72,7 @@
 // ready answers readiness checks. A router is ready from its first configuration until it starts to
 // drain. It may not know the backend servers yet; the gateway then makes requests wait for them.
 func (e *Router) ready(w http.ResponseWriter, _ *http.Request) {
-	if e.gateway.Table() == nil || e.control.draining.Load() {
+	if !e.control.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/hornbeamd/edge/inspect.go
+++ b/hornbeamd/edge/inspect.go
@@ -33,7 +33,7 @@
 		Router: c.self.ID, Zone: c.self.Zone, Uptime: now.Sub(c.started).Milliseconds(), Ready: own.Ready, Draining: c.draining.Load(),
 		ActiveRequests: c.gateway.Active(),
 		Store: inspect.Store{
-			Watching: c.watching.On(), LastCallFailed: own.StoreLost, ContactAge: own.StoreContactAge, FleetContactAge: -1, ServersRevision: own.Servers, RetainedServers: c.roster.RetainedCount(),
+			Watching: c.watching.On(), LastCallFailed: own.StoreLost, ContactAge: own.StoreContactAge, FleetContactAge: -1, ServersEra: own.Servers.Era, ServersRevision: own.Servers.Number, RetainedServers: c.roster.RetainedCount(),
 		},
 	}
 	if !newest.IsZero() {
@@ -44,7 +44,7 @@
 	}
 	for _, m := range c.presence.Members(now) {
 		r.Routers = append(r.Routers, inspect.Peer{
-			ID: m.ID, Zone: m.Zone, Ready: m.Ready, HeartbeatAge: now.Sub(m.SentAt).Milliseconds(), ConfigVersion: m.Config, ServersRevision: m.Servers,
+			ID: m.ID, Zone: m.Zone, Ready: m.Ready, HeartbeatAge: now.Sub(m.SentAt).Milliseconds(), ConfigVersion: m.Config, ServersRevision: m.Servers.Number,
 		})
 	}
 	for _, s := range c.upstreams.States(now) {
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -222,6 +222,7 @@
 	}
 	defer response.Close()
 	c.sentAttempts++
+	c.applyNotice(response)
 	switch {
 	case response.Misdirected:
 		return balance.Unreachable, attemptNotRun
@@ -241,6 +242,22 @@
 	}
 }
 
+// applyNotice applies what the chosen server states of itself in a response. It logs a notice that
+// is new to this router.
+func (c *clientRequest) applyNotice(response *backend.Response) {
+	notice := balance.Notice{Leaving: response.Leaving, RetryAfter: response.RetryAfter}
+	// A response of another server at the same address says nothing about the chosen one.
+	if notice.IsZero() || response.Misdirected {
+		return
+	}
+	if !c.server.Upstreams.recordNotice(time.Now(), c.choice.Server, notice) {
+		return
+	}
+	c.server.Log.Info("backend server wants no requests", zap.String("id", c.metadata.Attempt), zap.String("server", c.choice.Server.ID),
+		zap.Int64("born", c.choice.Server.Born), zap.Bool("leaving", notice.Leaving), zap.Duration("retry_after", notice.RetryAfter),
+		zap.Int("status", response.Status))
+}
+
 // backendRequest builds the request to the chosen server.
 func (c *clientRequest) backendRequest() *backend.Request {
 	forward := metadata.Forward{
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -29,7 +29,7 @@
 	routers int
 	// serversRevision is the revision of the list of backend servers. reportsReceived is when the
 	// reports of the other routers were last updated.
-	serversRevision int64
+	serversRevision roster.Revision
 	reportsReceived time.Time
 	retryBudgets    map[string]*retry.WindowBudget
 	// streams holds the streams in progress that have received an event, by server ID.
@@ -48,31 +48,59 @@
 const minConnections = 4
 
 // SetServers replaces the list of backend servers. The revision is that of the new list.
-func (u *Upstreams) SetServers(servers []roster.Server, revision int64) {
+func (u *Upstreams) SetServers(servers []roster.Server, revision roster.Revision) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.serversRevision = revision
 	u.Balancer.SetServers(time.Now(), servers)
 }
 
-// SetPeerReports updates the data from the reports of the other routers: load holds their requests
-// in progress by server, down holds the number of them that could not reach each server, routers is
-// the number of routers in the fleet, and interval is the time between two reports.
-func (u *Upstreams) SetPeerReports(now time.Time, load, down map[string]int, routers int, interval time.Duration) {
+// PeerReports holds the reports of the other routers.
+type PeerReports struct {
+	// Load holds their requests in progress, and Down the number of them that could not reach a
+	// server, both by server ID.
+	Load, Down map[string]int
+	// Leaving holds the servers that told one of them that they are leaving; see
+	// balance.Balancer.LeavingNotices.
+	Leaving []string
+}
+
+// SetPeerReports updates the data from the reports of the other routers. routers is the number of
+// routers in the fleet, and interval is the time between two reports. It returns the IDs of the
+// servers that this router did not know to be leaving.
+func (u *Upstreams) SetPeerReports(now time.Time, r PeerReports, routers int, interval time.Duration) (leaving []string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.routers, u.reportsReceived = routers, now
 	// Reports are sent once and read once per interval, so their age is taken as 1.5 intervals.
-	u.Balancer.SetOtherLoads(load, routers, 3*interval/2)
-	u.Balancer.ReportUnreachable(now.Add(interval), down)
+	u.Balancer.SetOtherLoads(r.Load, routers, 3*interval/2)
+	u.Balancer.ReportUnreachable(now.Add(interval), r.Down)
+	return u.Balancer.MarkLeaving(r.Leaving)
+}
+
+// LocalReport is what this router tells the others about backend servers.
+type LocalReport struct {
+	// Load holds the requests in progress by server ID.
+	Load map[string]int
+	// Down holds the IDs of the servers that could not be reached.
+	Down []string
+	// Leaving holds the servers that told this router that they are leaving; see
+	// balance.Balancer.LeavingNotices.
+	Leaving []string
+}
+
+// LocalReport returns what this router tells the others about backend servers.
+func (u *Upstreams) LocalReport(now time.Time) LocalReport {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return LocalReport{Load: u.Balancer.OwnLoads(), Down: u.Balancer.Paused(now), Leaving: u.Balancer.LeavingNotices(now)}
 }
 
-// LocalReport returns this router's requests in progress by server, and the servers that it could
-// not reach.
-func (u *Upstreams) LocalReport(now time.Time) (map[string]int, []string) {
+// recordNotice applies what a server states of itself in a response, and reports whether it is new.
+func (u *Upstreams) recordNotice(now time.Time, s roster.Server, n balance.Notice) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.Balancer.OwnLoads(), u.Balancer.Paused(now)
+	return u.Balancer.RecordNotice(now, s.ID, s.Born, n)
 }
 
 // States returns the state of each server as this router sees it.
@@ -131,7 +159,7 @@
 	balance.Choice
 	// serversRevision is the revision of the list of backend servers, and reportsAge is the age of
 	// the other routers' reports.
-	serversRevision int64
+	serversRevision roster.Revision
 	reportsAge      time.Duration
 }
 
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"encoding/binary"
 	"encoding/json"
 	"io"
+	"math"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -13,6 +15,24 @@
 	"hornbeamstep.example/coord/presence"
 )
 
+// maxLiveRouters is the number of live routers that fit into one packet.
+const maxLiveRouters = 170
+
+// splitLiveness divides the liveness of a message into parts of one packet each. An incomplete list
+// is not divided, because its receiver takes the routers that it leaves out for recent.
+func splitLiveness(m presence.Message) []presence.Message {
+	if !m.Liveness.Complete {
+		return []presence.Message{{Kind: m.Kind, From: m.From, Liveness: m.Liveness}}
+	}
+	var parts []presence.Message
+	for routers := range slices.Chunk(m.Liveness.Routers, maxLiveRouters) {
+		part := *m.Liveness
+		part.Routers = routers
+		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, Liveness: &part})
+	}
+	return parts
+}
+
 // formatVersion is the first element of each datagram. A router drops datagrams of other versions.
 const formatVersion = 16
 
@@ -47,6 +67,12 @@
 	for zones := range slices.Chunk(m.ZoneLoads, 1) {
 		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, ZoneLoads: zones})
 	}
+	if m.Liveness != nil {
+		parts = append(parts, splitLiveness(m)...)
+	}
+	if len(m.Wanted) > 0 || m.Kind == presence.Request {
+		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, Wanted: m.Wanted})
+	}
 	return parts
 }
 
@@ -68,16 +94,22 @@
 	for _, z := range m.ZoneLoads {
 		w.zoneLoad(z)
 	}
+	w.liveness(m.Liveness)
+	w.list(len(m.Wanted))
+	for _, key := range m.Wanted {
+		w.integer(int64(key))
+	}
 	return data.Bytes(), eris.Wrap(w.err, "encode heartbeat message")
 }
 
 // Numbers of fields in the wire format.
 const (
-	messageFields  = 5
-	recordFields   = 13
+	messageFields  = 7
+	recordFields   = 15
 	identityFields = 6
 	crashFields    = 2
-	zoneLoadFields = 4
+	zoneLoadFields = 5
+	livenessFields = 9
 )
 
 // datagramWriter encodes the fields of a datagram. err is the first error.
@@ -121,7 +153,8 @@
 	w.keep(w.encoder.EncodeUint(r.Sequence))
 	w.flag(r.Ready)
 	w.integer(r.Config)
-	w.integer(r.Servers)
+	w.integer(r.Servers.Era)
+	w.integer(r.Servers.Number)
 	w.integer(r.StoreContactAge)
 	w.flag(r.StoreLost)
 	// A relayed record has no loads, which is not the same as a router without load.
@@ -131,6 +164,7 @@
 		w.loads(r.Loads)
 	}
 	w.texts(r.Down)
+	w.texts(r.Leaving)
 	w.list(len(r.Crashes))
 	for _, c := range r.Crashes {
 		w.list(crashFields)
@@ -157,9 +191,63 @@
 		w.text(id)
 		w.integer(int64(n))
 	}
+	w.texts(z.Leaving)
 	w.integer(z.Age)
 }
 
+// Flags of a live router.
+const (
+	readyFlag = 1 << iota
+	storeLostFlag
+	newestConfigFlag
+	newestServersFlag
+)
+
+const (
+	// liveRouterBytes is the size of a live router: its key, its age in units of ageUnitMillis, and
+	// its flags.
+	liveRouterBytes = 7
+	ageUnitMillis   = 10
+)
+
+// liveness writes nil, or the fields of the liveness with its routers as one binary value.
+func (w *datagramWriter) liveness(l *presence.Liveness) {
+	if l == nil {
+		w.keep(w.encoder.EncodeNil())
+		return
+	}
+	w.list(livenessFields)
+	w.text(l.Zone)
+	w.integer(l.Config)
+	w.integer(l.Servers.Era)
+	w.integer(l.Servers.Number)
+	w.integer(l.StoreContactAge)
+	w.keep(w.encoder.EncodeUint(l.Checksum))
+	w.integer(l.Age)
+	w.flag(l.Complete)
+	routers := make([]byte, 0, liveRouterBytes*len(l.Routers))
+	for _, r := range l.Routers {
+		routers = binary.LittleEndian.AppendUint32(routers, uint32(r.Key))
+		// Rounding up keeps a router from appearing fresher at each hub that relays it.
+		routers = binary.LittleEndian.AppendUint16(routers, uint16(min((r.Age+ageUnitMillis-1)/ageUnitMillis, math.MaxUint16)))
+		routers = append(routers, liveRouterFlags(r))
+	}
+	w.keep(w.encoder.EncodeBytes(routers))
+}
+
+func liveRouterFlags(r presence.LiveRouter) byte {
+	flags := byte(0)
+	for _, f := range []struct {
+		set  bool
+		flag byte
+	}{{r.Ready, readyFlag}, {r.StoreLost, storeLostFlag}, {r.NewestConfig, newestConfigFlag}, {r.NewestServers, newestServersFlag}} {
+		if f.set {
+			flags |= f.flag
+		}
+	}
+	return flags
+}
+
 // packed is a compressed response. Compression saves time on slow links, because a configuration
 // holds thousands of similar routes.
 type packed struct {
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/coord/presence"
+	"hornbeamstep.example/routing/roster"
 	"hornbeamstep.example/routing/routes"
 )
 
@@ -15,12 +16,18 @@
 	Kind: presence.HubUpdate, From: "a",
 	Records: []presence.AgedRecord{{Age: 5, Record: presence.Record{
 		ID: "a", Zone: "z", Region: "r", Boot: 1, Sequence: 2, Peer: "p", Control: "c", Front: "f", Ready: true, Capacity: 0.192,
-		Config: 3, Servers: 4, StoreContactAge: -1, StoreLost: true, Loads: map[presence.ServerKey]int{7: 1}, Down: []string{"d"},
+		Config: 3, Servers: roster.Revision{Era: 2, Number: 4}, StoreContactAge: -1, StoreLost: true, Loads: map[presence.ServerKey]int{7: 1}, Down: []string{"d"},
+		Leaving: []string{"l/9"},
 		Crashes: []presence.Crash{{Fingerprint: "f", Servers: []string{"s/1"}}},
 	}}, {Age: 6, WithoutIdentity: true, Record: presence.Record{
-		ID: "b", Boot: 1, Sequence: 2, Ready: true, Config: 3, Servers: 4, StoreContactAge: 90, Loads: map[presence.ServerKey]int{1 << 31: 300},
+		ID: "b", Boot: 1, Sequence: 2, Ready: true, Config: 3, Servers: roster.Revision{Number: 4}, StoreContactAge: 90, Loads: map[presence.ServerKey]int{1 << 31: 300},
 	}}},
-	ZoneLoads: []presence.ZoneLoad{{Zone: "z", Loads: map[presence.ServerKey]int{7: 2}, Down: map[string]int{"d": 1}, Age: 7}},
+	ZoneLoads: []presence.ZoneLoad{{Zone: "z", Loads: map[presence.ServerKey]int{7: 2}, Down: map[string]int{"d": 1}, Leaving: []string{"l/9"}, Age: 7}},
+	Liveness: &presence.Liveness{
+		Zone: "z", Config: 3, Servers: roster.Revision{Era: 2, Number: 4}, StoreContactAge: 70, Checksum: 1 << 63, Age: 30, Complete: true,
+		Routers: []presence.LiveRouter{{Key: 1 << 31, Age: 120, Ready: true, NewestServers: true}, {Key: 5, StoreLost: true, NewestConfig: true}},
+	},
+	Wanted: []presence.MemberKey{1 << 31, 2},
 }
 
 // Guards against values that change in encoding and decoding. The other routers would then know a
@@ -45,7 +52,7 @@
 		r := presence.Record{
 			ID: "edge-greytown-hall-11", Zone: "greytown-hall", Region: "kzn-midlands", Boot: 1 << 40, Sequence: 1 << 20,
 			Peer: "10.111.111.111:11111", Control: "10.111.111.111:11112", Front: "10.111.111.111:11113", Capacity: 0.8,
-			Config: 1 << 20, Servers: 1 << 20, StoreContactAge: 1 << 10,
+			Config: 1 << 20, Servers: roster.Revision{Era: 9, Number: 1 << 20}, StoreContactAge: 1 << 10,
 		}
 		m.Records = append(m.Records, presence.AgedRecord{Record: r, Age: 500, WithoutIdentity: i%5 != 0})
 	}
--- a/hornbeamd/mesh/decode.go
+++ b/hornbeamd/mesh/decode.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"io"
 	"math"
+	"slices"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"hornbeamstep.example/coord/presence"
+	"hornbeamstep.example/routing/roster"
 )
 
 // Limits of the values in a datagram. A message with a value beyond them is rejected.
@@ -29,7 +32,8 @@
 )
 
 // decode parses the wire format of a message. The data is untrusted, because any program can send
-// datagrams to the router. A message is [version, kind, from, records, zone loads].
+// datagrams to the router. A message is [version, kind, from, records, zone loads, liveness or nil,
+// wanted keys].
 func decode(data []byte) (presence.Message, error) {
 	remaining := bytes.NewReader(data)
 	r := datagramReader{data: remaining, decoder: msgpack.NewDecoder(remaining)}
@@ -38,7 +42,7 @@
 	if r.integer(0, math.MaxInt64) != formatVersion && r.err == nil {
 		return presence.Message{}, errFormatVersion
 	}
-	m.Kind = presence.Kind(r.integer(0, int64(presence.HubUpdate)))
+	m.Kind = presence.Kind(r.integer(0, int64(presence.Request)))
 	m.From = r.text()
 	for range r.list(recordFields) {
 		m.Records = append(m.Records, r.record())
@@ -46,6 +50,12 @@
 	for range r.list(zoneLoadFields) {
 		m.ZoneLoads = append(m.ZoneLoads, r.zoneLoad())
 	}
+	if !r.isNil() {
+		m.Liveness = r.liveness()
+	}
+	for range r.list(1) {
+		m.Wanted = append(m.Wanted, presence.MemberKey(r.integer(0, math.MaxUint32)))
+	}
 	if remaining.Len() > 0 {
 		r.fail(errInvalidField)
 	}
@@ -115,20 +125,34 @@
 	return true
 }
 
-func (r *datagramReader) text() string {
+func (r *datagramReader) text() string { return string(r.bytes(maxTextBytes)) }
+
+// bytes reads a text or binary value of at most limit bytes.
+func (r *datagramReader) bytes(limit int) []byte {
 	if r.err != nil {
-		return ""
+		return nil
 	}
 	n, err := r.decoder.DecodeBytesLen()
-	if err != nil || n < 0 || n > min(maxTextBytes, r.data.Len()) {
+	if err != nil || n < 0 || n > min(limit, r.data.Len()) {
 		r.fail(errInvalidField)
-		return ""
+		return nil
 	}
-	text := make([]byte, n)
-	if _, err := io.ReadFull(r.data, text); err != nil {
+	value := make([]byte, n)
+	if _, err := io.ReadFull(r.data, value); err != nil {
 		r.fail(err)
 	}
-	return string(text)
+	return value
+}
+
+func (r *datagramReader) unsigned() uint64 {
+	if r.err != nil {
+		return 0
+	}
+	n, err := r.decoder.DecodeUint64()
+	if err != nil {
+		r.fail(err)
+	}
+	return n
 }
 
 func (r *datagramReader) integer(least, most int64) int64 {
@@ -177,8 +201,13 @@
 	return loads
 }
 
-// record reads [age, ID, boot, sequence, ready, config, servers, store contact age, store lost,
-// loads or nil, down, crashes, identity or nil].
+// revision reads an era and a number, which are elements of the surrounding list.
+func (r *datagramReader) revision() roster.Revision {
+	return roster.Revision{Era: r.number(), Number: r.number()}
+}
+
+// record reads [age, ID, boot, sequence, ready, config, era, revision, store contact age, store
+// lost, loads or nil, down, leaving, crashes, identity or nil].
 func (r *datagramReader) record() presence.AgedRecord {
 	var a presence.AgedRecord
 	r.fields(recordFields)
@@ -188,13 +217,14 @@
 	a.Sequence = uint64(r.number())
 	a.Ready = r.flag()
 	a.Config = r.number()
-	a.Servers = r.number()
+	a.Servers = r.revision()
 	a.StoreContactAge = r.integer(-1, math.MaxInt64/int64(1e6))
 	a.StoreLost = r.flag()
 	if !r.isNil() {
 		a.Loads = r.loads()
 	}
 	a.Down = r.texts()
+	a.Leaving = r.texts()
 	for range r.list(crashFields) {
 		r.fields(crashFields)
 		a.Crashes = append(a.Crashes, presence.Crash{Fingerprint: r.text(), Servers: r.texts()})
@@ -227,7 +257,7 @@
 	into.Capacity = capacity
 }
 
-// zoneLoad reads [zone, loads, down, age].
+// zoneLoad reads [zone, loads, down, leaving, age].
 func (r *datagramReader) zoneLoad() presence.ZoneLoad {
 	r.fields(zoneLoadFields)
 	z := presence.ZoneLoad{Zone: r.text(), Loads: r.loads(), Down: map[string]int{}}
@@ -235,6 +265,31 @@
 		id := r.text()
 		z.Down[id] = int(r.integer(0, maxLoad))
 	}
+	z.Leaving = r.texts()
 	z.Age = r.integer(0, maxAgeMillis)
 	return z
 }
+
+// liveness reads [zone, config, era, revision, store contact age, checksum, age, complete, routers].
+func (r *datagramReader) liveness() *presence.Liveness {
+	r.fields(livenessFields)
+	l := &presence.Liveness{Zone: r.text(), Config: r.number(), Servers: r.revision()}
+	l.StoreContactAge = r.integer(-1, math.MaxInt64/int64(1e6))
+	l.Checksum = r.unsigned()
+	l.Age = r.integer(0, maxAgeMillis)
+	l.Complete = r.flag()
+	routers := r.bytes(r.data.Len())
+	if len(routers)%liveRouterBytes != 0 {
+		r.fail(errInvalidField)
+		return nil
+	}
+	for entry := range slices.Chunk(routers, liveRouterBytes) {
+		flags := entry[6]
+		l.Routers = append(l.Routers, presence.LiveRouter{
+			Key: presence.MemberKey(binary.LittleEndian.Uint32(entry)), Age: ageUnitMillis * int64(binary.LittleEndian.Uint16(entry[4:])),
+			Ready: flags&readyFlag != 0, StoreLost: flags&storeLostFlag != 0,
+			NewestConfig: flags&newestConfigFlag != 0, NewestServers: flags&newestServersFlag != 0,
+		})
+	}
+	return l
+}
--- a/hornbeamd/storewatch/storewatch.go
+++ b/hornbeamd/storewatch/storewatch.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"hornbeamstep.example/platform/metastore"
@@ -42,6 +43,9 @@
 	retryMax     = time.Second
 )
 
+// errEarlierEra is the error of a response that the store sent before it was restored.
+var errEarlierEra = eris.New("metadata store answered from before its latest restore; asking again")
+
 // Watcher watches the store while Active is on. The fields must be set before Run is called.
 type Watcher struct {
 	Store Store
@@ -73,8 +77,8 @@
 	apply func(s metastore.Snapshot, complete bool)
 	pause time.Duration
 	// revision is the store revision up to which changes were applied; 0 if the objects must be
-	// listed.
-	revision int64
+	// listed. era is the era of that revision.
+	revision, era int64
 }
 
 // watch lists the objects of one kind and then watches them for changes until the context is
@@ -116,6 +120,18 @@
 		return err
 	}
 	w.OnSuccess()
+	switch {
+	case s.Era < sub.era:
+		return errEarlierEra
+	case s.Era > sub.era && !complete:
+		// The changes belong to another history than the objects that were listed.
+		w.Log.Warn("metadata store was restored; listing all objects again", zap.String("kind", sub.kind),
+			zap.Int64("era", s.Era), zap.Int64("previous_era", sub.era), zap.Int64("revision", s.Revision), zap.Int64("previous_revision", sub.revision))
+		sub.revision, sub.era = 0, s.Era
+		return nil
+	case s.Era > sub.era:
+		sub.revision, sub.era = s.Revision, s.Era
+	}
 	sub.revision = max(sub.revision, s.Revision)
 	sub.apply(s, complete)
 	return nil
@@ -148,8 +164,9 @@
 type serverList struct {
 	known   map[string]roster.Server
 	deliver func(roster.Snapshot)
-	// delivered is true once a list was delivered.
+	// delivered is true once a list was delivered, and era is that of the latest one.
 	delivered bool
+	era       int64
 }
 
 // apply applies a snapshot, which holds all entries if complete is true and the changed ones
@@ -168,11 +185,11 @@
 		}
 		next[o.Name] = entry
 	}
-	if l.delivered && maps.Equal(next, l.known) {
+	if l.delivered && l.era == s.Era && maps.Equal(next, l.known) {
 		return
 	}
-	l.known, l.delivered = next, true
+	l.known, l.delivered, l.era = next, true, s.Era
 	list := slices.Collect(maps.Values(next))
 	roster.Sort(list)
-	l.deliver(roster.Snapshot{Revision: s.Revision, Servers: list})
+	l.deliver(roster.Snapshot{Revision: roster.Revision{Era: s.Era, Number: s.Revision}, Servers: list})
 }
--- a/hornbeamd/storewatch/storewatch_test.go
+++ b/hornbeamd/storewatch/storewatch_test.go
@@ -65,6 +65,12 @@
 		`{"service":"s","address":"10.0.0.1:80","zone":"z","version":"v","slots":4,"state":%q,"sequence":%d}`, state, sequence)}
 }
 
+// inEra returns the result with another era.
+func (r result) inEra(era int64) result {
+	r.snapshot.Era = era
+	return r
+}
+
 // snapshotAt returns a result with a revision and the objects that were changed up to it.
 func snapshotAt(revision int64, objects ...metastore.Object) result {
 	return result{snapshot: metastore.Snapshot{Revision: revision, Objects: objects}}
@@ -100,7 +106,7 @@
 		c.Assert(store.calls, qt.DeepEquals, []string{"list", "watch 5", "watch 7", "watch 7", "watch 8", "list", "watch 20"})
 		c.Assert(failures.Load(), qt.Equals, int64(1))
 		c.Assert(delivered, qt.HasLen, 3)
-		c.Assert(delivered[0].Revision, qt.Equals, int64(5))
+		c.Assert(delivered[0].Revision, qt.Equals, roster.Revision{Number: 5})
 		c.Assert(delivered[1].Servers, qt.HasLen, 2)
 		c.Assert(delivered[2].Servers, qt.HasLen, 1)
 		c.Assert(delivered[2].Servers[0].Leaving, qt.IsTrue)
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -116,7 +116,8 @@
 	// Candidates is the number of servers that could take the request.
 	Candidates int
 	// Wait is the expected time until the server starts the request. If Reason is Full, it is the
-	// wait that a retry should allow for; see RetryAfterSeconds.
+	// wait that a retry should allow for, see RetryAfterSeconds; if no server is a candidate, it is
+	// the time until the first server wants requests again.
 	Wait time.Duration
 }
 
@@ -144,6 +145,13 @@
 	pausedUntil, lastTrial time.Time
 	// reportedUntil is the end of the pause caused by the reports of other routers.
 	reportedUntil time.Time
+	// refusedUntil is the end of the time for which the server wants no requests from this router.
+	refusedUntil time.Time
+	// announcedLeaving is when the server first told this router that it is leaving; zero if it did
+	// not. isLeaving is true if the server is draining according to the registry, itself or other
+	// routers.
+	announcedLeaving time.Time
+	isLeaving        bool
 }
 
 // incarnation identifies one process of a server. The cache is empty after a restart.
@@ -205,6 +213,7 @@
 			}
 		}
 		e.Server = s
+		e.isLeaving = e.isLeaving || s.Leaving
 		next[s.ID] = e
 		p := pools[s.Service]
 		if p == nil {
@@ -214,7 +223,7 @@
 			}
 			pools[s.Service] = p
 		}
-		if s.Leaving {
+		if e.isLeaving {
 			p.draining = append(p.draining, e)
 		} else {
 			p.entries = append(p.entries, e)
@@ -224,7 +233,7 @@
 	// requests down and the number is right if a server returns.
 	for id, e := range b.servers {
 		if next[id] == nil && e.own > 0 {
-			e.Leaving = true
+			e.Leaving, e.isLeaving = true, true
 			next[id] = e
 		}
 	}
@@ -265,7 +274,7 @@
 	}
 	usable := b.usable(now, p, req.Avoid)
 	if len(usable) == 0 {
-		return Choice{Reason: NoServer}
+		return b.noneUsable(now, p, req.Avoid)
 	}
 	total := 0
 	for _, e := range p.entries {
@@ -300,14 +309,31 @@
 	return c
 }
 
+// noneUsable returns the result for a service of which no server may take the request. If servers
+// want no requests for some time, the request can be sent again after the shortest of these times.
+func (b *Balancer) noneUsable(now time.Time, p *pool, avoid []string) Choice {
+	c := Choice{Reason: NoServer}
+	for _, e := range p.entries {
+		wait := e.refusedUntil.Sub(now)
+		if wait <= 0 || slices.Contains(avoid, e.ID) {
+			continue
+		}
+		if c.Reason != Full || wait < c.Wait {
+			c.Reason, c.Wait = Full, wait
+		}
+	}
+	return c
+}
+
 // usable returns the servers that may take a request: those that are neither paused nor in the list
 // to avoid. When too many servers are paused, the cause is more likely on this router's side, so
-// the paused servers are tried as well.
+// the paused servers are tried as well. Servers that want no requests from this router are never
+// included.
 func (b *Balancer) usable(now time.Time, p *pool, avoid []string) []*entry {
 	available := make([]*entry, 0, len(p.entries))
 	untried := 0
 	for _, e := range p.entries {
-		if slices.Contains(avoid, e.ID) {
+		if now.Before(e.refusedUntil) || slices.Contains(avoid, e.ID) {
 			continue
 		}
 		if untried++; b.isAvailable(now, e) {
@@ -318,7 +344,7 @@
 		return available
 	}
 	for _, e := range p.entries {
-		if !slices.Contains(avoid, e.ID) && !slices.Contains(available, e) {
+		if !now.Before(e.refusedUntil) && !slices.Contains(avoid, e.ID) && !slices.Contains(available, e) {
 			available = append(available, e)
 		}
 	}
@@ -381,7 +407,8 @@
 }
 
 // RetryAfterSeconds returns the time in seconds after which a rejected caller should retry: the
-// expected wait, but at least the shortest time in which the load of a service changes.
+// expected wait, or the time for which the servers want no requests, but at least the shortest time
+// in which the load of a service changes.
 func (c Choice) RetryAfterSeconds() float64 {
 	const minSeconds = 0.25
 	return max(minSeconds, c.Wait.Seconds())
--- a/routing/balance/state.go
+++ b/routing/balance/state.go
@@ -18,6 +18,8 @@
 	Used Condition = "used"
 	// Leaving servers are draining: they finish their requests and get no new ones.
 	Leaving Condition = "leaving"
+	// Refusing servers get no requests, because they told this router to send none for some time.
+	Refusing Condition = "refusing"
 	// Paused servers get no requests, because they could not be reached or did not answer this
 	// router.
 	Paused Condition = "paused"
@@ -51,8 +53,10 @@
 
 func (b *Balancer) condition(now time.Time, e *entry) Condition {
 	switch {
-	case e.Leaving:
+	case e.isLeaving:
 		return Leaving
+	case now.Before(e.refusedUntil):
+		return Refusing
 	case now.Before(e.pausedUntil):
 		return Paused
 	case now.Before(e.reportedUntil):
--- a/routing/metadata/metadata.go
+++ b/routing/metadata/metadata.go
@@ -62,6 +62,11 @@
 	Misdirected bool
 	// IdleTimeout is how long the server keeps an idle connection open; 0 if it does not say.
 	IdleTimeout time.Duration
+	// Leaving is true if the server states that it is shutting down and takes no new requests.
+	Leaving bool
+	// RetryAfter is how long the server wants no further requests from this router; 0 if it does not
+	// say.
+	RetryAfter time.Duration
 	// Close is true if the server closes the connection after this answer.
 	Close bool
 	// Load is nil if the server does not report its load.
--- a/routing/roster/roster.go
+++ b/routing/roster/roster.go
@@ -26,11 +26,23 @@
 	Born int64
 }
 
+// Revision is a revision of the registry. The registry may be restored from a copy, which begins a
+// new era: its revisions go back then, and the same numbers are given out again.
+type Revision struct{ Era, Number int64 }
+
+// After reports whether r is later than o.
+func (r Revision) After(o Revision) bool {
+	return cmp.Or(cmp.Compare(r.Era, o.Era), cmp.Compare(r.Number, o.Number)) > 0
+}
+
+// IsZero reports whether r is the zero value, which no registry has.
+func (r Revision) IsZero() bool { return r == Revision{} }
+
 // Snapshot is the content of the registry at one revision. Routers send it to each other as JSON,
 // so the field names are part of the wire format.
 type Snapshot struct {
 	// Revision is the registry revision of the last change to Servers. It only increases.
-	Revision int64
+	Revision Revision
 	// Servers is sorted by ID without duplicates.
 	Servers []Server
 }
@@ -51,6 +63,9 @@
 	// ReturnWithin is the time after an outage within which the servers that are still running have
 	// registered again.
 	ReturnWithin time.Duration
+	// ExpireWithin is the time after the restore of the registry within which the entries of servers
+	// that have ended expire again.
+	ExpireWithin time.Duration
 }
 
 // DefaultSettings returns the default settings for servers that renew their entry once per
@@ -58,7 +73,7 @@
 // already have passed when an outage begins. The platform that runs the registry states that
 // entries are back about 2 s after an outage.
 func DefaultSettings(heartbeat time.Duration) Settings {
-	return Settings{OutageAfter: 2 * heartbeat, ReturnWithin: 2 * time.Second}
+	return Settings{OutageAfter: 2 * heartbeat, ReturnWithin: 2 * time.Second, ExpireWithin: 4 * heartbeat}
 }
 
 // Roster holds the servers in the latest snapshot of the registry, and those whose entries are
@@ -71,12 +86,30 @@
 	// lastResponse is the time of the latest known response from the registry. The response may
 	// have gone to another router that reported its time to this one.
 	lastResponse time.Time
-	// outageEnd is when the last outage ended; zero if there was none.
+	// outageEnd is when the last outage ended or the registry was restored; zero if neither
+	// happened.
 	outageEnd time.Time
+	// unconfirmed holds the servers that only the restored registry lists, with the time at which
+	// the restore was noticed. Most of them registered since, but some may have ended before the
+	// restore.
+	unconfirmed map[identity]time.Time
+	// left holds the servers that were draining, since a restored registry may list them as running
+	// again.
+	left map[identity]bool
+}
+
+// identity identifies one process of a server.
+type identity struct {
+	id   string
+	born int64
 }
 
+func identityOf(s Server) identity { return identity{s.ID, s.Born} }
+
 // New returns an empty roster.
-func New(s Settings) *Roster { return &Roster{settings: s, retained: map[string]Server{}} }
+func New(s Settings) *Roster {
+	return &Roster{settings: s, retained: map[string]Server{}, unconfirmed: map[identity]time.Time{}, left: map[identity]bool{}}
+}
 
 // RecordResponse records the time of the latest known response from the registry.
 func (r *Roster) RecordResponse(at time.Time) {
@@ -90,22 +123,26 @@
 }
 
 // Revision returns the revision of the snapshot in use.
-func (r *Roster) Revision() int64 { return r.snapshot.Revision }
+func (r *Roster) Revision() Revision { return r.snapshot.Revision }
 
 // Snapshot returns the snapshot in use.
 func (r *Roster) Snapshot() Snapshot { return r.snapshot }
 
 // Update applies a snapshot if it is newer than the one in use, and reports whether it was.
 func (r *Roster) Update(now time.Time, next Snapshot) bool {
-	if next.Revision <= r.snapshot.Revision {
+	if !next.Revision.After(r.snapshot.Revision) {
 		return false
 	}
+	if next.Revision.Era > r.snapshot.Revision.Era && !r.snapshot.Revision.IsZero() {
+		r.noteRestore(now, next)
+	}
 	for _, s := range r.snapshot.Servers {
 		if _, found := find(next.Servers, s.ID); !found && r.mayHaveExpired(now) && !s.Leaving {
 			r.retained[s.ID] = s
 		}
 	}
 	r.snapshot = next
+	r.noteLeaving()
 	for id := range r.retained {
 		if _, found := find(next.Servers, id); found {
 			delete(r.retained, id)
@@ -115,6 +152,30 @@
 	return true
 }
 
+// noteRestore prepares for a snapshot of a registry that was restored from a copy some seconds old.
+// The copy lacks the servers that registered since, which are retained until they have registered
+// again. It may list servers that have ended since, whose entries expire again.
+func (r *Roster) noteRestore(now time.Time, next Snapshot) {
+	r.outageEnd = now
+	for _, s := range next.Servers {
+		_, found := find(r.snapshot.Servers, s.ID)
+		if _, isRetained := r.retained[s.ID]; !found && !isRetained {
+			r.unconfirmed[identityOf(s)] = now
+		}
+	}
+}
+
+// noteLeaving records the draining servers of the snapshot, and forgets those that it lacks.
+func (r *Roster) noteLeaving() {
+	left := map[identity]bool{}
+	for _, s := range r.snapshot.Servers {
+		if s.Leaving || r.left[identityOf(s)] {
+			left[identityOf(s)] = true
+		}
+	}
+	r.left = left
+}
+
 // mayHaveExpired reports whether an entry may be missing because it expired in an outage, so that
 // its server may still be running.
 func (r *Roster) mayHaveExpired(now time.Time) bool {
@@ -135,17 +196,32 @@
 	return true
 }
 
-// Tick removes the retained servers once their entries should be back, and reports whether it
-// removed any. It must be called periodically.
-func (r *Roster) Tick(now time.Time) bool { return r.dropRetained(now) }
+// Tick removes the retained servers once their entries should be back, and confirms those that only
+// a restored registry lists once they should have expired. It reports whether either changed the
+// result of Servers. It must be called periodically.
+func (r *Roster) Tick(now time.Time) bool {
+	changed := r.dropRetained(now)
+	for s, since := range r.unconfirmed {
+		if now.Sub(since) > r.settings.ExpireWithin {
+			delete(r.unconfirmed, s)
+			changed = true
+		}
+	}
+	return changed
+}
 
 // RetainedCount returns the number of servers that are in use although their entries are missing.
 func (r *Roster) RetainedCount() int { return len(r.retained) }
 
 // Servers returns the servers of the snapshot and the retained ones, sorted by ID. It includes
-// draining servers. The caller owns the slice.
+// draining servers. Servers that have not been confirmed since a restore count as draining. The
+// caller owns the slice.
 func (r *Roster) Servers() []Server {
 	servers := slices.Clone(r.snapshot.Servers)
+	for i, s := range servers {
+		_, unconfirmed := r.unconfirmed[identityOf(s)]
+		servers[i].Leaving = s.Leaving || unconfirmed || r.left[identityOf(s)]
+	}
 	for _, s := range r.retained {
 		servers = append(servers, s)
 	}
--- a/routing/roster/roster_test.go
+++ b/routing/roster/roster_test.go
@@ -18,7 +18,7 @@
 	for _, id := range ids {
 		servers = append(servers, roster.Server{ID: id})
 	}
-	return roster.Snapshot{Revision: revision, Servers: servers}
+	return roster.Snapshot{Revision: roster.Revision{Number: revision}, Servers: servers}
 }
 
 func serverIDs(r *roster.Roster) string {
