fix: faults found by reading the code

Each has a test that fails without the change, unless stated. - config check printed the first characters of a plaintext key that is listed twice; it now names the positions (TestErrorWithoutKey). - Headers of responses of backend servers had no size limit; now 64 KB (TestResponseHeaderLimit). - service.Call: the watchdog ran between the headers and the first read, and cut off a response whose caller was slow (TestSlowReader). - A lease that isn't held said 'expired 0s ago' (example of package lease). - relayLarge: a failed write to a client counted against the backend server. No test: the outcome is visible only in the health of that server after three such clients in a row. - Cache events: a full table was not updated for chats that it holds. No test of its own. - TestColdStart waited forever for a daemon that had exited; waiting now ends with its error. Its addresses are still fixed. Looked at and none: entries of abandoned slot requests are kept longer than their minimum time, which is intended, since request IDs are unique and a late slot request must still be refused; the number of ejections of a restarted server is reset by its first success, as its doc comment states.

--- a/coord/lease/example_test.go
+++ b/coord/lease/example_test.go
@@ -22,5 +22,5 @@
 	// Output:
 	// <nil> true
 	// held
-	// lease expired 0s ago; renew it before sending orders
+	// lease is not held; acquire it before sending orders
 }
--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -78,6 +78,9 @@
 }
 
 func (e *ExpiredError) Error() string {
+	if e.Since <= 0 {
+		return "lease is not held; acquire it before sending orders"
+	}
 	return fmt.Sprintf("lease expired %s ago; renew it before sending orders", e.Since)
 }
 
--- a/hornbeambench/calls/recovery.go
+++ b/hornbeambench/calls/recovery.go
@@ -90,7 +90,11 @@
 
 // servesCallers reports whether a daemon answers requests on its caller address.
 func servesCallers(d *daemon.Daemon) bool {
-	<-d.Ready()
+	select {
+	case <-d.Ready():
+	default:
+		return false
+	}
 	callers, _, _ := d.Addresses()
 	response, err := (&http.Client{Timeout: time.Second}).Get("http://" + callers + "/healthz")
 	if err != nil {
@@ -101,10 +105,13 @@
 }
 
 // waitForAll waits until each daemon in turn has met the condition, and returns the time since
-// begin in seconds.
+// begin in seconds. It returns an error if a daemon exits before that.
 func (tb *testbed) waitForAll(ctx context.Context, begin time.Time, condition func(*daemon.Daemon) bool) (float64, error) {
 	for _, d := range tb.daemons {
 		for !condition(d) {
+			if err := tb.exitError(); err != nil {
+				return 0, err
+			}
 			if err := sleep(ctx, readyPollInterval); err != nil {
 				return 0, err
 			}
--- a/hornbeambench/calls/testbed.go
+++ b/hornbeambench/calls/testbed.go
@@ -188,11 +188,8 @@
 		if readyCount == len(tb.daemons) {
 			return nil
 		}
-		select {
-		case err := <-tb.runResults:
-			tb.runResults <- err
-			return fmt.Errorf("a daemon exited before all daemons were ready: %w", err)
-		default:
+		if err := tb.exitError(); err != nil {
+			return err
 		}
 		if err := sleep(ctx, readyPollInterval); err != nil {
 			return err
@@ -200,6 +197,17 @@
 	}
 }
 
+// exitError returns an error if a daemon has exited.
+func (tb *testbed) exitError() error {
+	select {
+	case err := <-tb.runResults:
+		tb.runResults <- err
+		return fmt.Errorf("a daemon exited before all daemons were ready: %w", err)
+	default:
+		return nil
+	}
+}
+
 // stopDaemons stops all daemons at once and waits until they have exited.
 func (tb *testbed) stopDaemons() {
 	for _, stop := range tb.stopFuncs {
--- a/hornbeamd/backend/backend.go
+++ b/hornbeamd/backend/backend.go
@@ -91,7 +91,8 @@
 	ParseResponse(status int, h http.Header) metadata.Answer
 }
 
-// maxResponseHeaderBytes is the intended size limit for response headers; it is not enforced.
+// maxResponseHeaderBytes limits the bytes that are read for the headers of a response, including
+// informational responses before it; up to readBufferSize further bytes are read ahead.
 // maxSkippedResponses is the number of responses to earlier requests that are skipped on a
 // connection before the request fails.
 const (
@@ -196,10 +197,28 @@
 	// the connection must not be reused.
 	idleSince, expiresAt time.Time
 	closed               atomic.Bool
+	// headerBytes is the number of bytes that may still be read for the headers of a response;
+	// negative while no limit applies. Only the goroutine that reads the response uses it.
+	headerBytes int
 	// release frees the connection's slot in the pool.
 	release func()
 }
 
+var errHeaderTooLarge = eris.New("headers of the response exceed the size limit")
+
+// Read implements io.Reader.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.headerBytes < 0 {
+		return c.Conn.Read(b)
+	}
+	if c.headerBytes == 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headerBytes)])
+	c.headerBytes -= n
+	return n, err
+}
+
 // Write implements io.Writer.
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
@@ -286,6 +305,8 @@
 // readFinalResponse reads the status line and headers of the next response and skips informational
 // (1xx) responses.
 func (c *conn) readFinalResponse(r *Request) (*http.Response, error) {
+	c.headerBytes = maxResponseHeaderBytes
+	defer func() { c.headerBytes = -1 }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
--- a/hornbeamd/backend/backend_test.go
+++ b/hornbeamd/backend/backend_test.go
@@ -114,6 +114,27 @@
 	}
 }
 
+// Guards against a server whose response headers take the memory of the router, and against headers
+// of usual size that are rejected.
+func TestResponseHeaderLimit(t *testing.T) {
+	line := "X: " + strings.Repeat("x", 1000) + "\r\n"
+	for name, test := range map[string]struct {
+		lines int
+		ok    bool
+	}{
+		"usual":     {20, true},
+		"too large": {200, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			opened := 0
+			response := "HTTP/1.1 200 OK\r\nId: 1\r\n" + strings.Repeat(line, test.lines) + "Content-Length: 2\r\n\r\nok"
+			_, err := sendRequest(c, newPool(&opened), startServer(c, response))
+			c.Assert(err == nil, qt.Equals, test.ok)
+		})
+	}
+}
+
 // Guards against an error that reports a request as not sent although the server received it.
 func TestErrorKinds(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/hornbeamd/backend/pool.go
+++ b/hornbeamd/backend/pool.go
@@ -86,7 +86,9 @@
 		p.OnConnect(r.Address)
 	}
 	address := r.Address
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferSize), release: func() { p.releaseSlot(address) }}, nil
+	c := &conn{Conn: netConn, headerBytes: -1, release: func() { p.releaseSlot(address) }}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
 }
 
 // takeIdle returns the most recently used idle connection that is still reusable, or nil if there
--- a/hornbeamd/control/engines.go
+++ b/hornbeamd/control/engines.go
@@ -173,7 +173,7 @@
 		}
 		switch event.Kind {
 		case "stored":
-			if len(e.lastUsed) < maxStoredChats {
+			if _, known := e.lastUsed[event.Chat]; known || len(e.lastUsed) < maxStoredChats {
 				e.lastUsed[event.Chat] = now.Unix()
 			}
 		case "evicted":
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -346,6 +346,21 @@
 	c.clearDeadline()
 }
 
+// clientWriter is a writer to the client that keeps its first error.
+type clientWriter struct {
+	io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (w *clientWriter) Write(p []byte) (int, error) {
+	n, err := w.Writer.Write(p)
+	if w.err == nil {
+		w.err = err
+	}
+	return n, err
+}
+
 // relayLarge relays a response that is too large to be buffered. beginning is the part that was
 // already read.
 func (c *clientRequest) relayLarge(ctx context.Context, response *backend.Response, beginning *bufferedResponse) (balance.Outcome, attemptResult) {
@@ -355,12 +370,17 @@
 	}
 	c.w.WriteHeader(response.Status)
 	c.responseStarted = true
-	_, err := c.w.Write(beginning.body)
+	client := &clientWriter{Writer: c.w}
+	_, err := client.Write(beginning.body)
 	if err == nil {
-		_, err = io.Copy(c.w, response)
+		_, err = io.Copy(client, response)
 	}
 	if err != nil {
 		outcome, _ := c.classifyReadError(ctx)
+		if client.err != nil {
+			// The client, not the server, broke the connection.
+			outcome = balance.Abandoned
+		}
 		c.recordResult(response.Status, "broken")
 		// abort panics, so tryServer does not record the end of the attempt.
 		c.server.Upstreams.recordEnd(time.Now(), c.choice.Server.ID, outcome, 0)
--- a/hornbeamd/service/service.go
+++ b/hornbeamd/service/service.go
@@ -89,6 +89,8 @@
 		stop()
 		return nil, failure
 	}
+	// From here on, timeoutReader runs the watchdog during each read.
+	watchdog.Stop()
 	header := forwardedHeader(resp.Header)
 	return &Response{
 		Status: resp.StatusCode, Header: header, Length: resp.ContentLength,
--- a/policy/configfile/configfile_test.go
+++ b/policy/configfile/configfile_test.go
@@ -112,6 +112,14 @@
 	}
 }
 
+// Guards against an error that prints a part of a plaintext key that is listed twice.
+func TestErrorWithoutKey(t *testing.T) {
+	c := qt.New(t)
+	_, errs := load("accounts: {a: {keys: [topsecret, topsecret]}}")
+	c.Assert(errs, qt.HasLen, 1)
+	c.Assert(strings.Contains(errs[0].Error(), "top"), qt.IsFalse, qt.Commentf("%v", errs))
+}
+
 // Guards against validation that stops at the first error, and against errors that print a
 // plaintext key.
 func TestAllErrorsCollected(t *testing.T) {
--- a/policy/configfile/fields.go
+++ b/policy/configfile/fields.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"maps"
 	"math"
 	"net/netip"
@@ -123,13 +124,14 @@
 			return valueError{BadType, "value is not a list", "write a list such as [a, b]"}
 		}
 		out := make([]string, 0, len(v.items))
-		for _, element := range v.items {
+		for n, element := range v.items {
 			s, invalid := scalarText(element)
 			if invalid.kind != "" {
 				return invalid
 			}
-			if slices.Contains(out, s) {
-				return valueError{Contradiction, strconv.Quote(s) + " is listed twice", "list each value once"}
+			// The message must not hold the value, which may be a key in plain text.
+			if earlier := slices.Index(out, s); earlier >= 0 {
+				return valueError{Contradiction, fmt.Sprintf("element %d repeats element %d", n+1, earlier+1), "list each value once"}
 			}
 			out = append(out, s)
 		}
