test(soak): restored stores, servers that say that they leave, and rejections with a time

The soak gains three kinds of events and two checks: the store comes back from a copy of up to 3 s, once or twice in a row; a server says in its answers that it leaves while its entry says that it is ready; a server rejects requests and asks for none for 2 s. TestCheck has a case for each new check with and without a disruption that explains it.

--- a/hornbeambench/soak/caller.go
+++ b/hornbeambench/soak/caller.go
@@ -140,5 +140,6 @@
 		return true
 	}
 	q.Status, q.ResponseBody, q.Signature, q.Incomplete = response.Status, response.Body, response.Signature, response.Err != nil
+	q.Leaving = response.Leaving
 	return response.Err != nil || response.Close
 }
--- a/hornbeambench/soak/checks.go
+++ b/hornbeambench/soak/checks.go
@@ -50,7 +50,7 @@
 	var found []violation
 	for _, check := range []func() []violation{
 		o.checkResponses, o.checkRuns, o.checkNonRetryable, o.checkRejections, o.checkAPIKeys, o.checkDrains, o.checkUnanswered,
-		o.checkAttempts, o.checkRetryBudget, o.checkCanceled, o.checkTimeouts, o.checkRecovery, o.checkExits,
+		o.checkAttempts, o.checkRetryBudget, o.checkCanceled, o.checkTimeouts, o.checkRecovery, o.checkExits, o.checkLeavingNotices, o.checkRejectionTimes,
 	} {
 		found = append(found, check()...)
 	}
--- a/hornbeambench/soak/checks_test.go
+++ b/hornbeambench/soak/checks_test.go
@@ -95,6 +95,20 @@
 			o.changeRequest("late", func(r *request) { r.Status = 503 })
 			delete(o.runs, "late")
 		}, "service returns"},
+		"request after a leaving notice": {func(o *observations) {
+			o.changeRequest("a", func(r *request) { r.Leaving = true })
+		}, "servers that say that they leave get no new requests"},
+		"request after a leaving notice, router disrupted": {func(o *observations) {
+			o.changeRequest("a", func(r *request) { r.Leaving = true })
+			o.disruptions = append(o.disruptions, disruption{Router: "r0", From: at(20), To: at(21)})
+		}, ""},
+		"requests within the time of a rejection": {func(o *observations) {
+			o.rejections = []rejection{{Attempt: "a", Server: "plain-2", At: at(8.5)}}
+			o.runs["a"] = append(o.runs["a"], o.runs["a"][0], o.runs["a"][0])
+		}, "servers that want no requests for a time get none"},
+		"two requests within the time of a rejection": {func(o *observations) {
+			o.rejections = []rejection{{Attempt: "a", Server: "plain-2", At: at(8.5)}, {Attempt: "a", Server: "plain-2", At: at(9.2)}}
+		}, ""},
 		"unexpected router exit":          {func(o *observations) { o.exits = []string{"r0"} }, "routers run until they are ended"},
 		"missing response, router killed": {func(o *observations) { o.changeRequest("a", dropResponse); o.addDisruption(disruption{Router: "r0"}) }, ""},
 		"missing response, router stopped": {func(o *observations) {
@@ -175,7 +189,7 @@
 			c.Assert(i == 0 || events[i-1].At <= e.At, qt.IsTrue)
 		}
 	}
-	for _, k := range eventKinds {
+	for _, k := range append(eventKinds, laterKinds...) {
 		c.Assert(seen[k], qt.IsTrue, qt.Commentf("%s", k))
 	}
 }
--- a/hornbeambench/soak/child.go
+++ b/hornbeambench/soak/child.go
@@ -97,8 +97,13 @@
 	AllUnresponsive bool     `json:"Silent"`
 	// Compact drops the change history of the store.
 	Compact bool
-	// Fault is the fault that a backend server simulates from now on.
-	Fault standin.Fault
+	// Backup makes the store copy its objects, and Restore replace them by that copy.
+	Backup, Restore bool
+	// Fault is the fault that a backend server simulates from now on, RetryAfter the Retry-After
+	// header of its rejections, and Leaving whether its responses state that it is leaving.
+	Fault      standin.Fault
+	RetryAfter string
+	Leaving    bool
 }
 
 // notification is a line of JSON that a fake metadata store or backend server writes to its
@@ -113,7 +118,9 @@
 	// Began is a request that a backend server has started to run, and Ended one that has ended.
 	// Complete is true if the server sent the whole response of the ended request.
 	Began, Ended *standin.Run
-	Complete     bool `json:"Whole"`
+	// Rejected is the attempt ID of a request that a backend server has rejected with a retry delay.
+	Rejected string
+	Complete bool `json:"Whole"`
 	// At is when the line was written.
 	At time.Time
 }
@@ -126,6 +133,7 @@
 // Run runs the command until its standard input is closed.
 func (c *StoreCommand) Run(context.Context) error {
 	store := standin.NewStore()
+	backup := store.Backup()
 	stdout := json.NewEncoder(os.Stdout)
 	addresses := map[string]string{}
 	for _, name := range c.Routers {
@@ -144,6 +152,10 @@
 			store.Delete(kind, name)
 		case i.Compact:
 			store.Compact()
+		case i.Backup:
+			backup = store.Backup()
+		case i.Restore:
+			store.Restore(backup)
 		default:
 			store.Refuse(i.Refuse...)
 			store.SetUnresponsive(i.Unresponsive...)
@@ -177,8 +189,15 @@
 	}
 	s.OnStart = func(r standin.Run) { notify(notification{Began: &r}) }
 	s.OnEnd = func(r standin.Run, complete bool) { notify(notification{Ended: &r, Complete: complete}) }
+	s.OnReject = func(attempt, retryAfter string) {
+		if retryAfter != "" {
+			notify(notification{Rejected: attempt})
+		}
+	}
 	notify(notification{Address: s.Listener.Addr().String()})
 	return handleInstructions(func(i instruction) error {
+		s.SetRetryAfter(i.RetryAfter)
+		s.SetLeaving(i.Leaving)
 		s.SetFault(i.Fault)
 		return nil
 	})
--- a/hornbeambench/soak/events.go
+++ b/hornbeambench/soak/events.go
@@ -37,7 +37,14 @@
 	resetCallerConnections eventKind = "reset connections of callers"
 	blackholeCallers       eventKind = "silence connections of callers"
 	changeConfig           eventKind = "change configuration"
-	putMalformedEntry      eventKind = "foreign entry"
+	// restoreStore makes the store lose its latest changes, once or twice in a row.
+	restoreStore eventKind = "store back from a copy"
+	// announceLeaving removes a backend server that states in its responses that it is leaving,
+	// while its entry in the store says that it is ready.
+	announceLeaving eventKind = "server says that it leaves"
+	// rejectForTime makes a backend server reject requests and ask for none for some time.
+	rejectForTime     eventKind = "server wants nothing for a time"
+	putMalformedEntry eventKind = "foreign entry"
 )
 
 // eventKinds holds the kinds to draw from. A kind that occurs several times is drawn more often.
@@ -49,6 +56,13 @@
 	changeConfig, changeConfig, putMalformedEntry,
 }
 
+// laterKinds holds kinds that were added later. They are drawn separately, so that an earlier seed
+// still has the events with which it violated a guarantee.
+var laterKinds = []eventKind{restoreStore, announceLeaving, rejectForTime}
+
+// maxLaterEvents is the maximum number of events of laterKinds in a run.
+const maxLaterEvents = 3
+
 // event is one fault or one piece of planned work.
 type event struct {
 	Kind eventKind
@@ -89,6 +103,13 @@
 		}
 		events = append(events, e)
 	}
+	later := rand.New(rand.NewPCG(seed, 1))
+	for range later.IntN(maxLaterEvents + 1) {
+		events = append(events, event{
+			Kind: laterKinds[later.IntN(len(laterKinds))], At: randomDuration(later, window),
+			Duration: 200*time.Millisecond + randomDuration(later, faultDurationRange), Target: later.IntN(1 << 16), Variant: later.IntN(1 << 16),
+		})
+	}
 	slices.SortFunc(events, func(a, b event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
--- a/hornbeambench/soak/inject.go
+++ b/hornbeambench/soak/inject.go
@@ -51,6 +51,8 @@
 		}
 		r.currentProcess().signal(syscall.SIGHUP)
 		return nil
+	case restoreStore:
+		return tb.restoreStore(ctx, e)
 	case blackholeStore, dropStoreResponses, delayStore, failTwoRouters, unresponsiveStore, pauseStore, compactStore:
 		return tb.injectStoreFault(ctx, e, r)
 	case resetCallerConnections:
@@ -230,36 +232,63 @@
 	case delayServer:
 		return tb.injectFor(ctx, e, d, func() { s.proxy.setFault(noDirection, networkDelay) }, func() { s.proxy.setFault(noDirection, 0) })
 	case drainServer:
-		return tb.replaceServer(ctx, s, e.Variant%2 == 0)
+		return tb.replaceServer(ctx, s, []removal{removeEntry, markDraining}[e.Variant%2])
+	case announceLeaving:
+		return tb.replaceServer(ctx, s, sayLeaving)
+	case rejectForTime:
+		rejecting := instruction{Fault: standin.Shed, RetryAfter: fmt.Sprint(rejectionTime.Seconds())}
+		return tb.injectFor(ctx, e, d, func() { _ = s.process.send(rejecting) }, setFault(standin.NoFault))
 	}
 	return fmt.Errorf("unknown kind of event %q", e.Kind)
 }
 
-// replaceServer adds a new server and removes an old one. If announced is true, the store first
-// marks the old server as draining; otherwise its entry is deleted at once.
-func (tb *testbed) replaceServer(ctx context.Context, s *server, announced bool) error {
+// removal is a way in which a backend server leaves.
+type removal uint8
+
+const (
+	// removeEntry deletes the server's entry in the store.
+	removeEntry removal = iota
+	// markDraining marks the entry as draining first.
+	markDraining
+	// sayLeaving leaves the entry as it is, while the server states in its responses that it is
+	// leaving.
+	sayLeaving
+)
+
+// replaceServer adds a new server and removes an old one.
+func (tb *testbed) replaceServer(ctx context.Context, s *server, how removal) error {
 	if err := tb.addServer(s.service); err != nil {
 		return err
 	}
 	tb.mu.Lock()
 	s.removing = true
-	i := instruction{Delete: "servers/" + s.id}
-	if announced {
-		i = instruction{Put: "servers/" + s.id, Spec: s.entry("draining")}
+	var acked time.Time
+	var err error
+	switch how {
+	case removeEntry:
+		acked, err = tb.instructStore(instruction{Delete: "servers/" + s.id})
+	case markDraining:
+		s.draining = true
+		acked, err = tb.instructStore(instruction{Put: "servers/" + s.id, Spec: s.entry("draining")})
+	case sayLeaving:
+		// The error is ignored because the server may have exited.
+		_ = s.process.send(instruction{Leaving: true})
 	}
-	acked, err := tb.instructStore(i)
 	tb.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	tb.observations.mu.Lock()
-	tb.observations.drains = append(tb.observations.drains, drain{Server: s.id, Acked: acked})
-	tb.observations.mu.Unlock()
+	if how != sayLeaving {
+		tb.observations.mu.Lock()
+		tb.observations.drains = append(tb.observations.drains, drain{Server: s.id, Acked: acked})
+		tb.observations.mu.Unlock()
+	}
 	sleep(ctx, drainTime)
 	endDisruption := tb.observations.beginDisruption(disruption{Kind: drainServer, Server: s.id})
 	defer endDisruption()
-	if announced {
+	if how != removeEntry {
 		tb.mu.Lock()
+		s.draining = false
 		_, err = tb.instructStore(instruction{Delete: "servers/" + s.id})
 		tb.mu.Unlock()
 	}
--- a/hornbeambench/soak/observations.go
+++ b/hornbeambench/soak/observations.go
@@ -22,6 +22,8 @@
 	drains []drain
 	// disruptions holds all injected faults, planned work and stalls of the machine.
 	disruptions []disruption
+	// rejections holds the requests that backend servers rejected with a retry delay.
+	rejections []rejection
 	// exits holds the IDs of the routers that exited unexpectedly.
 	exits []string
 	// eventsEnd is the time at which the last injected event ended.
@@ -44,6 +46,15 @@
 	ResponseBody, Signature string
 	// Canceled is true if the caller closed the connection before the end of the response.
 	Canceled bool
+	// Leaving is true if the response states that its backend server is leaving.
+	Leaving bool
+}
+
+// rejection is a request that a backend server rejected, asking its router to send none for
+// rejectionTime.
+type rejection struct {
+	Attempt, Server string
+	At              time.Time
 }
 
 // run is one run of a request on a backend server.
@@ -100,6 +111,12 @@
 	o.runs[r.Attempt] = append(o.runs[r.Attempt], r)
 }
 
+func (o *observations) addRejection(r rejection) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.rejections = append(o.rejections, r)
+}
+
 // endRun records the end of a run, which is identified by its attempt, server and start time.
 func (o *observations) endRun(server string, r standin.Run, at time.Time, complete bool) {
 	o.mu.Lock()
--- a/hornbeambench/soak/testbed.go
+++ b/hornbeambench/soak/testbed.go
@@ -44,6 +44,8 @@
 	// keys of the next version.
 	latestVersion int
 	apiKeys       []string
+	// latestConfig is the content of the latest version, as JSON.
+	latestConfig string
 }
 
 type router struct {
@@ -69,6 +71,8 @@
 	// removing is true once the removal of the server has started. From then on no new faults are
 	// injected into the server, and its process is not restarted after a kill.
 	removing bool
+	// draining is true once the store was told that the server is draining.
+	draining bool
 }
 
 // newTestbed starts a testbed with the given number of routers. subnet is the second byte of the
@@ -160,7 +164,8 @@
 	// Consecutive numbers differ by 1 or 2 to test that routers accept gaps between versions.
 	tb.latestVersion += 1 + tb.latestVersion%3
 	v := version{Number: tb.latestVersion, Keys: append([]string(nil), tb.apiKeys...), Sent: time.Now()}
-	acked, err := tb.instructStore(instruction{Put: "config/main", Spec: standin.Config(tb.latestVersion, tb.apiKeys...)})
+	tb.latestConfig = standin.Config(tb.latestVersion, tb.apiKeys...)
+	acked, err := tb.instructStore(instruction{Put: "config/main", Spec: tb.latestConfig})
 	if err != nil {
 		return err
 	}
@@ -209,6 +214,8 @@
 			tb.observations.addRun(run{Run: *n.Began, Server: s.id, Service: s.service})
 		case n.Ended != nil:
 			tb.observations.endRun(s.id, *n.Ended, n.At, n.Complete)
+		case n.Rejected != "":
+			tb.observations.addRejection(rejection{Attempt: n.Rejected, Server: s.id, At: n.At})
 		}
 	}, tb.benchProgram, "soak", "server", "--id", s.id, "--service", s.service)
 	if err != nil {
