perf(storewatch): call the store less often where changes may take longer

Change: the times are shares (0.35, 0.3) of the time within which a change has to be in effect, at most three heartbeats of servers; they stay as they were at 2 s. Only the first 16 routers by rank register, and those that hear no other; they are enough for a router that reaches no seed. Ruled out: fewer than three watchers, which broke DRAIN when two were cut off at once.

--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -304,6 +304,18 @@
 	return now.Sub(overdueSince) > time.Duration(lowerRanked/retryBatchSize)*retryBatchInterval
 }
 
+// Rank returns the number of live routers that precede this one in an order that is the same on all
+// routers.
+func (s *State) Rank(now time.Time) int {
+	n := 0
+	for _, m := range s.members {
+		if s.live(now, m) && m.rank < s.selfRank {
+			n++
+		}
+	}
+	return n
+}
+
 // watchers returns the number of routers that watch the store. It is higher by one in a fleet with
 // hubs, where a fault that isolates part of the fleet is more likely to hit two given routers.
 func (s *State) watchers() int {
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -145,7 +145,7 @@
 	c := e.control
 	e.mesh.OnMessage = func(m presence.Message, source string) { c.tryEnqueue(func() { c.handleMessage(ctx, m, source) }) }
 	watcher := &storewatch.Watcher{
-		Store: e.store, Active: &c.watching, Log: e.Log.Named("source"),
+		Store: e.store, ApplyWithin: e.applyWithin(), Active: &c.watching, Log: e.Log.Named("source"),
 		OnSuccess: func() { c.enqueue(c.storeAnswered) },
 		OnError:   func(err error) { c.enqueue(func() { c.storeFailed(err) }) },
 		OnConfig:  func(config routes.Config) { c.enqueue(func() { c.applyConfig(config, "store") }) },
@@ -159,23 +159,46 @@
 	go e.reloadOnHangup(ctx)
 }
 
+// applyWithin returns the time within which a change in the store has to be in effect. It is limited
+// to a few heartbeat intervals of backend servers, because the routers would take a longer silence
+// of the store for an outage in which entries expire.
+func (e *Router) applyWithin() time.Duration {
+	const maxHeartbeats = 3
+	s := e.settings
+	return min(s.ConfigApplyTimeout, s.DrainTimeout, maxHeartbeats*s.ServerHeartbeatInterval)
+}
+
+const (
+	// maxRegistered is the number of routers that are registered in the store. They are enough for
+	// a router that reaches none of its seeds to find one that is live.
+	maxRegistered = 16
+	// firstRegistrationDelay is the time after the start within which a router usually hears of the
+	// others, and discoveryInterval the time between two looks at whether it has.
+	firstRegistrationDelay = time.Second
+	discoveryInterval      = 5 * time.Second
+)
+
 // registerAndDiscover registers this router in the store, where routers that reach none of their
-// seeds look for others, and registers it again when the store has been restored from a copy, which
-// may lack the entry. After that, it looks there itself whenever this router receives no heartbeats.
+// seeds look for others, if it is one of the first maxRegistered by rank or receives no heartbeats.
+// It registers again when the store has been restored from a copy, which may lack the entry. While
+// this router receives no heartbeats, it looks in the store for other routers itself.
 func (e *Router) registerAndDiscover(ctx context.Context) {
-	const retryInterval = 5 * time.Second
 	registered, registeredEra := false, int64(0)
+	delay := firstRegistrationDelay
 	for {
-		if !registered || e.control.storeEra.Load() > registeredEra {
-			registered, registeredEra = e.register(ctx)
-		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-time.After(delay):
+		}
 		// The jitter spreads the calls of a fleet that notices a restore at the same time.
-		case <-time.After(retryInterval/2 + rand.N(retryInterval)):
+		delay = discoveryInterval/2 + rand.N(discoveryInterval)
+		known, rank := e.fleetPosition(ctx)
+		isCurrent := registered && e.control.storeEra.Load() <= registeredEra
+		if !isCurrent && (known == 0 || rank < maxRegistered) {
+			registered, registeredEra = e.register(ctx)
 		}
-		if registered && e.isAlone(ctx) {
+		if known == 0 {
 			e.discoverSeeds(ctx)
 		}
 	}
@@ -193,15 +216,20 @@
 	return true, era
 }
 
-// isAlone reports whether this router receives no heartbeats from other routers.
-func (e *Router) isAlone(ctx context.Context) bool {
-	answer := make(chan bool, 1)
-	e.control.enqueue(func() { answer <- e.control.presence.LiveCount(time.Now()) == 0 })
+// fleetPosition returns the number of other routers from which heartbeats arrive, and how many of
+// them precede this router by rank.
+func (e *Router) fleetPosition(ctx context.Context) (known, rank int) {
+	type position struct{ known, rank int }
+	answer := make(chan position, 1)
+	e.control.enqueue(func() {
+		now := time.Now()
+		answer <- position{e.control.presence.LiveCount(now), e.control.presence.Rank(now)}
+	})
 	select {
-	case alone := <-answer:
-		return alone
+	case p := <-answer:
+		return p.known, p.rank
 	case <-ctx.Done():
-		return false
+		return 0, 0
 	}
 }
 
--- a/hornbeamd/storewatch/restore_test.go
+++ b/hornbeamd/storewatch/restore_test.go
@@ -59,7 +59,7 @@
 				store := &fakeStore{results: test.results}
 				var delivered []roster.Revision
 				w := &Watcher{
-					Store: store, Active: &Switch{}, Log: zap.NewNop(), OnSuccess: func() {}, OnError: func(error) {},
+					Store: store, ApplyWithin: 2 * time.Second, Active: &Switch{}, Log: zap.NewNop(), OnSuccess: func() {}, OnError: func(error) {},
 					OnConfig: func(routes.Config) {}, OnServers: func(s roster.Snapshot) { delivered = append(delivered, s.Revision) },
 				}
 				w.Active.Set(true)
--- a/hornbeamd/storewatch/storewatch.go
+++ b/hornbeamd/storewatch/storewatch.go
@@ -27,16 +27,15 @@
 
 // Timing of the calls to the store.
 const (
-	// watchWait is the time after which the store answers a watch even if nothing has changed.
-	// A connection without answers is detected when a watch exceeds watchWait by the margin that
-	// the store's client allows. Another router needs the same time again to take over and to
-	// distribute a change. Both times together must not exceed the time within which a new
-	// configuration has to be in effect.
-	watchWait = 700 * time.Millisecond
-	// serversPause is the pause between an answer with backend servers and the next watch. Each
-	// backend server renews its entry about once a second, so that without a pause each watch would
-	// return immediately.
-	serversPause = 600 * time.Millisecond
+	// watchShare is the share of Watcher.ApplyWithin after which the store answers a watch even if
+	// nothing has changed. A connection without answers is detected when a watch exceeds that time
+	// by the margin that the store's client allows. Another router needs the same time again to
+	// take over and to distribute a change.
+	watchShare = 0.35
+	// pauseShare is the share of Watcher.ApplyWithin between an answer with backend servers and the
+	// next watch. Each backend server renews its entry about once a second, so that without a pause
+	// each watch would return immediately.
+	pauseShare = 0.3
 	// retryInitial and retryMax are the first and the longest delay after a failed call; the delay
 	// doubles with each failure.
 	retryInitial = 150 * time.Millisecond
@@ -49,6 +48,9 @@
 // Watcher watches the store while Active is on. The fields must be set before Run is called.
 type Watcher struct {
 	Store Store
+	// ApplyWithin is the time within which a change in the store has to be in effect on all
+	// routers. The store is called less often if it is longer.
+	ApplyWithin time.Duration
 	// Active is on while this router has to watch the store; the Watcher makes no calls while it is
 	// off.
 	Active *Switch
@@ -68,7 +70,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	go w.watch(ctx, &subscription{kind: registry.ConfigKind, apply: w.applyConfig})
 	servers := &serverList{known: map[string]roster.Server{}, deliver: w.OnServers}
-	w.watch(ctx, &subscription{kind: registry.ServersKind, apply: servers.apply, pause: serversPause})
+	w.watch(ctx, &subscription{kind: registry.ServersKind, apply: servers.apply, pause: share(w.ApplyWithin, pauseShare)})
 }
 
 // subscription is the state of watching one kind of objects.
@@ -114,7 +116,7 @@
 	if complete {
 		s, err = w.Store.List(ctx, sub.kind)
 	} else {
-		s, err = w.Store.Watch(ctx, sub.kind, sub.revision, watchWait)
+		s, err = w.Store.Watch(ctx, sub.kind, sub.revision, share(w.ApplyWithin, watchShare))
 	}
 	if err != nil {
 		return err
@@ -137,6 +139,8 @@
 	return nil
 }
 
+func share(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/hornbeamd/storewatch/storewatch_test.go
+++ b/hornbeamd/storewatch/storewatch_test.go
@@ -93,7 +93,7 @@
 		var delivered []roster.Snapshot
 		var failures atomic.Int64
 		w := &Watcher{
-			Store: store, Active: &Switch{}, Log: zap.NewNop(), OnSuccess: func() {}, OnError: func(error) { failures.Add(1) },
+			Store: store, ApplyWithin: 2 * time.Second, Active: &Switch{}, Log: zap.NewNop(), OnSuccess: func() {}, OnError: func(error) { failures.Add(1) },
 			OnConfig: func(routes.Config) {}, OnServers: func(r roster.Snapshot) { delivered = append(delivered, r) },
 		}
 		ctx, cancel := context.WithCancel(context.Background())
