--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -1,6 +1,10 @@
 package mesh
 
 import (
+	"math"
+	"runtime"
+	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -78,6 +82,68 @@
 	c.Assert(packed{Gzip: []byte("no")}.unpack(&config), qt.IsNotNil)
 }
 
+// Guards against a decoder that allocates memory for a length that a message states although its
+// elements are missing. The lists state 100,000 elements each.
+func TestStatedLengths(t *testing.T) {
+	const maxBytes = 1 << 20
+	list := []byte{0xdd, 0x00, 0x01, 0x86, 0xa0}
+	text := []byte{0xdb, 0x7f, 0xff, 0xff, 0xff}
+	// start is the beginning of a message: version, kind and sender.
+	start := []byte{0x97, formatVersion, 0x00, 0xa1, 'a'}
+	// record is the beginning of a record, up to its loads.
+	record := append([]byte{0x91, 0x9f, 0x00, 0xa1, 'a'}, 0x01, 0x01, 0xc3, 0x01, 0x01, 0x01, 0x00, 0xc2)
+	for name, data := range map[string][]byte{
+		"records":    slices.Concat(start, list),
+		"zone loads": slices.Concat(start, []byte{0x90}, list),
+		"wanted":     slices.Concat(start, []byte{0x90, 0x90, 0xc0}, list),
+		"loads":      slices.Concat(start, record, list),
+		"texts":      slices.Concat(start, record, []byte{0xc0}, list),
+		"text":       slices.Concat(start[:3], text),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := decode(data)
+			runtime.ReadMemStats(&after)
+			c.Assert(err, qt.ErrorIs, errInvalidField)
+			c.Assert(after.TotalAlloc-before.TotalAlloc < maxBytes, qt.IsTrue, qt.Commentf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc))
+		})
+	}
+}
+
+// Guards against values of other programs that no router sends and that would distort decisions: ages
+// in the future, negative loads, and capacities by which a machine would always be a hub.
+func TestInvalidValues(t *testing.T) {
+	for name, change := range map[string]func(*presence.Message){
+		"negative age":          func(m *presence.Message) { m.Records[0].Age = -1 },
+		"huge age":              func(m *presence.Message) { m.Records[0].Age = 1 << 60 },
+		"negative load":         func(m *presence.Message) { m.Records[0].Loads = map[presence.ServerKey]int{7: -1} },
+		"huge load":             func(m *presence.Message) { m.ZoneLoads[0].Loads = map[presence.ServerKey]int{7: 1 << 40} },
+		"negative capacity":     func(m *presence.Message) { m.Records[0].Capacity = -1 },
+		"infinite capacity":     func(m *presence.Message) { m.Records[0].Capacity = math.Inf(1) },
+		"capacity no number":    func(m *presence.Message) { m.Records[0].Capacity = math.NaN() },
+		"negative era":          func(m *presence.Message) { m.Records[0].Servers.Era = -1 },
+		"long ID":               func(m *presence.Message) { m.Records[0].ID = strings.Repeat("x", 300) },
+		"unknown kind":          func(m *presence.Message) { m.Kind = 200 },
+		"huge age of a list":    func(m *presence.Message) { m.Liveness.Age = 1 << 60 },
+		"negative contact time": func(m *presence.Message) { m.Liveness.StoreContactAge = -2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			m := fullMessage
+			m.Records, m.ZoneLoads = slices.Clone(m.Records), slices.Clone(m.ZoneLoads)
+			liveness := *m.Liveness
+			m.Liveness = &liveness
+			change(&m)
+			data, err := encode(m)
+			c.Assert(err, qt.IsNil)
+			_, err = decode(data)
+			c.Assert(err, qt.IsNotNil)
+		})
+	}
+}
+
 // Guards against a datagram from another program that crashes the router.
 func FuzzDecode(f *testing.F) {
 	data, err := encode(fullMessage)
@@ -85,6 +151,8 @@
 		f.Fatal(err)
 	}
 	f.Add(data)
+	// A message that states a list of 344 million records.
+	f.Add([]byte{0x97, formatVersion, 0x00, 0xa1, 'a', 0xdd, 0x14, 0x8d, 0x30, 0x30})
 	// The header of an array of four elements, without the elements.
 	f.Add([]byte{0x94})
 	f.Fuzz(func(_ *testing.T, data []byte) {
