perf(mesh): encode a response once for all routers that fetch it, and hub updates in fewer datagrams

Liveness and records of a hub update went in two datagrams although they fit into one. Change: the latest response of each kind is kept by version; split adds the liveness to the last records, and counts loads in their size. Result: TestResponseCache, TestSplit and TestSplitJoinsLiveness; not measured on its own.

--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"slices"
+	"sync"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -37,17 +38,18 @@
 const formatVersion = 16
 
 // Sizes in bytes: the largest encoded record without and with an identity, not counting its loads,
-// and the payload of one packet. A larger datagram would be fragmented, and the loss of one
-// fragment loses the whole datagram.
+// the load of one server, a liveness without its routers, and the payload of one packet. A larger
+// datagram would be fragmented, and the loss of one fragment loses the whole datagram.
 const (
-	briefRecordSize   = 60
-	fullRecordSize    = 180
-	packetPayloadSize = 1300
+	briefRecordSize    = 60
+	fullRecordSize     = 180
+	loadSize           = 7
+	livenessHeaderSize = 80
+	packetPayloadSize  = 1300
 )
 
-// split divides a message into parts for one datagram each. The records of a part fit into one
-// packet unless they hold loads, which split does not count. Each zone gets a part of its own,
-// which may exceed one packet.
+// split divides a message into parts for one datagram each. Each zone gets a part of its own, which
+// may exceed one packet. The liveness is added to the last records if it fits.
 func split(m presence.Message) []presence.Message {
 	var parts []presence.Message
 	remaining := 0
@@ -56,6 +58,7 @@
 		if r.WithoutIdentity {
 			size = briefRecordSize
 		}
+		size += loadSize * len(r.Loads)
 		if remaining < size {
 			parts = append(parts, presence.Message{Kind: m.Kind, From: m.From})
 			remaining = packetPayloadSize
@@ -64,12 +67,16 @@
 		part := &parts[len(parts)-1]
 		part.Records = append(part.Records, r)
 	}
+	switch {
+	case m.Liveness == nil:
+	case remaining >= livenessHeaderSize+liveRouterBytes*len(m.Liveness.Routers):
+		parts[len(parts)-1].Liveness = m.Liveness
+	default:
+		parts = append(parts, splitLiveness(m)...)
+	}
 	for zones := range slices.Chunk(m.ZoneLoads, 1) {
 		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, ZoneLoads: zones})
 	}
-	if m.Liveness != nil {
-		parts = append(parts, splitLiveness(m)...)
-	}
 	if len(m.Wanted) > 0 || m.Kind == presence.Request {
 		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, Wanted: m.Wanted})
 	}
@@ -271,6 +278,28 @@
 	return packed{Gzip: out.Bytes()}, nil
 }
 
+// responseCache holds the latest encoded response of one kind. It is safe for concurrent use.
+type responseCache[V comparable] struct {
+	mu       sync.Mutex
+	version  V
+	response packed
+}
+
+// get returns the encoded response for a version, and encodes value if the cache holds another one.
+func (c *responseCache[V]) get(version V, value any) (packed, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.response.Gzip != nil && c.version == version {
+		return c.response, nil
+	}
+	response, err := pack(value)
+	if err != nil {
+		return packed{}, err
+	}
+	c.version, c.response = version, response
+	return response, nil
+}
+
 // unpack decodes the response into a value.
 func (p packed) unpack(into any) error {
 	r, err := gzip.NewReader(bytes.NewReader(p.Gzip))
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -60,14 +60,34 @@
 		}
 		m.Records = append(m.Records, presence.AgedRecord{Record: r, Age: 500, WithoutIdentity: i%5 != 0})
 	}
-	records := 0
+	m.Liveness = &presence.Liveness{Zone: "greytown-hall", StoreContactAge: 1 << 10, Checksum: math.MaxUint64, Complete: true}
+	for i := range 500 {
+		m.Liveness.Routers = append(m.Liveness.Routers, presence.LiveRouter{Key: presence.MemberKey(i), Age: 500})
+	}
+	records, routers := 0, 0
 	for _, part := range split(m) {
 		data, err := encode(part)
 		c.Assert(err, qt.IsNil)
 		c.Assert(len(data) <= maxPayloadBytes, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
 		records += len(part.Records)
+		if part.Liveness != nil {
+			routers += len(part.Liveness.Routers)
+		}
 	}
 	c.Assert(records, qt.Equals, 100)
+	c.Assert(routers, qt.Equals, 500)
+}
+
+// Guards against a hub that sends an update in more datagrams than needed: the records and the
+// liveness of an update without changes fit into one.
+func TestSplitJoinsLiveness(t *testing.T) {
+	c := qt.New(t)
+	m := presence.Message{Kind: presence.HubUpdate, From: "a", Records: fullMessage.Records[:1], ZoneLoads: fullMessage.ZoneLoads}
+	m.Liveness = &presence.Liveness{Checksum: 1, Routers: make([]presence.LiveRouter, 30)}
+	parts := split(m)
+	c.Assert(parts, qt.HasLen, 2)
+	c.Assert(parts[0].Liveness, qt.IsNotNil)
+	c.Assert(parts[1].ZoneLoads, qt.HasLen, 1)
 }
 
 // Guards against configurations that change when they are sent to another router, and against
@@ -82,6 +102,27 @@
 	c.Assert(packed{Gzip: []byte("no")}.unpack(&config), qt.IsNotNil)
 }
 
+// Guards against a router that encodes the same version for each of the routers that fetch it, and
+// against one that answers with an earlier version.
+func TestResponseCache(t *testing.T) {
+	c := qt.New(t)
+	var cache responseCache[int64]
+	version := func(p packed) int64 {
+		var config routes.Config
+		c.Assert(p.unpack(&config), qt.IsNil)
+		return config.Version
+	}
+	first, err := cache.get(7, routes.Config{Version: 7})
+	c.Assert(err, qt.IsNil)
+	again, err := cache.get(7, routes.Config{Version: 7})
+	c.Assert(err, qt.IsNil)
+	c.Assert(&again.Gzip[0], qt.Equals, &first.Gzip[0], qt.Commentf("the same bytes"))
+	c.Assert(version(first), qt.Equals, int64(7))
+	next, err := cache.get(8, routes.Config{Version: 8})
+	c.Assert(err, qt.IsNil)
+	c.Assert(version(next), qt.Equals, int64(8))
+}
+
 // Guards against a decoder that allocates memory for a length that a message states although its
 // elements are missing. The lists state 100,000 elements each.
 func TestStatedLengths(t *testing.T) {
--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -59,6 +59,10 @@
 	tcp net.Listener
 	// outgoing is the queue of messages to be sent.
 	outgoing chan presence.OutgoingMessage
+	// packedConfig and packedServers hold the latest responses by version, because many routers
+	// fetch the same version at the same time.
+	packedConfig  responseCache[int64]
+	packedServers responseCache[roster.Revision]
 	// Dropped counts the datagrams that could not be sent, received or decoded, and the messages
 	// dropped because the queue was full.
 	Dropped atomic.Int64
@@ -261,9 +265,10 @@
 		if !ok {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "this router has no configuration yet"}
 		}
-		return pack(c)
+		return n.packedConfig.get(c.Version, c)
 	case methodServers:
-		return pack(n.State.Servers())
+		servers := n.State.Servers()
+		return n.packedServers.get(servers.Revision, servers)
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
 }
