fix(edge): no warning for heartbeats of routers that a new process does not know yet

Four of five heartbeats leave out the identity, so that a new process can't tell whose they are. TestIsAuthentic covers both; TestHostileDatagrams still sees the warning for a forged one.

--- a/coord/presence/liveness_test.go
+++ b/coord/presence/liveness_test.go
@@ -27,19 +27,22 @@
 		records []presence.AgedRecord
 		source  string
 		want    bool
+		unknown bool
 	}{
-		"known router":                  {"b", nil, "b:2", true},
-		"known router, brief record":    {"b", []presence.AgedRecord{brief}, "b:2", true},
-		"other source":                  {"b", nil, "x:9", false},
-		"brief record, other source":    {"b", []presence.AgedRecord{brief}, "x:9", false},
-		"known router at a new address": {"b", []presence.AgedRecord{complete("b", "b:7")}, "b:7", true},
-		"record states another source":  {"b", []presence.AgedRecord{complete("b", "b:2")}, "x:9", false},
-		"unknown router":                {"c", []presence.AgedRecord{complete("c", "c:2")}, "c:2", true},
-		"unknown router without record": {"c", nil, "c:2", false},
-		"record of another router":      {"c", []presence.AgedRecord{complete("b", "c:2")}, "c:2", false},
+		"known router":                  {from: "b", source: "b:2", want: true},
+		"known router, brief record":    {from: "b", records: []presence.AgedRecord{brief}, source: "b:2", want: true},
+		"other source":                  {from: "b", source: "x:9"},
+		"brief record, other source":    {from: "b", records: []presence.AgedRecord{brief}, source: "x:9"},
+		"known router at a new address": {from: "b", records: []presence.AgedRecord{complete("b", "b:7")}, source: "b:7", want: true},
+		"record states another source":  {from: "b", records: []presence.AgedRecord{complete("b", "b:2")}, source: "x:9"},
+		"unknown router":                {from: "c", records: []presence.AgedRecord{complete("c", "c:2")}, source: "c:2", want: true},
+		"unknown router without record": {from: "c", source: "c:2", unknown: true},
+		"record of another router":      {from: "c", records: []presence.AgedRecord{complete("b", "c:2")}, source: "c:2", unknown: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			qt.Assert(t, s.IsAuthentic(presence.Message{From: test.from, Records: test.records}, test.source), qt.Equals, test.want)
+			message := presence.Message{From: test.from, Records: test.records}
+			qt.Assert(t, s.IsAuthentic(message, test.source), qt.Equals, test.want)
+			qt.Assert(t, s.Knows(message), qt.Equals, !test.unknown)
 		})
 	}
 }
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -238,7 +238,9 @@
 func (c *controlLoop) handleMessage(ctx context.Context, m presence.Message, source string) {
 	now := time.Now()
 	if !c.presence.IsAuthentic(m, source) {
-		c.countForeign(now, m, source)
+		if c.presence.Knows(m) {
+			c.countForeign(now, m, source)
+		}
 		return
 	}
 	joined, introduce := c.presence.Receive(now, m)
