--- a/coord/presence/growth_test.go
+++ b/coord/presence/growth_test.go
@@ -79,9 +79,9 @@
 }
 
 // Guards against control traffic that grows with the square of the fleet. The targets for 300
-// routers are: all know each other within 5 s of a common start, for which a router handles a number
-// of records proportional to the fleet; then 30 KB/s for each router and 300 KB/s for the busiest.
-// They hold after the fleet has lost all of its strong routers at once, too.
+// routers are: all know each other within 5 s of a common start, for which a router handles a
+// number of records proportional to the fleet; then 30 KB/s for each router and 300 KB/s for the
+// busiest. They hold after the fleet has lost all of its strong routers at once, too.
 func TestFleetGrowth(t *testing.T) {
 	const (
 		maxAgreement          = 5 * time.Second
@@ -132,8 +132,8 @@
 	return perSecond(total) / len(f.ids), perSecond(most)
 }
 
-// Guards against a restarted router that stays unknown to routers whose hub reports only a checksum,
-// and against one that stays in the directory after it has stopped being ready.
+// Guards against a restarted router that stays unknown to routers whose hub reports only a
+// checksum, and against one that stays in the directory after it has stopped being ready.
 func TestFleetChangesBehindChecksum(t *testing.T) {
 	c := qt.New(t)
 	f := newZonedFleet(60)
--- a/coord/presence/hubs.go
+++ b/coord/presence/hubs.go
@@ -83,9 +83,9 @@
 }
 
 // Introduce returns the message that introduces other live routers, including this one, to the
-// router with the ID to: those that it has asked for, with the liveness of all, or else all in a fleet without hubs, and the
-// hubs and the routers of its availability zone in a fleet with hubs. The message has no addresses
-// if that router is unknown.
+// router with the ID to: those that it has asked for, with the liveness of all, or else all in a
+// fleet without hubs, and the hubs and the routers of its availability zone in a fleet with hubs.
+// The message has no addresses if that router is unknown.
 func (s *State) Introduce(now time.Time, self Record, to string) OutgoingMessage {
 	m, known := s.members[to]
 	if !known {
@@ -163,8 +163,8 @@
 }
 
 // hubUpdates returns the two messages of a hub. The routers in its own zone learn which routers of
-// all zones are live, and the sum of their loads. The hubs of the other zones learn which routers of
-// the hub's own zone are live, and their load; if a zone has no live routers, one of its lost
+// all zones are live, and the sum of their loads. The hubs of the other zones learn which routers
+// of the hub's own zone are live, and their load; if a zone has no live routers, one of its lost
 // routers gets that message instead. Both hold the records that changed recently.
 func (s *State) hubUpdates(now time.Time, self Record) []OutgoingMessage {
 	loads := s.currentZoneLoads(now, self)
--- a/coord/presence/liveness.go
+++ b/coord/presence/liveness.go
@@ -91,7 +91,8 @@
 	return out
 }
 
-// livenessOf returns the complete liveness of the routers in a zone, or in all zones if it is empty.
+// livenessOf returns the complete liveness of the routers in a zone, or in all zones if it is
+// empty.
 func (s *State) livenessOf(now time.Time, self Record, zone string) *Liveness {
 	out := &Liveness{Zone: zone, Config: self.Config, Servers: self.Servers, StoreContactAge: -1}
 	for _, m := range s.members {
--- a/coord/presence/liveness_test.go
+++ b/coord/presence/liveness_test.go
@@ -87,9 +87,9 @@
 	}
 }
 
-// Guards against routers that stay live although their hub no longer takes them for live, because its
-// list was lost and only checksums arrive: a router that believes something else must ask for the
-// list.
+// Guards against routers that stay live although their hub no longer takes them for live, because
+// its list was lost and only checksums arrive: a router that believes something else must ask for
+// the list.
 func TestChecksumMismatch(t *testing.T) {
 	c := qt.New(t)
 	s := presence.New(presence.DefaultSettings(), record("a", 0))
--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -97,9 +97,9 @@
 	return sender != nil && sender.Peer == source
 }
 
-// Knows reports whether the heartbeat address of a message's sender is known, so that the message can
-// be told from one that another program sent. A router that has just started does not know routers
-// whose first messages to it leave out their identity.
+// Knows reports whether the heartbeat address of a message's sender is known, so that the message
+// can be told from one that another program sent. A router that has just started does not know
+// routers whose first messages to it leave out their identity.
 func (s *State) Knows(m Message) bool {
 	hasIdentity := slices.ContainsFunc(m.Records, func(r AgedRecord) bool { return r.ID == m.From && !r.WithoutIdentity })
 	return hasIdentity || s.members[m.From] != nil
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -258,7 +258,8 @@
 func (s *State) FleetSize() int { return max(s.maxFleet, len(s.members)+1) }
 
 // LastStoreContact returns when the store last responded to any live router, as far as this router
-// knows, and that router's ID, which is empty if only a hub has reported the time. own is the time of the last response to this router.
+// knows, and that router's ID, which is empty if only a hub has reported the time. own is the time
+// of the last response to this router.
 func (s *State) LastStoreContact(now, own time.Time) (at time.Time, id string) {
 	at, id = own, s.self.ID
 	if s.storeContact.After(at) {
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -159,9 +159,9 @@
 	go e.reloadOnHangup(ctx)
 }
 
-// applyWithin returns the time within which a change in the store has to be in effect. It is limited
-// to a few heartbeat intervals of backend servers, because the routers would take a longer silence
-// of the store for an outage in which entries expire.
+// applyWithin returns the time within which a change in the store has to be in effect. It is
+// limited to a few heartbeat intervals of backend servers, because the routers would take a longer
+// silence of the store for an outage in which entries expire.
 func (e *Router) applyWithin() time.Duration {
 	const maxHeartbeats = 3
 	s := e.settings
--- a/hornbeamd/edge/notice_test.go
+++ b/hornbeamd/edge/notice_test.go
@@ -10,8 +10,8 @@
 )
 
 // Guards against requests to a backend server that states in its answers that it is leaving, while
-// its entry in the store still says that it is ready: from the router that passed on the answer, and
-// from the others that only hear of it. drain_ms is 2 s.
+// its entry in the store still says that it is ready: from the router that passed on the answer,
+// and from the others that only hear of it. drain_ms is 2 s.
 func TestLeavingServer(t *testing.T) {
 	const drainTimeout = 2 * time.Second
 	c := qt.New(t)
@@ -68,9 +68,9 @@
 }
 
 // Guards against a fleet that holds on to the history of a store that was restored from a copy some
-// seconds old. The copy has an older configuration with a key that was revoked since, lists a server
-// that drains as ready, and lacks a server that registered since. What is written after the restore
-// has lower revisions than what the routers have seen.
+// seconds old. The copy has an older configuration with a key that was revoked since, lists a
+// server that drains as ready, and lacks a server that registered since. What is written after the
+// restore has lower revisions than what the routers have seen.
 func TestRestoredStore(t *testing.T) {
 	c := qt.New(t)
 	p := newTestPlatform(c, 3)
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -153,8 +153,8 @@
 	}
 }
 
-// Guards against values of other programs that no router sends and that would distort decisions: ages
-// in the future, negative loads, and capacities by which a machine would always be a hub.
+// Guards against values of other programs that no router sends and that would distort decisions:
+// ages in the future, negative loads, and capacities by which a machine would always be a hub.
 func TestInvalidValues(t *testing.T) {
 	for name, change := range map[string]func(*presence.Message){
 		"negative age":          func(m *presence.Message) { m.Records[0].Age = -1 },
--- a/hornbeamd/mesh/decode.go
+++ b/hornbeamd/mesh/decode.go
@@ -270,7 +270,8 @@
 	return z
 }
 
-// liveness reads [zone, config, era, revision, store contact age, checksum, age, complete, routers].
+// liveness reads [zone, config, era, revision, store contact age, checksum, age, complete,
+// routers].
 func (r *datagramReader) liveness() *presence.Liveness {
 	r.fields(livenessFields)
 	l := &presence.Liveness{Zone: r.text(), Config: r.number(), Servers: r.revision()}
--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -70,8 +70,8 @@
 
 // In a large fleet, some routers are hubs: they relay the records of many routers in digest
 // messages, and send megabytes in each heartbeat interval. A burst of this size would overflow the
-// queues of the links, which would drop the same part of each hub update. A router therefore pauses for
-// burstPause after every burstBytes of a message, which limits large messages to about 13 MB/s.
+// queues of the links, which would drop the same part of each hub update. A router therefore pauses
+// for burstPause after every burstBytes of a message, which limits large messages to about 13 MB/s.
 const (
 	burstBytes = 64 << 10
 	burstPause = 5 * time.Millisecond
--- a/routing/balance/notice.go
+++ b/routing/balance/notice.go
@@ -18,8 +18,8 @@
 // IsZero reports whether the server states nothing.
 func (n Notice) IsZero() bool { return n == Notice{} }
 
-// RecordNotice applies the notice of one process of a server, and reports whether this router did not
-// know it before. born identifies the process; see roster.Server.
+// RecordNotice applies the notice of one process of a server, and reports whether this router did
+// not know it before. born identifies the process; see roster.Server.
 func (b *Balancer) RecordNotice(now time.Time, id string, born int64, n Notice) bool {
 	e := b.servers[id]
 	if e == nil || e.Born != born {
@@ -55,9 +55,9 @@
 	return notices
 }
 
-// MarkLeaving applies the notices of other routers, in the format of LeavingNotices, and returns the
-// IDs of the servers that this router did not know to be leaving. A notice of an earlier process of
-// a server is ignored.
+// MarkLeaving applies the notices of other routers, in the format of LeavingNotices, and returns
+// the IDs of the servers that this router did not know to be leaving. A notice of an earlier
+// process of a server is ignored.
 func (b *Balancer) MarkLeaving(notices []string) []string {
 	var changed []string
 	for _, notice := range notices {
--- a/routing/balance/notice_test.go
+++ b/routing/balance/notice_test.go
@@ -64,7 +64,8 @@
 }
 
 // Guards against requests to a server within the time for which it wants none, also while all other
-// servers are paused, and against callers that are told to come back before a server wants requests.
+// servers are paused, and against callers that are told to come back before a server wants
+// requests.
 func TestRetryAfterNotice(t *testing.T) {
 	c := qt.New(t)
 	b := balance.New(balance.DefaultSettings(), "r")
