--- a/coord/presence/hubs.go
+++ b/coord/presence/hubs.go
@@ -78,8 +78,15 @@
 // other hubs and to the routers of their own zone.
 func (s *State) isMisdirected(now time.Time, m Message, sender *Member) bool {
 	isHub := slices.Contains(s.hubsOf(now, s.self, s.self.Zone), s.self.ID)
-	sameZone := sender.Zone == s.self.Zone
-	return m.Kind == Heartbeat && !(isHub && sameZone) || m.Kind == HubUpdate && !isHub && !sameZone
+	otherZone := sender.Zone != s.self.Zone
+	switch m.Kind {
+	case Heartbeat:
+		return !isHub || otherZone
+	case HubUpdate:
+		return !isHub && otherZone
+	default:
+		return false
+	}
 }
 
 // Introduce returns the message that introduces other live routers, including this one, to the
