fix(balance): a server that takes requests again is used again

The mark that a server is leaving was kept for the life of its process whatever had set it. A server whose entry was missing for a while, as when it is cut off from the store, was never used again by routers that had requests in progress there, nor was one that waited for its confirmation after a restore. Change: only what the server itself has said is kept; what the registry says is as of its latest list. Result: TestServerReturns failed in both cases before and passes.

--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -148,15 +148,19 @@
 	// refusedUntil is the end of the time for which the server wants no requests from this router.
 	refusedUntil time.Time
 	// announcedLeaving is when the server first told this router that it is leaving; zero if it did
-	// not. isLeaving is true if the server is draining according to the registry, itself or other
-	// routers.
+	// not. toldLeaving is true if the server told this or another router. Unlike Server.Leaving, it
+	// never becomes false again for the same process.
 	announcedLeaving time.Time
-	isLeaving        bool
+	toldLeaving      bool
 }
 
 // incarnation identifies one process of a server. The cache is empty after a restart.
 func (e *entry) incarnation() uint64 { return e.seed ^ uint64(e.Born) }
 
+// isLeaving reports whether the server takes no new requests, according to the registry or to what
+// it said itself.
+func (e *entry) isLeaving() bool { return e.Leaving || e.toldLeaving }
+
 func (e *entry) load() int { return e.own + e.others }
 
 // pool holds the servers of one service.
@@ -213,7 +217,6 @@
 			}
 		}
 		e.Server = s
-		e.isLeaving = e.isLeaving || s.Leaving
 		next[s.ID] = e
 		p := pools[s.Service]
 		if p == nil {
@@ -223,7 +226,7 @@
 			}
 			pools[s.Service] = p
 		}
-		if e.isLeaving {
+		if e.isLeaving() {
 			p.draining = append(p.draining, e)
 		} else {
 			p.entries = append(p.entries, e)
@@ -233,7 +236,7 @@
 	// requests down and the number is right if a server returns.
 	for id, e := range b.servers {
 		if next[id] == nil && e.own > 0 {
-			e.Leaving, e.isLeaving = true, true
+			e.Leaving = true
 			next[id] = e
 		}
 	}
--- a/routing/balance/notice.go
+++ b/routing/balance/notice.go
@@ -62,20 +62,25 @@
 	var changed []string
 	for _, notice := range notices {
 		id, born, _ := strings.Cut(notice, "/")
-		if e := b.servers[id]; e != nil && strconv.FormatInt(e.Born, 10) == born && !e.isLeaving {
-			b.markLeaving(e)
+		e := b.servers[id]
+		if e == nil || strconv.FormatInt(e.Born, 10) != born || e.toldLeaving {
+			continue
+		}
+		if !e.isLeaving() {
 			changed = append(changed, id)
 		}
+		b.markLeaving(e)
 	}
 	return changed
 }
 
 // markLeaving makes a server get no new requests. Other servers can still fetch from its cache.
 func (b *Balancer) markLeaving(e *entry) {
-	if e.isLeaving {
+	known := e.isLeaving()
+	e.toldLeaving = true
+	if known {
 		return
 	}
-	e.isLeaving = true
 	if p := b.pools[e.Service]; p != nil {
 		p.entries = slices.DeleteFunc(slices.Clone(p.entries), func(o *entry) bool { return o == e })
 		p.draining = append(p.draining, e)
--- a/routing/balance/notice_test.go
+++ b/routing/balance/notice_test.go
@@ -82,3 +82,24 @@
 	c.Assert(chosenIDs(b, start.Add(2500*time.Millisecond)), qt.DeepEquals, map[string]bool{"b": true})
 	c.Assert(chosenIDs(b, start.Add(3001*time.Millisecond)), qt.DeepEquals, map[string]bool{"a": true, "b": true})
 }
+
+// Guards against a server that is never used again although it takes requests: one whose entry in
+// the registry was missing for a while during its requests, and one that counted as draining until
+// it was confirmed after a restore of the registry.
+func TestServerReturns(t *testing.T) {
+	for name, away := range map[string]func([]roster.Server) []roster.Server{
+		"entry was missing": func(s []roster.Server) []roster.Server { return s[1:] },
+		"was not confirmed": func(s []roster.Server) []roster.Server { s[0].Leaving = true; return s },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := balance.New(balance.DefaultSettings(), "r")
+			b.SetServers(start, noticeServers())
+			b.Start(start, "a")
+			b.SetServers(start, away(noticeServers()))
+			c.Assert(chosenIDs(b, start), qt.DeepEquals, map[string]bool{"b": true})
+			b.SetServers(start, noticeServers())
+			c.Assert(chosenIDs(b, start), qt.DeepEquals, map[string]bool{"a": true, "b": true})
+		})
+	}
+}
--- a/routing/balance/state.go
+++ b/routing/balance/state.go
@@ -53,7 +53,7 @@
 
 func (b *Balancer) condition(now time.Time, e *entry) Condition {
 	switch {
-	case e.isLeaving:
+	case e.isLeaving():
 		return Leaving
 	case now.Before(e.refusedUntil):
 		return Refusing
