fix(control): a request that got no slot is not charged to its client account

Admit ended the request with its expected tokens charged, so that an account whose requests were refused for want of an engine ran into its limit. Change: such a request gives its tokens back. Baselines that find no engine say so in place of the reason 'load'.

--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -57,7 +57,7 @@
 	}
 	g, err := admit(ctx, request)
 	if err != nil {
-		l.limits.finish(l.Now(), request.RequestID, 0)
+		l.limits.cancel(l.Now(), request.RequestID)
 	}
 	return g, err
 }
--- a/hornbeamd/control/limits.go
+++ b/hornbeamd/control/limits.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// cancel ends a request that did not run, and gives its expected tokens back to its account.
+func (l *limits) cancel(now time.Time, request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p, ok := l.pending[request]
+	if !ok {
+		return
+	}
+	delete(l.pending, request)
+	l.limiter.AdjustTokens(now, p.account, float64(-p.tokens))
+	if use := l.usage[p.account]; use != nil {
+		use.running--
+	}
+}
+
 // rates returns the mean request and token rates of the accounts since the start.
 func (l *limits) rates(now time.Time) []operator.AccountUse {
 	l.mu.Lock()
--- a/routing/baseline/baseline.go
+++ b/routing/baseline/baseline.go
@@ -42,7 +42,16 @@
 
 // Place chooses an engine.
 func (LeastLoad) Place(_ time.Time, r placement.Request, v placement.View) placement.Decision {
-	return placement.Decision{Engine: leastLoaded(usable(r, v), v), Reason: placement.ByLoad}
+	return decideByLoad(leastLoaded(usable(r, v), v))
+}
+
+// decideByLoad returns the decision for an engine that was chosen by its load, which is empty if
+// there is none.
+func decideByLoad(engine string) placement.Decision {
+	if engine == "" {
+		return placement.Decision{}
+	}
+	return placement.Decision{Engine: engine, Reason: placement.ByLoad}
 }
 
 // ConsistentHash is plain consistent hashing: it chooses the first engine in hash order that
@@ -79,7 +88,7 @@
 		}
 		return d
 	}
-	return placement.Decision{Engine: leastLoaded(ids, v), Reason: placement.ByLoad}
+	return decideByLoad(leastLoaded(ids, v))
 }
 
 // Oracle gives the current state of all engines. Routers know only an earlier state.
@@ -118,7 +127,7 @@
 			best, cached, load = id, c, l
 		}
 	}
-	return placement.Decision{Engine: best, Reason: placement.ByLoad}
+	return decideByLoad(best)
 }
 
 // acceptsWork reports whether the engine accepts new requests.
--- a/routing/baseline/baseline_test.go
+++ b/routing/baseline/baseline_test.go
@@ -41,14 +41,19 @@
 		"bounded":        {baseline.BoundedConsistentHash{Bound: 1.25}, overloaded, view.PreferenceList(nil, r, 2)[1]},
 		"omniscient":     {baseline.Omniscient{Oracle: oracleState, Bound: 1.25}, view, "c"},
 		"no engine left": {baseline.LeastLoad{}, placement.NewView(nil), ""},
+		"bounded, none":  {baseline.BoundedConsistentHash{Bound: 1.25}, placement.NewView(nil), ""},
+		"omniscient, none": {
+			baseline.Omniscient{Oracle: oracleState, Bound: 1.25}, placement.NewView(nil), "",
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			got := c.placer.Place(time.Time{}, r, c.view).Engine
+			decision := c.placer.Place(time.Time{}, r, c.view)
 			if c.want == "" {
-				qt.Assert(t, got, qt.Equals, "")
+				qt.Assert(t, decision, qt.DeepEquals, placement.Decision{})
 				return
 			}
+			got := decision.Engine
 			qt.Assert(t, c.want, qt.Contains, got)
 			qt.Assert(t, got, qt.Not(qt.Equals), "")
 		})
