--- a/hornbeambench/calls/testbed.go
+++ b/hornbeambench/calls/testbed.go
@@ -22,8 +22,11 @@
 
 const (
 	zoneCount = 7
-	// Each daemon listens for peers on its own loopback address. Every /24 network holds
-	// daemonsPerNetwork of these addresses.
+	// Each daemon listens for peers on its own loopback address. The second byte of the addresses is
+	// one of networkCount from firstNetwork on and depends on the process, so that processes that
+	// run at the same time use different ones. Every /24 network holds daemonsPerNetwork addresses.
+	firstNetwork      = 2
+	networkCount      = 60
 	daemonsPerNetwork = 250
 	peerPort          = 7400
 	// readyPollInterval is the interval at which the state of the daemons is checked.
@@ -169,7 +172,7 @@
 	}
 	cfg.Caller.Listen, cfg.Operator.Listen, cfg.Caller.Lifetime = "127.0.0.1:0", "127.0.0.1:0", time.Millisecond
 	// Separate addresses prevent port conflicts between daemons.
-	cfg.Peer.Listen = fmt.Sprintf("127.1.%d.%d:%d", i/daemonsPerNetwork, 1+i%daemonsPerNetwork, peerPort)
+	cfg.Peer.Listen = fmt.Sprintf("127.%d.%d.%d:%d", firstNetwork+os.Getpid()%networkCount, i/daemonsPerNetwork, 1+i%daemonsPerNetwork, peerPort)
 	cfg.Platform.Objects, cfg.Platform.Instances = tb.address, tb.address
 	d := &daemon.Daemon{Settings: cfg}
 	return d, d.Open()
