fix(gateway): routers that start learn of the requests that crash servers

What callers saw: after a router had restarted, a request that had crashed three servers was sent to up to three more, each of which was gone for three seconds. With three servers in the service, all lookups failed for that time.

Cause: a crash is announced to the other routers for two seconds. A router that starts later, or is frozen or cut off meanwhile, never hears of it.

Quarantined requests are now announced again each second, by all routers of a small fleet and by the hubs of a larger one, as prompt parts are. A record carries the age of the crash, so that a restart does not prolong the quarantine. Heartbeats have format 18: upgrade all routers together.

Evidence: TestCrashingRequestAfterRestart failed before (502 from a server that crashed, 503 wanted), TestQuarantineOutlivesRestart is its counterpart in virtual time.

--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -90,6 +90,8 @@
 	Fingerprint string
 	// Servers holds the ID and the start time of each server, separated by a slash.
 	Servers []string
+	// Age is the time since the latest of these crashes, in milliseconds.
+	Age int64
 }
 
 // PromptPart describes a part of prompts that was at backend servers when they crashed.
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -189,7 +189,7 @@
 	r.Ready = c.isReady()
 	report := c.upstreams.LocalReport(now)
 	r.Loads, r.Down, r.Leaving = loadsByKey(report.Load), report.Down, report.Leaving
-	r.Crashes = crashRecords(c.gateway.Crashes.Outgoing(now))
+	r.Crashes = crashRecords(now, c.gateway.Crashes.Outgoing(now, c.presence.ForwardsReports(now, c.self)))
 	r.Parts = partRecords(c.gateway.Crashes.OutgoingParts(now, c.presence.ForwardsReports(now, c.self)))
 	return r
 }
--- a/hornbeamd/edge/crashes.go
+++ b/hornbeamd/edge/crashes.go
@@ -10,10 +10,10 @@
 
 // crashRecords converts crash entries to the records that heartbeats carry to the other routers. A
 // record identifies each crash by the server's ID and its boot identifier, separated by a slash.
-func crashRecords(entries []quarantine.Entry) []presence.Crash {
+func crashRecords(now time.Time, entries []quarantine.Entry) []presence.Crash {
 	var out []presence.Crash
 	for _, e := range entries {
-		c := presence.Crash{Fingerprint: e.Fingerprint}
+		c := presence.Crash{Fingerprint: e.Fingerprint, Age: max(0, now.Sub(e.At).Milliseconds())}
 		for _, crash := range e.Crashes {
 			c.Servers = append(c.Servers, crash.Engine+"/"+crash.Boot)
 		}
@@ -50,12 +50,11 @@
 	return out
 }
 
-// crashEntries converts the crash records of another router to entries. The records carry no time,
-// so now is taken as the time of the latest crash.
+// crashEntries converts the crash records of another router to entries.
 func crashEntries(now time.Time, crashes []presence.Crash) []quarantine.Entry {
 	var out []quarantine.Entry
 	for _, c := range crashes {
-		e := quarantine.Entry{Fingerprint: c.Fingerprint, At: now}
+		e := quarantine.Entry{Fingerprint: c.Fingerprint, At: now.Add(-time.Duration(c.Age) * time.Millisecond)}
 		for _, server := range c.Servers {
 			id, boot, _ := strings.Cut(server, "/")
 			e.Crashes = append(e.Crashes, quarantine.Crash{Engine: id, Boot: boot})
--- a/hornbeamd/edge/crashes_test.go
+++ b/hornbeamd/edge/crashes_test.go
@@ -10,25 +10,33 @@
 	"hornbeamstep.example/platform/standin"
 )
 
-// Guards against a request that crashes one backend server after another because its caller retries
-// it at other routers. It must be rejected with status 503 after it has crashed three servers.
-func TestCrashingRequest(t *testing.T) {
-	c := qt.New(t)
-	p := newTestPlatform(c, 3)
-	addCrashingServer := func(i int) {
-		s := standin.NewServer(fmt.Sprint("plain-crash-", i), "plain")
-		c.Cleanup(s.CloseClientConnections)
-		s.SetFault(standin.Crash)
-		p.servers[s.ID] = s
-		p.store.Put("servers", s.ID, s.Entry("ready"))
-	}
+// replacePlainServers replaces the servers of the service "plain" by eight that crash on any
+// request.
+func (p *testPlatform) replacePlainServers() {
 	for _, id := range []string{"plain-0", "plain-1"} {
 		p.store.Delete("servers", id)
 	}
-	for i := range 6 {
-		addCrashingServer(i)
+	for i := range 8 {
+		p.addPlainServer(fmt.Sprint("plain-crash-", i), standin.Crash)
 	}
 	time.Sleep(time.Second)
+}
+
+// addPlainServer adds a server to the service "plain".
+func (p *testPlatform) addPlainServer(id string, fault standin.Fault) {
+	s := standin.NewServer(id, "plain")
+	p.c.Cleanup(s.CloseClientConnections)
+	s.SetFault(fault)
+	p.servers[s.ID] = s
+	p.store.Put("servers", s.ID, s.Entry("ready"))
+}
+
+// Guards against a request that crashes one backend server after another because its caller retries
+// it at other routers. It must be rejected with status 503 after it has crashed three servers.
+func TestCrashingRequest(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlatform(c, 3)
+	p.replacePlainServers()
 	for i := range 8 {
 		p.send(i%3, "/once/poison")
 		time.Sleep(600 * time.Millisecond)
@@ -37,22 +45,27 @@
 	c.Assert(p.send(0, "/once/poison").Status, qt.Equals, 503)
 }
 
+// Guards against a request that crashes three more servers at each router that restarts.
+func TestCrashingRequestAfterRestart(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlatform(c, 3)
+	p.replacePlainServers()
+	p.waitFor(func() bool { return p.send(0, "/once/poison").Status == 503 })
+	time.Sleep(3 * time.Second)
+	p.addPlainServer("plain-sound", standin.NoFault)
+	p.restart(1)
+	time.Sleep(2 * time.Second)
+	for i := range 3 {
+		c.Assert(p.send(i, "/once/poison").Status, qt.Equals, 503)
+	}
+}
+
 // Guards against requests that crash one backend server after another because no two of them are
 // alike and only a part of their prompts is the same. All routers must reject them, and no others.
 func TestCrashingPromptPart(t *testing.T) {
 	c := qt.New(t)
 	p := newTestPlatform(c, 3)
-	for _, id := range []string{"plain-0", "plain-1"} {
-		p.store.Delete("servers", id)
-	}
-	for i := range 8 {
-		s := standin.NewServer(fmt.Sprint("plain-crash-", i), "plain")
-		c.Cleanup(s.CloseClientConnections)
-		s.SetFault(standin.Crash)
-		p.servers[s.ID] = s
-		p.store.Put("servers", s.ID, s.Entry("ready"))
-	}
-	time.Sleep(time.Second)
+	p.replacePlainServers()
 	number := 0
 	send := func(i int, path, parts string) standin.Response {
 		number++
--- a/hornbeamd/edge/hostile_test.go
+++ b/hornbeamd/edge/hostile_test.go
@@ -38,6 +38,9 @@
 	return strings.Count(b.buffer.String(), text)
 }
 
+// formatVersion is that of the heartbeats of this release; see package mesh.
+const formatVersion = 18
+
 // hostileDatagrams returns datagrams that no router sends, by the fault that they aim at.
 func hostileDatagrams(c *qt.C, p *testPlatform) map[string][]byte {
 	encode := func(value any) []byte {
@@ -47,7 +50,7 @@
 	}
 	peer := fmt.Sprintf("%s:%d", p.ips[0], p.ports[4])
 	// The record of a process of router 0 that starts in the far future and isn't ready.
-	forged := []any{17, 0, "router-0", []any{[]any{
+	forged := []any{formatVersion, 0, "router-0", []any{[]any{
 		0, "router-0", int64(1) << 50, 7, false, 1 << 40, 1 << 40, 1 << 40, 0, false,
 		[]any{},
 		[]any{},
@@ -60,13 +63,13 @@
 	return map[string][]byte{
 		"truncated":        whole[:len(whole)/2],
 		"huge list":        []byte("\x940\xa30\x04\x04\xdd\x14\x8d000"),
-		"huge text":        {0x95, 0x11, 0x00, 0xdb, 0x7f, 0xff, 0xff, 0xff},
+		"huge text":        {0x95, formatVersion, 0x00, 0xdb, 0x7f, 0xff, 0xff, 0xff},
 		"deep nesting":     bytes.Repeat([]byte{0x91}, 50_000),
-		"wrong types":      encode([]any{17, "a", 3, "b", 1.5, 2, 7}),
+		"wrong types":      encode([]any{formatVersion, "a", 3, "b", 1.5, 2, 7}),
 		"earlier version":  encode([]any{0, "router-0", []any{}, []any{}}),
 		"forged record":    whole,
 		"not a message":    []byte("GET / HTTP/1.1\r\n\r\n"),
-		"negative numbers": encode([]any{17, -1, "router-0", []any{}, []any{}, nil, []any{}}),
+		"negative numbers": encode([]any{formatVersion, -1, "router-0", []any{}, []any{}, nil, []any{}}),
 		"empty":            {},
 	}
 }
--- a/hornbeamd/gateway/crash_fleet_test.go
+++ b/hornbeamd/gateway/crash_fleet_test.go
@@ -87,7 +87,7 @@
 	hub := func(i int) bool { return i < f.zones*hubsPerZone }
 	mesh := len(f.routers) <= maxMeshRouters
 	reports := f.routers[from].OutgoingParts(f.now, mesh || hub(from))
-	entries := f.routers[from].Outgoing(f.now)
+	entries := f.routers[from].Outgoing(f.now, mesh || hub(from))
 	for to, r := range f.routers {
 		sameZone := to%f.zones == from%f.zones
 		if f.chance(f.loss) {
--- a/hornbeamd/gateway/crashes.go
+++ b/hornbeamd/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,8 @@
 	requestCrashes map[string][]quarantine.CrashKey
 	// outgoing holds the tracker's entries to announce to the other routers, by fingerprint.
 	outgoing map[string]quarantine.Entry
+	// refreshedAt is when each quarantined request was last announced, by fingerprint.
+	refreshedAt map[string]time.Time
 	// seen holds the crashes that other routers have announced. An announcement without new crashes
 	// is ignored, so that it neither restores an entry nor is announced again.
 	seen map[seenCrash]struct{}
@@ -64,6 +67,9 @@
 	// is several heartbeats. A heartbeat carries at most maxEntriesPerHeartbeat entries.
 	crashAnnounceTime      = 2 * time.Second
 	maxEntriesPerHeartbeat = 8
+	// quarantineRefreshInterval is the time between two announcements of a quarantined request, for
+	// routers that have started or were cut off since.
+	quarantineRefreshInterval = time.Second
 	// maxPartsPerHeartbeat is the number of prompt parts that a heartbeat carries.
 	maxPartsPerHeartbeat = 6
 	// maxSuspectParts is the number of parts of one prompt that are tracked. Later parts are ignored.
@@ -108,7 +114,7 @@
 	return &CrashTracker{
 		Log: zap.NewNop(), Metrics: NewCrashMetrics(prometheus.NewRegistry()), tracker: quarantine.New(settings), parts: quarantine.NewPartTracker(partSettings),
 		partNames: map[quarantine.PartKey]string{}, requestCrashes: map[string][]quarantine.CrashKey{},
-		outgoing: map[string]quarantine.Entry{}, seen: map[seenCrash]struct{}{},
+		outgoing: map[string]quarantine.Entry{}, refreshedAt: map[string]time.Time{}, seen: map[seenCrash]struct{}{},
 	}
 }
 
@@ -369,8 +375,9 @@
 }
 
 // Outgoing returns at most maxEntriesPerHeartbeat entries to announce to the other routers, and
-// removes those whose crashAnnounceTime has passed.
-func (t *CrashTracker) Outgoing(now time.Time) []quarantine.Entry {
+// removes those whose crashAnnounceTime has passed. If refresh is true, quarantined requests are
+// announced again and again.
+func (t *CrashTracker) Outgoing(now time.Time, refresh bool) []quarantine.Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var entries []quarantine.Entry
@@ -383,9 +390,36 @@
 			entries = append(entries, e)
 		}
 	}
+	if refresh {
+		entries = append(entries, t.dueQuarantines(now, maxEntriesPerHeartbeat-len(entries))...)
+	}
 	return entries
 }
 
+// dueQuarantines returns the quarantined requests that were not announced within
+// quarantineRefreshInterval, the ones that have waited longest first.
+func (t *CrashTracker) dueQuarantines(now time.Time, limit int) []quarantine.Entry {
+	quarantined := t.tracker.Quarantined(now)
+	lastRefresh := make(map[string]time.Time, len(quarantined))
+	var due []quarantine.Entry
+	for _, e := range quarantined {
+		at := t.refreshedAt[e.Fingerprint]
+		lastRefresh[e.Fingerprint] = at
+		if _, isNews := t.outgoing[e.Fingerprint]; !isNews && now.Sub(at) >= quarantineRefreshInterval {
+			due = append(due, e)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b quarantine.Entry) int {
+		return lastRefresh[a.Fingerprint].Compare(lastRefresh[b.Fingerprint])
+	})
+	due = due[:min(len(due), limit)]
+	for _, e := range due {
+		lastRefresh[e.Fingerprint] = now
+	}
+	t.refreshedAt = lastRefresh
+	return due
+}
+
 // Merge records the entries that another router has announced. Entries without a new crash are
 // ignored.
 func (t *CrashTracker) Merge(now time.Time, entries []quarantine.Entry) {
@@ -398,6 +432,7 @@
 		if !t.recordSeen(e) {
 			continue
 		}
+		e.Quarantined = len(e.Crashes) >= maxCrashedServers
 		for _, changed := range t.tracker.Merge(now, []quarantine.Entry{e}) {
 			// Forward entries that are new to this router, because not every router reaches every
 			// other one.
--- a/hornbeamd/gateway/crashes_test.go
+++ b/hornbeamd/gateway/crashes_test.go
@@ -21,12 +21,12 @@
 	a.outgoing["f"] = a.tracker.RecordCrash(now, quarantine.Crash{Engine: "s1", Boot: "1"}, []string{"f"})[0]
 	for range 100 {
 		now = now.Add(100 * time.Millisecond)
-		fromA, fromB := a.Outgoing(now), b.Outgoing(now)
+		fromA, fromB := a.Outgoing(now, true), b.Outgoing(now, true)
 		b.Merge(now, fromA)
 		a.Merge(now, fromB)
 	}
-	c.Assert(a.Outgoing(now), qt.HasLen, 0)
-	c.Assert(b.Outgoing(now), qt.HasLen, 0)
+	c.Assert(a.Outgoing(now, true), qt.HasLen, 0)
+	c.Assert(b.Outgoing(now, true), qt.HasLen, 0)
 	c.Assert(b.tracker.State(now, "f"), qt.Equals, quarantine.Suspect)
 	b.recordResponse(suspect{fingerprint: "f"}, "s2")
 	b.Merge(now, []quarantine.Entry{{Fingerprint: "f", At: now, Crashes: []quarantine.Crash{{Engine: "s1", Boot: "1"}}}})
@@ -54,6 +54,28 @@
 	}
 }
 
+// Guards against a request that crashes servers again because a router has started since, and
+// against a quarantine that restarts prolong.
+func TestQuarantineOutlivesRestart(t *testing.T) {
+	c := qt.New(t)
+	now, request := time.Unix(1000, 0), suspect{fingerprint: "f"}
+	old := NewCrashTracker()
+	for i := range maxCrashedServers {
+		old.recordCrash(now, request, false, quarantine.Crash{Engine: fmt.Sprint("s", i), Boot: "1"})
+	}
+	now = now.Add(quarantineTTL - 2*time.Second)
+	restarted := NewCrashTracker()
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		restarted.Merge(now, old.Outgoing(now, true))
+	}
+	c.Assert(restarted.rejectionReason(now, request), qt.Equals, crashingRequest)
+	c.Assert(restarted.rejectionReason(now, suspect{fingerprint: "other"}), qt.Equals, "")
+	now = now.Add(2 * time.Second)
+	c.Assert(restarted.rejectionReason(now, request), qt.Equals, "")
+	c.Assert(restarted.Outgoing(now, true), qt.HasLen, 0)
+}
+
 // Guards against a sound request that is rejected because it was at three servers that crashed for
 // a part of other prompts.
 func TestPromptPartExplainsCrashesOfRequest(t *testing.T) {
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -35,7 +35,7 @@
 }
 
 // formatVersion is the first element of each datagram. A router drops datagrams of other versions.
-const formatVersion = 17
+const formatVersion = 18
 
 // Sizes in bytes: the largest encoded record without and with an identity, not counting its loads
 // and crashes, the load of one server, a prompt part and one of its crashes, a liveness without its
@@ -120,7 +120,7 @@
 	messageFields  = 7
 	recordFields   = 16
 	identityFields = 6
-	crashFields    = 2
+	crashFields    = 3
 	partFields     = 3
 	// partCrashFields is the number of elements that each crash of a prompt part adds to a list.
 	partCrashFields = 3
@@ -186,6 +186,7 @@
 		w.list(crashFields)
 		w.text(c.Fingerprint)
 		w.texts(c.Servers)
+		w.integer(c.Age)
 	}
 	w.list(len(r.Parts))
 	for _, p := range r.Parts {
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -22,7 +22,7 @@
 		ID: "a", Zone: "z", Region: "r", Boot: 1, Sequence: 2, Peer: "p", Control: "c", Front: "f", Ready: true, Capacity: 0.192,
 		Config: 3, Servers: roster.Revision{Era: 2, Number: 4}, StoreContactAge: -1, StoreLost: true, Loads: map[presence.ServerKey]int{7: 1}, Down: []string{"d"},
 		Leaving: []string{"l/9"},
-		Crashes: []presence.Crash{{Fingerprint: "f", Servers: []string{"s/1"}}},
+		Crashes: []presence.Crash{{Fingerprint: "f", Servers: []string{"s/1"}, Age: 1500}},
 		Parts:   []presence.PromptPart{{Key: 1 << 63, Confirmed: true, Crashes: []presence.PartCrash{{Key: 1 << 31, Age: 40}, {Key: 2, Age: 70, Cleared: true}}}},
 	}}, {Age: 6, WithoutIdentity: true, Record: presence.Record{
 		ID: "b", Boot: 1, Sequence: 2, Ready: true, Config: 3, Servers: roster.Revision{Number: 4}, StoreContactAge: 90, Loads: map[presence.ServerKey]int{1 << 31: 300},
--- a/hornbeamd/mesh/decode.go
+++ b/hornbeamd/mesh/decode.go
@@ -227,7 +227,7 @@
 	a.Leaving = r.texts()
 	for range r.list(crashFields) {
 		r.fields(crashFields)
-		a.Crashes = append(a.Crashes, presence.Crash{Fingerprint: r.text(), Servers: r.texts()})
+		a.Crashes = append(a.Crashes, presence.Crash{Fingerprint: r.text(), Servers: r.texts(), Age: r.integer(0, maxAgeMillis)})
 	}
 	for range r.list(partFields) {
 		a.Parts = append(a.Parts, r.part())
--- a/routing/quarantine/quarantine.go
+++ b/routing/quarantine/quarantine.go
@@ -219,6 +219,11 @@
 	return out
 }
 
+// Quarantined returns the entries of the quarantined fingerprints, sorted by fingerprint.
+func (t *Tracker) Quarantined(now time.Time) []Entry {
+	return slices.DeleteFunc(t.List(now), func(e Entry) bool { return !e.Quarantined })
+}
+
 // Running returns the number of suspects that are running.
 func (t *Tracker) Running() int { return len(t.running) }
 
