feat(gateway): routers log the rate limits that backend servers state

The header is decoded in platform/headers, kept in permit.Ledger, logged when it changes and shown by hornbeamctl inspect. Nothing acts on it yet. Values that can't be read end no limit; the lowest of several counts.

--- a/hornbeamctl/inspect/inspect.go
+++ b/hornbeamctl/inspect/inspect.go
@@ -46,9 +46,13 @@
 		rows.Row(p.ID, p.Zone, p.Ready, formatMillis(p.HeartbeatAge), p.ConfigVersion, p.ServersRevision)
 	}
 	rows.BlankLine()
-	rows.Row("SERVER", "SERVICE", "ZONE", "ADDRESS", "STATE", "OWN", "OTHERS", "SLOTS", "FAILING")
+	rows.Row("SERVER", "SERVICE", "ZONE", "ADDRESS", "STATE", "OWN", "OTHERS", "SLOTS", "FAILING", "LIMIT")
 	for _, s := range r.Servers {
-		rows.Row(s.ID, s.Service, s.Zone, s.Address, s.State, s.OwnRequests, s.OtherRequests, s.Slots, fmt.Sprintf("%.2f", s.FailureRate))
+		limit := "-"
+		if s.Limited {
+			limit = fmt.Sprintf("%.4g/s", s.RateLimit)
+		}
+		rows.Row(s.ID, s.Service, s.Zone, s.Address, s.State, s.OwnRequests, s.OtherRequests, s.Slots, fmt.Sprintf("%.2f", s.FailureRate), limit)
 	}
 	rows.BlankLine()
 	if len(r.PromptParts) > 0 {
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -352,6 +352,7 @@
 // entries are missing.
 func (c *controlLoop) publishServers() {
 	c.upstreams.SetServers(c.roster.Servers(), c.roster.Revision())
+	c.gateway.Permits.SetServers(c.roster.Servers())
 	r := c.roster.Snapshot()
 	c.serverSnapshot.Store(&r)
 }
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -111,7 +111,7 @@
 		Limits:   gateway.RetryLimits{Share: s.RetryRatio, Extra: s.RetrySlack, Window: s.RetryWindow},
 	}
 	e.gateway = &gateway.Server{
-		Codec: codec, Upstreams: upstreams, Crashes: gateway.NewCrashTracker(), Zone: s.Zone, Log: e.Log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
+		Codec: codec, Upstreams: upstreams, Crashes: gateway.NewCrashTracker(), Permits: gateway.NewPermits(), Zone: s.Zone, Log: e.Log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
 		Pool: &backend.Pool{Codec: codec, DialTimeout: backend.DefaultDialTimeout, OnConnect: e.connectionCounter()},
 	}
 	e.gateway.Crashes.Log, e.gateway.Crashes.Metrics = e.gateway.Log, gateway.NewCrashMetrics(e.registry)
--- a/hornbeamd/edge/inspect.go
+++ b/hornbeamd/edge/inspect.go
@@ -48,9 +48,10 @@
 		})
 	}
 	for _, s := range c.upstreams.States(now) {
+		limit, limited := c.gateway.Permits.Limit(s.ID)
 		r.Servers = append(r.Servers, inspect.BackendServer{
 			ID: s.ID, Service: s.Service, Zone: s.Zone, Address: s.Address, State: string(s.Condition), OwnRequests: s.Own, OtherRequests: s.Others,
-			Slots: s.Slots, FailureRate: s.FailureRate,
+			Slots: s.Slots, FailureRate: s.FailureRate, Limited: limited, RateLimit: limit,
 		})
 	}
 	for _, p := range c.gateway.Crashes.PromptParts(now) {
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -226,6 +226,7 @@
 	}
 	a.sent = true
 	a.applyNotice(response)
+	a.applyLimit(response)
 	switch {
 	case response.Misdirected:
 		response.Close()
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -43,6 +43,7 @@
 	Pool      *backend.Pool
 	Upstreams *Upstreams
 	Crashes   *CrashTracker
+	Permits   *Permits
 	// Zone is the availability zone of the router.
 	Zone    string
 	Log     *zap.Logger
--- a/hornbeamd/gateway/standby_test.go
+++ b/hornbeamd/gateway/standby_test.go
@@ -74,7 +74,7 @@
 	}
 	upstreams.SetServers(servers, roster.Revision{Number: 1})
 	s := &Server{
-		Codec: headers.Codec{}, Pool: &backend.Pool{Codec: with.codec, DialTimeout: time.Second}, Upstreams: upstreams, Crashes: NewCrashTracker(),
+		Codec: headers.Codec{}, Pool: &backend.Pool{Codec: with.codec, DialTimeout: time.Second}, Upstreams: upstreams, Crashes: NewCrashTracker(), Permits: NewPermits(),
 		Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()), Started: time.Now(),
 	}
 	s.Init()
--- a/hornbeamd/inspect/inspect.go
+++ b/hornbeamd/inspect/inspect.go
@@ -94,6 +94,10 @@
 	Slots         int `json:"slots"`
 	// FailureRate is the moving average of its failure rate, from 0 to 1.
 	FailureRate float64 `json:"failing"`
+	// Limited is true if the server states a rate limit. RateLimit is that limit, in requests per
+	// second from all routers together.
+	Limited   bool    `json:"limited"`
+	RateLimit float64 `json:"limit"`
 }
 
 // PromptPart is a part of prompts that was at backend servers when they crashed, and that no answer
--- a/routing/metadata/metadata.go
+++ b/routing/metadata/metadata.go
@@ -49,6 +49,16 @@
 // slots.
 type Load struct{ Running, Waiting, Slots int }
 
+// RateLimit is what a backend server states about the rate at which it takes requests. The zero
+// value states no limit.
+type RateLimit struct {
+	// Stated is true if the server states a limit, and Unreadable if the statement has no meaning.
+	Stated, Unreadable bool
+	// PerSecond is the number of requests per second that the server takes from all routers
+	// together; 0 or more.
+	PerSecond float64
+}
+
 // Answer is the metadata that a backend server sends with an answer.
 type Answer struct {
 	// Attempt is the attempt ID of the request; empty if the server does not send it.
@@ -67,6 +77,8 @@
 	// RetryAfter is how long the server wants no further requests from this router; 0 if it does not
 	// say.
 	RetryAfter time.Duration
+	// Limit is the rate limit that the server states.
+	Limit RateLimit
 	// Close is true if the server closes the connection after this answer.
 	Close bool
 	// Load is nil if the server does not report its load.
--- /dev/null
+++ b/routing/permit/permit.go
@@ -0,0 +1,53 @@
+// Package permit keeps the rate of requests to a backend server within the limit that the server
+// states, over all routers together.
+//
+// Routers learn of a limit from the responses of the server and from each other; see Ledger. While
+// a server is limited, one router is its issuer: IssuerOf determines it by rendezvous hashing. Each
+// request to the server needs a permit, for which its router asks the issuer; see Issuer. So the
+// limit holds no matter how many routers there are and how the traffic is spread over them, and a
+// router that sends a request to a server once in a minute can still use its limit. A router that
+// was denied a permit remembers for how long; see Denials. Pacer computes the retry delay of a
+// request that no server takes.
+package permit
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// minPerSecond is the rate at which permits are issued for a server that states a lower limit, even
+// 0. Without any request, routers would never learn that the limit has changed.
+const minPerSecond = 0.25
+
+// Priorities range from 0, the most urgent, to lowestPriority.
+const lowestPriority = 9
+
+func clampPriority(p int) int { return min(max(0, p), lowestPriority) }
+
+// IssuerOf returns the router that issues the permits for a server: the first one by rendezvous
+// hashing. It returns an empty string if there are no routers. Equal lists give equal results in
+// any order.
+func IssuerOf(server string, routers []string) string {
+	best, bestScore := "", uint64(0)
+	var digest xxhash.Digest
+	for _, router := range routers {
+		digest.Reset()
+		// Writing to a hash never fails.
+		_, _ = digest.WriteString(server)
+		_, _ = digest.WriteString("/")
+		_, _ = digest.WriteString(router)
+		if score := digest.Sum64(); best == "" || score > bestScore || score == bestScore && router < best {
+			best, bestScore = router, score
+		}
+	}
+	return best
+}
+
+// Answer is the answer to a request for a permit.
+type Answer struct {
+	// Granted is true if the request may be sent once Wait has passed. Otherwise, Wait is the time
+	// after which a permit may be available.
+	Granted bool
+	Wait    time.Duration
+}
