--- a/routing/permit/ledger.go
+++ b/routing/permit/ledger.go
@@ -79,6 +79,16 @@
 	return e.PerSecond, true
 }
 
+// HasLimits reports whether any server states a limit.
+func (l *Ledger) HasLimits() bool {
+	for _, e := range l.limits {
+		if !e.Ended {
+			return true
+		}
+	}
+	return false
+}
+
 // Get returns the latest limit of a server, which may have ended.
 func (l *Ledger) Get(server string) (Limit, bool) {
 	e := l.limits[server]
