feat(routing): the balancer heeds rate limits and gives limited servers fewer prompts

A server at its limit is left out, and if no server is left the choice says when the first one takes requests. Servers without a limit get what the others can't take, so the load limit applies to their mean. A limited server that has free slots is not shed for.

Without more, each prompt of a limited server would be computed on several servers, since only a part of its requests gets a permit. So limited servers have a lower weight in the rendezvous order, by their limit and the demand on the service, and keep all requests with fewer prompts.

Nothing sets the limits yet. TestRateLimits, TestLimitedServerTakesRequestsUnderOverload, TestLimitedServersGetFewerPrompts.

--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -73,7 +73,7 @@
 	defer u.mu.Unlock()
 	u.routers, u.reportsReceived = routers, now
 	// Reports are sent once and read once per interval, so their age is taken as 1.5 intervals.
-	u.Balancer.SetOtherLoads(r.Load, routers, 3*interval/2)
+	u.Balancer.SetOtherLoads(now, r.Load, routers, 3*interval/2)
 	u.Balancer.ReportUnreachable(now.Add(interval), r.Down)
 	return u.Balancer.MarkLeaving(r.Leaving)
 }
@@ -131,6 +131,13 @@
 	u.retryBudget(service).CountRequest(now)
 }
 
+// mayRetry reports whether the retry budget of a service allows a retry.
+func (u *Upstreams) mayRetry(now time.Time, service string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.retryBudget(service).HasRoom(now)
+}
+
 // takeRetry returns true and counts the retry if the retry budget of a service allows it.
 func (u *Upstreams) takeRetry(now time.Time, service string) bool {
 	u.mu.Lock()
--- a/routing/balance/affinity.go
+++ b/routing/balance/affinity.go
@@ -10,14 +10,15 @@
 // chooseByAffinity returns the first server in the rendezvous order of the request's prompt that
 // admits the request, or the choice of chooseByLoad if none does. The order is that of the longest
 // shared prefix. holder is a server that most likely has a longer prefix of the prompt in its cache
-// than the chosen server, or nil if none is known.
-func (b *Balancer) chooseByAffinity(now time.Time, p *pool, usable []*entry, req Request, mean float64) (chosen, holder *entry, reason Reason) {
+// than the chosen server, or nil if none is known. mean is the mean load of all servers, and
+// limitMean the one to which the load limit applies.
+func (b *Balancer) chooseByAffinity(now time.Time, p *pool, usable []*entry, req Request, mean, limitMean float64) (chosen, holder *entry, reason Reason) {
 	var best, home *entry
-	var bestScore, homeScore uint64
-	limit, promptRate := b.loadLimit(mean), b.promptIndex.rate(now, req.PrefixHashes[0])
+	var bestScore, homeScore float64
+	limit, promptRate := b.loadLimit(limitMean), b.promptIndex.rate(now, req.PrefixHashes[0])
 	draw := req.Draw
 	for _, e := range usable {
-		score := mix(req.PrefixHashes[0] ^ e.seed)
+		score := weightedScore(mix(req.PrefixHashes[0]^e.seed), e.weight)
 		if home == nil || score > homeScore {
 			home, homeScore = e, score
 		}
@@ -34,7 +35,9 @@
 	if best == home {
 		reason = Home
 	}
-	b.promptIndex.count(now, req.PrefixHashes[0])
+	if !req.IsRepeated {
+		b.promptIndex.count(now, req.PrefixHashes[0])
+	}
 	return best, b.findHolder(now, p, req, best), reason
 }
 
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -37,8 +37,29 @@
 	// Full means that the request was rejected because the service is overloaded or could not
 	// respond before the deadline.
 	Full Reason = "full"
+	// Limited means that the servers which could take the request are at the rate limits that they
+	// state.
+	Limited Reason = "limited"
 )
 
+// RateLimits says which servers state a rate limit, and when they take further requests.
+type RateLimits interface {
+	// Limit returns the number of requests per second that a server takes from all routers
+	// together; limited is false if it states no limit.
+	Limit(server string) (perSecond float64, limited bool)
+	// Wait returns the time after which a limited server may take a request of a priority.
+	Wait(now time.Time, server string, priority int) time.Duration
+}
+
+// noRateLimits is used if Balancer.RateLimits is not set.
+type noRateLimits struct{}
+
+// Limit implements RateLimits.
+func (noRateLimits) Limit(string) (float64, bool) { return 0, false }
+
+// Wait implements RateLimits.
+func (noRateLimits) Wait(time.Time, string, int) time.Duration { return 0 }
+
 // Settings are the thresholds of a Balancer.
 type Settings struct {
 	// LoadFactor is the maximum load of a server as a multiple of the mean load of its service.
@@ -96,6 +117,13 @@
 	// Slots is the number of slots assumed for servers that registered fewer; 0 keeps the
 	// registered number.
 	Slots int
+	// MaxLimitWait is how long the request may wait for a server that is at its rate limit.
+	MaxLimitWait time.Duration
+	// AvoidLimited is true if no server that states a rate limit may be chosen.
+	AvoidLimited bool
+	// IsRepeated is true if a server was chosen before for the same attempt, but turned out to be
+	// at its rate limit. The request is not counted again.
+	IsRepeated bool
 }
 
 // Choice is the server chosen for a request, with the values that determined the choice.
@@ -107,7 +135,7 @@
 	Holder roster.Server
 	Reason Reason
 	// Load is the number of requests at the server without this one, and Mean the mean of this
-	// number over the servers of the service.
+	// number over the servers of the service, or over those without a rate limit if that is higher.
 	Load int
 	Mean float64
 	// Priority is Request.Priority. It is one higher, which is less urgent, for the first attempt of
@@ -117,8 +145,15 @@
 	Candidates int
 	// Wait is the expected time until the server starts the request. If Reason is Full, it is the
 	// wait that a retry should allow for, see RetryAfterSeconds; if no server is a candidate, it is
-	// the time until the first server wants requests again.
+	// the time until the first server wants requests again. If Reason is Limited, it is the time
+	// until the first server may take a request.
 	Wait time.Duration
+	// IsLimited is true if the chosen server states a rate limit, so that the request needs a
+	// permit.
+	IsLimited bool
+	// LimitSum is the sum of the rate limits of the servers of the service, in requests per second.
+	// It is set if Reason is Limited.
+	LimitSum float64
 }
 
 // entry is a server with its load and health as seen by this router.
@@ -134,6 +169,8 @@
 	averageLoad float64
 	// sendRate is the rate of this router's requests to the server.
 	sendRate rate
+	// weight is the weight in the rendezvous order of prompts, from minWeight to 1.
+	weight float64
 	// failureRate is the moving average of failures, from 0 to 1.
 	failureRate float64
 	// consecutiveFailures is the number of consecutive requests without a response, and pauseCount
@@ -175,10 +212,15 @@
 	delays map[int]*delayStats
 	// busy is true while most slots are in use.
 	busy bool
+	// demand is kept when the list of servers changes.
+	demand *demand
 }
 
 // Balancer chooses servers. It is not safe for concurrent use.
 type Balancer struct {
+	// RateLimits may be set before first use; by default no server states a rate limit.
+	RateLimits RateLimits
+
 	settings Settings
 	// routers is the number of routers that share the servers. At least 1.
 	routers int
@@ -195,7 +237,7 @@
 
 // New returns a balancer without servers for the router with the given ID.
 func New(s Settings, routerID string) *Balancer {
-	return &Balancer{settings: s, routers: 1, salt: xxhash.Sum64String(routerID), promptIndex: newPromptIndex(), accounts: map[string]*accountRates{}, servers: map[string]*entry{}, pools: map[string]*pool{}}
+	return &Balancer{RateLimits: noRateLimits{}, settings: s, routers: 1, salt: xxhash.Sum64String(routerID), promptIndex: newPromptIndex(), accounts: map[string]*accountRates{}, servers: map[string]*entry{}, pools: map[string]*pool{}}
 }
 
 // SetServers replaces the list of servers. The state of a server, except its requests in progress,
@@ -211,7 +253,7 @@
 			if e != nil {
 				own = e.own
 			}
-			e = &entry{seed: xxhash.Sum64String(s.ID), own: own}
+			e = &entry{seed: xxhash.Sum64String(s.ID), own: own, weight: 1}
 			if !initial {
 				e.joinedAt = now
 			}
@@ -220,9 +262,9 @@
 		next[s.ID] = e
 		p := pools[s.Service]
 		if p == nil {
-			p = &pool{delays: map[int]*delayStats{}}
+			p = &pool{delays: map[int]*delayStats{}, demand: &demand{}}
 			if old := b.pools[s.Service]; old != nil {
-				p.meanDuration, p.delays = old.meanDuration, old.delays
+				p.meanDuration, p.delays, p.demand = old.meanDuration, old.delays, old.demand
 			}
 			pools[s.Service] = p
 		}
@@ -249,12 +291,16 @@
 
 // SetOtherLoads sets the requests in progress from the other routers by server ID, the number of
 // routers including this one, and the age of the reports.
-func (b *Balancer) SetOtherLoads(load map[string]int, routers int, age time.Duration) {
+func (b *Balancer) SetOtherLoads(now time.Time, load map[string]int, routers int, age time.Duration) {
 	b.routers, b.reportAge = max(1, routers), age
 	for id, e := range b.servers {
 		e.others = load[id]
 		e.averageLoad += (float64(e.load()) - e.averageLoad) * averageLoadWeight
 	}
+	for _, p := range b.pools {
+		p.demand.recordLoads(p.entries)
+		b.updateWeights(now, p)
+	}
 }
 
 // OwnLoads returns this router's requests in progress by server ID. Servers without requests are
@@ -275,23 +321,23 @@
 	if p == nil || len(p.entries) == 0 {
 		return Choice{Reason: NoServer}
 	}
-	usable := b.usable(now, p, req.Avoid)
-	if len(usable) == 0 {
-		return b.noneUsable(now, p, req.Avoid)
+	if len(req.Avoid) == 0 && !req.IsRepeated {
+		p.demand.count(now)
 	}
-	total := 0
-	for _, e := range p.entries {
-		total += e.load()
+	usable := b.usable(now, p, req)
+	if len(usable) == 0 {
+		return b.noneUsable(now, p, req)
 	}
-	c := Choice{Mean: float64(total) / float64(len(p.entries)), Candidates: len(usable)}
-	if len(req.Avoid) == 0 && b.recordAndCheckSurge(now, req.Account) && p.busy {
+	mean, unlimitedMean := b.meanLoads(p)
+	c := Choice{Mean: max(mean, unlimitedMean), Candidates: len(usable)}
+	if len(req.Avoid) == 0 && !req.IsRepeated && b.recordAndCheckSurge(now, req.Account) && p.busy {
 		req.Priority++
 	}
 	c.Priority = req.Priority
 	var e *entry
 	if len(req.PrefixHashes) > 0 {
 		var holder *entry
-		e, holder, c.Reason = b.chooseByAffinity(now, p, usable, req, c.Mean)
+		e, holder, c.Reason = b.chooseByAffinity(now, p, usable, req, mean, c.Mean)
 		if holder != nil {
 			c.Holder = holder.Server
 		}
@@ -300,7 +346,13 @@
 	}
 	c.Load = e.load()
 	c.Wait = p.expectedWait(e, req.Slots)
-	if req.TimeLeft > 0 && c.Wait+p.meanDuration > req.TimeLeft || b.shouldShed(now, p, req, c.Mean, c.Wait) {
+	c.IsLimited = b.isLimited(e)
+	shed := b.shouldShed(now, p, req, c.Mean, c.Wait)
+	if c.IsLimited && c.Wait == 0 {
+		// Its rate limit keeps the server from overload, whatever the load of the others.
+		shed = false
+	}
+	if req.TimeLeft > 0 && c.Wait+p.meanDuration > req.TimeLeft || shed {
 		c.Reason = Full
 		return c
 	}
@@ -312,17 +364,48 @@
 	return c
 }
 
+// meanLoads returns the mean load of the servers of a service, and that of the servers that state no
+// rate limit, or 0 if there are none. The latter get the requests that the others can't take.
+func (b *Balancer) meanLoads(p *pool) (all, unlimited float64) {
+	total, unlimitedTotal, unlimitedCount := 0, 0, 0
+	for _, e := range p.entries {
+		total += e.load()
+		if !b.isLimited(e) {
+			unlimitedTotal += e.load()
+			unlimitedCount++
+		}
+	}
+	return float64(total) / float64(len(p.entries)), float64(unlimitedTotal) / float64(max(1, unlimitedCount))
+}
+
+// isLimited reports whether a server states a rate limit.
+func (b *Balancer) isLimited(e *entry) bool {
+	_, limited := b.RateLimits.Limit(e.ID)
+	return limited
+}
+
 // noneUsable returns the result for a service of which no server may take the request. If servers
-// want no requests for some time, the request can be sent again after the shortest of these times.
-func (b *Balancer) noneUsable(now time.Time, p *pool, avoid []string) Choice {
+// want no requests for some time or are at their rate limit, the request can be sent again after
+// the shortest of these times.
+func (b *Balancer) noneUsable(now time.Time, p *pool, req Request) Choice {
 	c := Choice{Reason: NoServer}
 	for _, e := range p.entries {
+		perSecond, limited := b.RateLimits.Limit(e.ID)
+		c.LimitSum += perSecond
 		wait := e.refusedUntil.Sub(now)
-		if wait <= 0 || slices.Contains(avoid, e.ID) {
+		if limited {
+			wait = max(wait, b.RateLimits.Wait(now, e.ID, req.Priority))
+		}
+		if wait <= 0 && !limited || slices.Contains(req.Avoid, e.ID) {
 			continue
 		}
-		if c.Reason != Full || wait < c.Wait {
-			c.Reason, c.Wait = Full, wait
+		if c.Reason == NoServer || wait < c.Wait {
+			c.Wait = wait
+		}
+		if limited {
+			c.Reason = Limited
+		} else if c.Reason == NoServer {
+			c.Reason = Full
 		}
 	}
 	return c
@@ -330,13 +413,13 @@
 
 // usable returns the servers that may take a request: those that are neither paused nor in the list
 // to avoid. When too many servers are paused, the cause is more likely on this router's side, so
-// the paused servers are tried as well. Servers that want no requests from this router are never
-// included.
-func (b *Balancer) usable(now time.Time, p *pool, avoid []string) []*entry {
+// the paused servers are tried as well. Servers that want no requests from this router, or are at
+// their rate limit, are never included.
+func (b *Balancer) usable(now time.Time, p *pool, req Request) []*entry {
 	available := make([]*entry, 0, len(p.entries))
 	untried := 0
 	for _, e := range p.entries {
-		if now.Before(e.refusedUntil) || slices.Contains(avoid, e.ID) {
+		if !b.takes(now, e, req) {
 			continue
 		}
 		if untried++; b.isAvailable(now, e) {
@@ -347,13 +430,22 @@
 		return available
 	}
 	for _, e := range p.entries {
-		if !now.Before(e.refusedUntil) && !slices.Contains(avoid, e.ID) && !slices.Contains(available, e) {
+		if b.takes(now, e, req) && !slices.Contains(available, e) {
 			available = append(available, e)
 		}
 	}
 	return available
 }
 
+// takes reports whether a server wants requests from this router, is not at its rate limit, and is
+// not in the request's list to avoid.
+func (b *Balancer) takes(now time.Time, e *entry, req Request) bool {
+	if now.Before(e.refusedUntil) || slices.Contains(req.Avoid, e.ID) {
+		return false
+	}
+	return !b.isLimited(e) || !req.AvoidLimited && b.RateLimits.Wait(now, e.ID, req.Priority) <= req.MaxLimitWait
+}
+
 // isAvailable reports whether a server may take requests. It is false during a pause. After a
 // pause, a trial request is allowed once per Settings.InitialPause, to find out whether the server
 // has recovered.
--- /dev/null
+++ b/routing/balance/limits_test.go
@@ -0,0 +1,123 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/routing/balance"
+)
+
+// fakeLimits holds rate limits, and for how long servers are at them, by server.
+type fakeLimits struct {
+	limits map[string]float64
+	waits  map[string]time.Duration
+}
+
+// Limit implements balance.RateLimits.
+func (f fakeLimits) Limit(server string) (float64, bool) {
+	perSecond, limited := f.limits[server]
+	return perSecond, limited
+}
+
+// Wait implements balance.RateLimits.
+func (f fakeLimits) Wait(_ time.Time, server string, _ int) time.Duration { return f.waits[server] }
+
+// Guards against a request to a server that is at its rate limit, and against one that is rejected
+// although another server takes it.
+func TestRateLimits(t *testing.T) {
+	const second = time.Second
+	for name, test := range map[string]struct {
+		limits  fakeLimits
+		request balance.Request
+		reason  balance.Reason
+		want    string
+		wait    time.Duration
+	}{
+		"limited":                  {fakeLimits{map[string]float64{"s0": 1}, nil}, balance.Request{Avoid: []string{"s1", "s2"}}, balance.LeastLoad, "s0", 0},
+		"at its limit":             {fakeLimits{map[string]float64{"s0": 1, "s1": 1}, map[string]time.Duration{"s0": second, "s1": second}}, balance.Request{}, balance.LeastLoad, "s2", 0},
+		"no longer limited":        {fakeLimits{nil, map[string]time.Duration{"s0": second}}, balance.Request{Avoid: []string{"s1", "s2"}}, balance.LeastLoad, "s0", 0},
+		"may wait":                 {fakeLimits{map[string]float64{"s0": 1}, map[string]time.Duration{"s0": second}}, balance.Request{Avoid: []string{"s1", "s2"}, MaxLimitWait: second}, balance.LeastLoad, "s0", 0},
+		"no limited ones":          {fakeLimits{map[string]float64{"s0": 1, "s1": 1}, nil}, balance.Request{AvoidLimited: true}, balance.LeastLoad, "s2", 0},
+		"all at their limits":      {fakeLimits{map[string]float64{"s0": 1, "s1": 2, "s2": 0}, map[string]time.Duration{"s0": 3 * second, "s1": 2 * second, "s2": 9 * second}}, balance.Request{}, balance.Limited, "", 2 * second},
+		"all that were not tried":  {fakeLimits{map[string]float64{"s0": 1}, map[string]time.Duration{"s0": second}}, balance.Request{Avoid: []string{"s1", "s2"}}, balance.Limited, "", second},
+		"tried, the others unused": {fakeLimits{map[string]float64{"s0": 1}, map[string]time.Duration{"s0": second}}, balance.Request{Avoid: []string{"s0", "s1", "s2"}}, balance.NoServer, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(3, 8)
+			b.RateLimits = test.limits
+			test.request.Service = "pool"
+			choice := b.Choose(start, test.request)
+			qt.Check(t, choice.Reason, qt.Equals, test.reason)
+			qt.Check(t, choice.Server.ID, qt.Equals, test.want)
+			if test.want == "" {
+				qt.Check(t, choice.Wait, qt.Equals, test.wait)
+			}
+		})
+	}
+}
+
+// Guards against requests to limited servers that are shed because the other servers are full.
+func TestLimitedServerTakesRequestsUnderOverload(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(3, 8)
+	b.RateLimits = fakeLimits{limits: map[string]float64{"s0": 1}}
+	for _, id := range []string{"s1", "s2"} {
+		for range 16 {
+			b.Start(start, id)
+		}
+	}
+	request := balance.Request{Service: "pool", PrefixHashes: []uint64{77}, LatencyTarget: 100 * time.Millisecond}
+	for range 20 {
+		b.ResponseStarted(start, request, time.Second)
+		choice := b.Choose(start, request)
+		c.Assert(choice.Server.ID, qt.Equals, "s0")
+	}
+}
+
+// Guards against prompts that are computed on several servers because each limited server gets only
+// a part of the requests with each of its prompts.
+func TestLimitedServersGetFewerPrompts(t *testing.T) {
+	c := qt.New(t)
+	const perSecond, limit, prompts = 90, 4.0, 900
+	limits := fakeLimits{limits: map[string]float64{}}
+	for i := range 6 {
+		limits.limits[fmt.Sprint("s", i)] = limit
+	}
+	b := newBalancer(9, 64)
+	homes := func(now time.Time) map[string]string {
+		out := map[string]string{}
+		for i := range prompts {
+			prompt := fmt.Sprint("prompt ", i)
+			request := balance.Request{Service: "pool", PrefixHashes: balance.PrefixHashes("m", []string{prompt, "own"}), IsRepeated: true}
+			out[prompt] = b.Choose(now, request).Server.ID
+		}
+		return out
+	}
+	before := homes(start)
+	now := start
+	b.RateLimits = limits
+	for range 20 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		b.Choose(now, balance.Request{Service: "pool"})
+		b.SetOtherLoads(now, nil, 1, 0)
+	}
+	perServer, moved := map[string]int{}, 0
+	for prompt, server := range homes(now) {
+		perServer[server]++
+		if _, limited := limits.limits[before[prompt]]; !limited && server != before[prompt] {
+			moved++
+		}
+	}
+	c.Check(moved, qt.Equals, 0, qt.Commentf("prompts of servers without a limit stay"))
+	for id := range limits.limits {
+		rate := float64(perServer[id]) / prompts * perSecond
+		c.Check(rate > limit/2 && rate < limit*1.3, qt.IsTrue, qt.Commentf("%s gets prompts for %.2f requests/s", id, rate))
+	}
+	// The end of the limits brings the prompts home.
+	b.RateLimits = fakeLimits{}
+	b.SetOtherLoads(now, nil, 1, 0)
+	c.Check(homes(now), qt.DeepEquals, before)
+}
--- a/routing/balance/shed.go
+++ b/routing/balance/shed.go
@@ -51,7 +51,9 @@
 		return false
 	}
 	stats := p.delayFor(req.Priority)
-	stats.requests.count(now)
+	if !req.IsRepeated {
+		stats.requests.count(now)
+	}
 	if !p.busy {
 		return false
 	}
--- a/routing/balance/simulation_test.go
+++ b/routing/balance/simulation_test.go
@@ -89,7 +89,7 @@
 			sim.serve(now, s, &o)
 		}
 		if ms%int(sim.reportInterval.Milliseconds()) == 0 {
-			sim.report()
+			sim.report(now)
 		}
 		rate := sim.rate
 		if now.Before(start.Add(sim.warmUp)) {
@@ -140,7 +140,7 @@
 }
 
 // report delivers to each router the requests in progress from the others.
-func (sim *simulation) report() {
+func (sim *simulation) report(now time.Time) {
 	for i, b := range sim.balancers {
 		current := map[string]int{}
 		for j, o := range sim.balancers {
@@ -156,7 +156,7 @@
 			report = sim.lastReports[i]
 		}
 		if report != nil {
-			b.SetOtherLoads(report, sim.routers, sim.reportAge)
+			b.SetOtherLoads(now, report, sim.routers, sim.reportAge)
 		}
 		sim.lastReports[i] = current
 	}
--- a/routing/balance/state.go
+++ b/routing/balance/state.go
@@ -20,6 +20,8 @@
 	Leaving Condition = "leaving"
 	// Refusing servers get no requests, because they told this router to send none for some time.
 	Refusing Condition = "refusing"
+	// RateLimited servers get as many requests as the rate limit that they state allows.
+	RateLimited Condition = "limited"
 	// Paused servers get no requests, because they could not be reached or did not answer this
 	// router.
 	Paused Condition = "paused"
@@ -63,6 +65,8 @@
 		return Reported
 	case !e.pausedUntil.IsZero() && e.consecutiveFailures > 0:
 		return OnTrial
+	case b.isLimited(e):
+		return RateLimited
 	case b.pools[e.Service] != nil && excessFailureRate(b.pools[e.Service].entries, e) > 0:
 		return Failing
 	}
--- a/routing/retry/window.go
+++ b/routing/retry/window.go
@@ -29,17 +29,22 @@
 
 // AllowRetry reports whether a retry is allowed and, if so, counts it.
 func (w *WindowBudget) AllowRetry(now time.Time) bool {
-	b := w.bucket(now)
+	if !w.HasRoom(now) {
+		return false
+	}
+	w.bucket(now).retries++
+	return true
+}
+
+// HasRoom reports whether a retry is allowed, without counting it.
+func (w *WindowBudget) HasRoom(now time.Time) bool {
+	w.bucket(now)
 	requests, retries := 0, 0
 	for _, counts := range w.buckets {
 		requests += counts.requests
 		retries += counts.retries
 	}
-	if float64(retries+1) > w.Share*float64(requests)+w.Extra {
-		return false
-	}
-	b.retries++
-	return true
+	return float64(retries+1) <= w.Share*float64(requests)+w.Extra
 }
 
 // bucket clears the buckets that have left the window and returns the bucket for the given time.
