feat(mesh): messages carry rate limits of servers, and questions for permits with their answers

Heartbeats carry the limits that routers have seen in responses; hubs merge them with their own instead of relaying them. Two kinds of messages ask the issuer of a server for a permit and answer that. Heartbeats have format 19: upgrade all routers together.

TestMessageRoundTrip and TestInvalidValues cover the new fields. TestStatedLengths had kept the field counts of an earlier format, so that some of its messages were rejected before the list that they are about; it takes the counts from the codec now.

--- a/coord/presence/hubs.go
+++ b/coord/presence/hubs.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		r := m.Record
-		r.Loads, r.Down, r.Leaving, r.Parts = nil, nil, nil, nil
+		r.Loads, r.Down, r.Leaving, r.Parts, r.Limits = nil, nil, nil, nil, nil
 		out = append(out, AgedRecord{Record: r, Age: now.Sub(m.SentAt).Milliseconds(), WithoutIdentity: r.omitsIdentity(now, m.joinedAt)})
 	}
 	return out
--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -21,6 +21,10 @@
 	HubUpdate
 	// Request messages ask a hub for the records of processes that the sender does not know.
 	Request
+	// PermitRequest messages ask the issuer of a backend server for a permit, and PermitAnswer
+	// messages answer that. They hold no records and are not passed to State.
+	PermitRequest
+	PermitAnswer
 )
 
 // Message is a message from one router to others.
@@ -38,6 +42,8 @@
 	Liveness *Liveness
 	// Wanted holds the processes whose records the sender asks for.
 	Wanted []MemberKey
+	// Permit is set in PermitRequest and PermitAnswer messages only.
+	Permit *Permit
 }
 
 // AgedRecord is a record in a message, with its age.
--- /dev/null
+++ b/coord/presence/permit.go
@@ -0,0 +1,51 @@
+package presence
+
+import "time"
+
+// ServerLimit is the rate limit that a backend server has stated in a response.
+type ServerLimit struct {
+	Server ServerKey
+	// PerSecond is the number of requests per second that the server takes from all routers
+	// together. Messages carry it in thousandths.
+	PerSecond float64
+	// Ended is true if the response stated no limit.
+	Ended bool
+	// Age is the time since a router received the response, in milliseconds.
+	Age int64
+}
+
+// Permit asks the issuer of a backend server for a permit to send one request to it, or answers
+// that; see package permit.
+type Permit struct {
+	// Number identifies the question among those of its sender. The answer has the same number.
+	Number uint32
+	// Priority is that of the request, and MaxDelay how long it may wait for the permit, in
+	// milliseconds. Both are 0 in an answer.
+	Priority int
+	MaxDelay int64
+	// Limit is the limit that the sender knows.
+	Limit ServerLimit
+	// Granted and Wait, which is in milliseconds, are those of permit.Answer.
+	Granted bool
+	Wait    int64
+}
+
+// ReadyRouters returns the IDs and heartbeat addresses of the routers that take callers, among them
+// this one unless it is not ready. Lost is the number of routers that took callers when they were
+// last heard of.
+func (s *State) ReadyRouters(now time.Time, selfReady bool) (peers map[string]string, lost int) {
+	peers = map[string]string{}
+	if selfReady {
+		peers[s.self.ID] = s.self.Peer
+	}
+	for _, m := range s.members {
+		switch {
+		case !m.Ready:
+		case s.live(now, m):
+			peers[m.ID] = m.Peer
+		default:
+			lost++
+		}
+	}
+	return peers, lost
+}
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -54,6 +54,9 @@
 	// Parts holds the parts of prompts that were at backend servers which crashed recently. Hubs
 	// don't relay those of other routers, but merge them with their own.
 	Parts []PromptPart
+	// Limits holds rate limits that backend servers have stated. Hubs don't relay those of other
+	// routers, but merge them with their own.
+	Limits []ServerLimit
 }
 
 // ServerKey is a hash that replaces the ID of a backend server in messages. If two servers had the
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -35,10 +35,11 @@
 }
 
 // formatVersion is the first element of each datagram. A router drops datagrams of other versions.
-const formatVersion = 18
+const formatVersion = 19
 
 // Sizes in bytes: the largest encoded record without and with an identity, not counting its loads
-// and crashes, the load of one server, a prompt part and one of its crashes, a liveness without its
+// and crashes, the load of one server, a prompt part and one of its crashes, the rate limit of one
+// server, a liveness without its
 // routers, and the payload of one packet. A larger datagram would be fragmented, and the loss of
 // one fragment loses the whole datagram.
 const (
@@ -47,6 +48,7 @@
 	loadSize           = 7
 	partSize           = 20
 	partCrashSize      = 11
+	serverLimitSize    = 17
 	livenessHeaderSize = 80
 	packetPayloadSize  = 1300
 )
@@ -65,6 +67,7 @@
 		for _, p := range r.Parts {
 			size += partSize + partCrashSize*len(p.Crashes)
 		}
+		size += serverLimitSize * len(r.Limits)
 		if remaining < size {
 			parts = append(parts, presence.Message{Kind: m.Kind, From: m.From})
 			remaining = packetPayloadSize
@@ -86,6 +89,9 @@
 	if len(m.Wanted) > 0 || m.Kind == presence.Request {
 		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, Wanted: m.Wanted})
 	}
+	if m.Permit != nil {
+		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, Permit: m.Permit})
+	}
 	return parts
 }
 
@@ -112,13 +118,14 @@
 	for _, key := range m.Wanted {
 		w.integer(int64(key))
 	}
+	w.permit(m.Permit)
 	return data.Bytes(), eris.Wrap(w.err, "encode heartbeat message")
 }
 
 // Numbers of fields in the wire format.
 const (
-	messageFields  = 7
-	recordFields   = 16
+	messageFields  = 8
+	recordFields   = 17
 	identityFields = 6
 	crashFields    = 3
 	partFields     = 3
@@ -126,6 +133,9 @@
 	partCrashFields = 3
 	zoneLoadFields  = 5
 	livenessFields  = 9
+	// serverLimitFields is the number of elements that each rate limit adds to a list.
+	serverLimitFields = 3
+	permitFields      = 8
 )
 
 // datagramWriter encodes the fields of a datagram. err is the first error.
@@ -192,6 +202,10 @@
 	for _, p := range r.Parts {
 		w.part(p)
 	}
+	w.list(serverLimitFields * len(r.Limits))
+	for _, l := range r.Limits {
+		w.serverLimit(l)
+	}
 	if r.WithoutIdentity {
 		w.keep(w.encoder.EncodeNil())
 		return
@@ -215,6 +229,35 @@
 	}
 }
 
+// endedLimit stands for the rate of a limit that has ended.
+const endedLimit = -1
+
+// serverLimit writes three elements of the surrounding list: the server, the rate in thousandths of
+// a request per second, and the age.
+func (w *datagramWriter) serverLimit(l presence.ServerLimit) {
+	rate := int64(math.Round(l.PerSecond * 1000))
+	if l.Ended {
+		rate = endedLimit
+	}
+	w.integer(int64(l.Server))
+	w.integer(rate)
+	w.integer(l.Age)
+}
+
+func (w *datagramWriter) permit(p *presence.Permit) {
+	if p == nil {
+		w.keep(w.encoder.EncodeNil())
+		return
+	}
+	w.list(permitFields)
+	w.integer(int64(p.Number))
+	w.integer(int64(p.Priority))
+	w.integer(p.MaxDelay)
+	w.serverLimit(p.Limit)
+	w.flag(p.Granted)
+	w.integer(p.Wait)
+}
+
 func (w *datagramWriter) zoneLoad(z presence.ZoneLoad) {
 	w.list(zoneLoadFields)
 	w.text(z.Zone)
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -23,6 +23,7 @@
 		Config: 3, Servers: roster.Revision{Era: 2, Number: 4}, StoreContactAge: -1, StoreLost: true, Loads: map[presence.ServerKey]int{7: 1}, Down: []string{"d"},
 		Leaving: []string{"l/9"},
 		Crashes: []presence.Crash{{Fingerprint: "f", Servers: []string{"s/1"}, Age: 1500}},
+		Limits:  []presence.ServerLimit{{Server: 9, PerSecond: 4.75, Age: 30}, {Server: 1 << 31, Ended: true}},
 		Parts:   []presence.PromptPart{{Key: 1 << 63, Confirmed: true, Crashes: []presence.PartCrash{{Key: 1 << 31, Age: 40}, {Key: 2, Age: 70, Cleared: true}}}},
 	}}, {Age: 6, WithoutIdentity: true, Record: presence.Record{
 		ID: "b", Boot: 1, Sequence: 2, Ready: true, Config: 3, Servers: roster.Revision{Number: 4}, StoreContactAge: 90, Loads: map[presence.ServerKey]int{1 << 31: 300},
@@ -33,6 +34,9 @@
 		Routers: []presence.LiveRouter{{Key: 1 << 31, Age: 120, Ready: true, NewestServers: true}, {Key: 5, StoreLost: true, NewestConfig: true}},
 	},
 	Wanted: []presence.MemberKey{1 << 31, 2},
+	Permit: &presence.Permit{
+		Number: math.MaxUint32, Priority: 9, MaxDelay: 75, Limit: presence.ServerLimit{Server: 3, PerSecond: 0.125, Age: 10}, Granted: true, Wait: 20,
+	},
 }
 
 // Guards against values that change in encoding and decoding. The other routers would then know a
@@ -151,9 +155,9 @@
 	list := []byte{0xdd, 0x00, 0x01, 0x86, 0xa0}
 	text := []byte{0xdb, 0x7f, 0xff, 0xff, 0xff}
 	// start is the beginning of a message: version, kind and sender.
-	start := []byte{0x97, formatVersion, 0x00, 0xa1, 'a'}
+	start := []byte{0x90 | messageFields, formatVersion, 0x00, 0xa1, 'a'}
 	// record is the beginning of a record, up to its loads.
-	record := append([]byte{0x91, 0x9f, 0x00, 0xa1, 'a'}, 0x01, 0x01, 0xc3, 0x01, 0x01, 0x01, 0x00, 0xc2)
+	record := append([]byte{0x91, 0xdc, 0x00, recordFields, 0x00, 0xa1, 'a'}, 0x01, 0x01, 0xc3, 0x01, 0x01, 0x01, 0x00, 0xc2)
 	for name, data := range map[string][]byte{
 		"records":    slices.Concat(start, list),
 		"zone loads": slices.Concat(start, []byte{0x90}, list),
@@ -189,6 +193,10 @@
 		"long ID":               func(m *presence.Message) { m.Records[0].ID = strings.Repeat("x", 300) },
 		"unknown kind":          func(m *presence.Message) { m.Kind = 200 },
 		"huge age of a list":    func(m *presence.Message) { m.Liveness.Age = 1 << 60 },
+		"negative rate limit":   func(m *presence.Message) { m.Records[0].Limits = []presence.ServerLimit{{PerSecond: -0.002}} },
+		"huge rate limit":       func(m *presence.Message) { m.Records[0].Limits = []presence.ServerLimit{{PerSecond: 1e12}} },
+		"negative wait":         func(m *presence.Message) { m.Permit = &presence.Permit{Wait: -1} },
+		"negative priority":     func(m *presence.Message) { m.Permit = &presence.Permit{Priority: -1} },
 		"negative contact time": func(m *presence.Message) { m.Liveness.StoreContactAge = -2 },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -214,7 +222,7 @@
 	}
 	f.Add(data)
 	// A message that states a list of 344 million records.
-	f.Add([]byte{0x97, formatVersion, 0x00, 0xa1, 'a', 0xdd, 0x14, 0x8d, 0x30, 0x30})
+	f.Add([]byte{0x90 | messageFields, formatVersion, 0x00, 0xa1, 'a', 0xdd, 0x14, 0x8d, 0x30, 0x30})
 	// The header of an array of four elements, without the elements.
 	f.Add([]byte{0x94})
 	f.Fuzz(func(_ *testing.T, data []byte) {
--- a/hornbeamd/mesh/decode.go
+++ b/hornbeamd/mesh/decode.go
@@ -22,6 +22,11 @@
 	// maxLoad is the highest number of requests in progress at one backend server. The sum over
 	// all servers and routers fits an int.
 	maxLoad = 1 << 20
+	// maxRateLimit is the highest rate limit of a backend server, in thousandths of a request per
+	// second.
+	maxRateLimit = 1_000_000_000
+	// maxPriority is the least urgent priority of a request.
+	maxPriority = 1 << 20
 	// maxCapacity is the highest capacity of a machine, in cores.
 	maxCapacity = 4096
 )
@@ -33,7 +38,7 @@
 
 // decode parses the wire format of a message. The data is untrusted, because any program can send
 // datagrams to the router. A message is [version, kind, from, records, zone loads, liveness or nil,
-// wanted keys].
+// wanted keys, permit or nil].
 func decode(data []byte) (presence.Message, error) {
 	remaining := bytes.NewReader(data)
 	r := datagramReader{data: remaining, decoder: msgpack.NewDecoder(remaining)}
@@ -42,7 +47,7 @@
 	if r.integer(0, math.MaxInt64) != formatVersion && r.err == nil {
 		return presence.Message{}, errFormatVersion
 	}
-	m.Kind = presence.Kind(r.integer(0, int64(presence.Request)))
+	m.Kind = presence.Kind(r.integer(0, int64(presence.PermitAnswer)))
 	m.From = r.text()
 	for range r.list(recordFields) {
 		m.Records = append(m.Records, r.record())
@@ -56,6 +61,9 @@
 	for range r.list(1) {
 		m.Wanted = append(m.Wanted, presence.MemberKey(r.integer(0, math.MaxUint32)))
 	}
+	if !r.isNil() {
+		m.Permit = r.permit()
+	}
 	if remaining.Len() > 0 {
 		r.fail(errInvalidField)
 	}
@@ -207,7 +215,7 @@
 }
 
 // record reads [age, ID, boot, sequence, ready, config, era, revision, store contact age, store
-// lost, loads or nil, down, leaving, crashes, prompt parts, identity or nil].
+// lost, loads or nil, down, leaving, crashes, prompt parts, limits, identity or nil].
 func (r *datagramReader) record() presence.AgedRecord {
 	var a presence.AgedRecord
 	r.fields(recordFields)
@@ -232,12 +240,37 @@
 	for range r.list(partFields) {
 		a.Parts = append(a.Parts, r.part())
 	}
+	for range r.list(1) / serverLimitFields {
+		a.Limits = append(a.Limits, r.serverLimit())
+	}
 	if a.WithoutIdentity = r.isNil(); !a.WithoutIdentity {
 		r.identity(&a.Record)
 	}
 	return a
 }
 
+// serverLimit reads three elements of the surrounding list: the server, the rate in thousandths of
+// a request per second, and the age.
+func (r *datagramReader) serverLimit() presence.ServerLimit {
+	l := presence.ServerLimit{Server: presence.ServerKey(r.integer(0, math.MaxUint32))}
+	if rate := r.integer(endedLimit, maxRateLimit); rate == endedLimit {
+		l.Ended = true
+	} else {
+		l.PerSecond = float64(rate) / 1000
+	}
+	l.Age = r.integer(0, maxAgeMillis)
+	return l
+}
+
+// permit reads [number, priority, maximum delay, server, rate, age, granted, wait].
+func (r *datagramReader) permit() *presence.Permit {
+	r.fields(permitFields)
+	return &presence.Permit{
+		Number: uint32(r.integer(0, math.MaxUint32)), Priority: int(r.integer(0, maxPriority)), MaxDelay: r.integer(0, maxAgeMillis),
+		Limit: r.serverLimit(), Granted: r.flag(), Wait: r.integer(0, maxAgeMillis),
+	}
+}
+
 // part reads [key, confirmed, crashes]. Each crash consists of three elements of a list: its key,
 // age and whether it is cleared.
 func (r *datagramReader) part() presence.PromptPart {
