fix(gateway): servers get no more requests than the limit that they state

What callers saw: nothing yet.

Cause: Server-Limit was read nowhere. The class: what a server states of itself isn't heeded, and a limit for all routers needs them to agree.

Each attempt at a server that states a limit now needs a permit from its issuer, which is asked by a datagram; first attempts, retries, standbys and resumed streams all choose their server in attempt.choosePermitted. Without a permit another server is chosen. Only if all servers of the service are limited, a request waits for a permit, for up to half of its latency target; else it is rejected at once, with the time at which a permit may be available, spread over the callers. A router that is cut off from others issues only its part of the limits. The log line of a request says how many permits were denied or unanswered and how long they took.

--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -47,6 +47,8 @@
 	// fetching holds the kinds of data for which a call to another router is in progress.
 	fetching      map[string]bool
 	lastHeartbeat time.Time
+	// serverIDs holds the IDs of the backend servers by the keys that messages carry.
+	serverIDs map[presence.ServerKey]string
 	// foreignMessages counts the messages that were not sent from the address of their sender;
 	// foreignLoggedAt is when the count was last logged.
 	foreignMessages int
@@ -136,6 +138,8 @@
 // applyPeerReports passes what the other routers report about backend servers to the gateway.
 func (c *controlLoop) applyPeerReports(now time.Time) {
 	reports := c.presence.OtherReports(now, c.self)
+	peers, lost := c.presence.ReadyRouters(now, c.isReady())
+	c.gateway.Permits.SetFleet(gateway.Fleet{Peers: peers, Lost: lost, Size: c.presence.FleetSize()})
 	leaving := c.upstreams.SetPeerReports(now, gateway.PeerReports{
 		Load: loadsByServerID(c.roster.Servers(), reports.Loads), Down: reports.Down, Leaving: reports.Leaving,
 	}, c.presence.FleetSize(), c.presence.Interval())
@@ -189,6 +193,7 @@
 	r.Ready = c.isReady()
 	report := c.upstreams.LocalReport(now)
 	r.Loads, r.Down, r.Leaving = loadsByKey(report.Load), report.Down, report.Leaving
+	r.Limits = serverLimits(now, c.gateway.Permits.Outgoing(now, c.presence.ForwardsReports(now, c.self)))
 	r.Crashes = crashRecords(now, c.gateway.Crashes.Outgoing(now, c.presence.ForwardsReports(now, c.self)))
 	r.Parts = partRecords(c.gateway.Crashes.OutgoingParts(now, c.presence.ForwardsReports(now, c.self)))
 	return r
@@ -247,8 +252,12 @@
 		}
 		return
 	}
+	if c.handlePermit(now, m, source) {
+		return
+	}
 	joined, introduce := c.presence.Receive(now, m)
 	for _, r := range m.Records {
+		c.mergeLimits(now, m.From, r.Limits)
 		c.gateway.Crashes.Merge(now, crashEntries(now, r.Crashes))
 		c.gateway.Crashes.MergeParts(now, partReports(r.Parts))
 	}
@@ -353,6 +362,7 @@
 func (c *controlLoop) publishServers() {
 	c.upstreams.SetServers(c.roster.Servers(), c.roster.Revision())
 	c.gateway.Permits.SetServers(c.roster.Servers())
+	c.serverIDs = serverIDsByKey(c.roster.Servers())
 	r := c.roster.Snapshot()
 	c.serverSnapshot.Store(&r)
 }
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -106,12 +106,16 @@
 func (e *Router) build() {
 	s := e.settings
 	codec := headers.Codec{}
+	permits := gateway.NewPermits()
+	permits.Self = s.Name
+	balancer := balance.New(balance.DefaultSettings(), s.Name)
+	balancer.RateLimits = permits
 	upstreams := &gateway.Upstreams{
-		Balancer: balance.New(balance.DefaultSettings(), s.Name),
+		Balancer: balancer,
 		Limits:   gateway.RetryLimits{Share: s.RetryRatio, Extra: s.RetrySlack, Window: s.RetryWindow},
 	}
 	e.gateway = &gateway.Server{
-		Codec: codec, Upstreams: upstreams, Crashes: gateway.NewCrashTracker(), Permits: gateway.NewPermits(), Zone: s.Zone, Log: e.Log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
+		Codec: codec, Upstreams: upstreams, Crashes: gateway.NewCrashTracker(), Permits: permits, Zone: s.Zone, Log: e.Log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
 		Pool: &backend.Pool{Codec: codec, DialTimeout: backend.DefaultDialTimeout, OnConnect: e.connectionCounter()},
 	}
 	e.gateway.Crashes.Log, e.gateway.Crashes.Metrics = e.gateway.Log, gateway.NewCrashMetrics(e.registry)
@@ -130,6 +134,9 @@
 	e.mesh = &mesh.Node{Listen: self.Peer, Control: s.Control, State: e.control, Log: e.Log.Named("mesh")}
 	e.registerDroppedMessages()
 	e.control.send = e.mesh.Send
+	permits.Send = func(address string, q gateway.PermitQuestion) {
+		e.mesh.Send(permitRequest(time.Now(), s.Name, address, q))
+	}
 	e.store = metastore.New(s.Store, storeTimeout, watchMargin)
 	e.store.Count = e.storeCounter()
 }
--- /dev/null
+++ b/hornbeamd/edge/permits.go
@@ -0,0 +1,102 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"hornbeamstep.example/coord/presence"
+	"hornbeamstep.example/hornbeamd/gateway"
+	"hornbeamstep.example/routing/permit"
+	"hornbeamstep.example/routing/roster"
+)
+
+// serverIDsByKey returns the IDs of servers by the keys that messages carry.
+func serverIDsByKey(servers []roster.Server) map[presence.ServerKey]string {
+	ids := make(map[presence.ServerKey]string, len(servers))
+	for _, s := range servers {
+		ids[presence.ServerKeyOf(s.ID)] = s.ID
+	}
+	return ids
+}
+
+// serverLimits converts limits to the form that messages carry.
+func serverLimits(now time.Time, reports []permit.Report) []presence.ServerLimit {
+	var out []presence.ServerLimit
+	for _, r := range reports {
+		out = append(out, serverLimit(now, r.Server, r.Limit))
+	}
+	return out
+}
+
+func serverLimit(now time.Time, server string, l permit.Limit) presence.ServerLimit {
+	return presence.ServerLimit{
+		Server: presence.ServerKeyOf(server), PerSecond: l.PerSecond, Ended: l.Ended, Age: max(0, now.Sub(l.At).Milliseconds()),
+	}
+}
+
+// limitReports converts limits of a message. Those of unknown servers are left out.
+func (c *controlLoop) limitReports(now time.Time, limits []presence.ServerLimit) []permit.Report {
+	var out []permit.Report
+	for _, l := range limits {
+		if id, known := c.serverIDs[l.Server]; known {
+			at := now.Add(-time.Duration(l.Age) * time.Millisecond)
+			out = append(out, permit.Report{Server: id, Limit: permit.Limit{PerSecond: l.PerSecond, Ended: l.Ended, At: at}})
+		}
+	}
+	return out
+}
+
+// mergeLimits records the limits in a message of another router, and logs those that have changed.
+func (c *controlLoop) mergeLimits(now time.Time, from string, limits []presence.ServerLimit) {
+	var limited, ended []string
+	for _, r := range c.gateway.Permits.Merge(now, c.limitReports(now, limits)) {
+		if r.Ended {
+			ended = append(ended, r.Server)
+		} else {
+			limited = append(limited, r.Server)
+		}
+	}
+	if len(limited)+len(ended) > 0 {
+		c.log.Info("other routers report rate limits of backend servers", zap.String("from", from), zap.Strings("limited", limited), zap.Strings("ended", ended))
+	}
+}
+
+// permitRequest returns the message with a question for a permit.
+func permitRequest(now time.Time, from, address string, q gateway.PermitQuestion) presence.OutgoingMessage {
+	return presence.OutgoingMessage{To: []string{address}, Message: presence.Message{Kind: presence.PermitRequest, From: from, Permit: &presence.Permit{
+		Number: q.Number, Priority: max(0, q.Priority), MaxDelay: q.MaxDelay.Milliseconds(), Limit: serverLimit(now, q.Server, q.Limit),
+	}}}
+}
+
+// handlePermit handles the question of another router for a permit, or its answer to a question. It
+// returns false for any other message.
+func (c *controlLoop) handlePermit(now time.Time, m presence.Message, source string) bool {
+	switch {
+	case m.Kind != presence.PermitRequest && m.Kind != presence.PermitAnswer:
+		return false
+	case m.Permit == nil:
+	case m.Kind == presence.PermitAnswer:
+		answer := permit.Answer{Granted: m.Permit.Granted, Wait: time.Duration(m.Permit.Wait) * time.Millisecond}
+		c.gateway.Permits.HandleAnswer(m.From, m.Permit.Number, answer)
+	default:
+		c.answerPermit(now, m.From, *m.Permit, source)
+	}
+	return true
+}
+
+// answerPermit answers the question of another router for a permit.
+func (c *controlLoop) answerPermit(now time.Time, from string, p presence.Permit, source string) {
+	server, known := c.serverIDs[p.Limit.Server]
+	if !known {
+		return
+	}
+	c.mergeLimits(now, from, []presence.ServerLimit{p.Limit})
+	ask := permit.Ask{Server: server, Priority: p.Priority, MaxDelay: time.Duration(p.MaxDelay) * time.Millisecond}
+	answer := c.gateway.Permits.AnswerQuestion(now, ask)
+	// Rounding down could make the other router ask again at once.
+	wait := (answer.Wait + time.Millisecond - 1).Milliseconds()
+	c.send(presence.OutgoingMessage{To: []string{source}, Message: presence.Message{Kind: presence.PermitAnswer, From: c.self.ID, Permit: &presence.Permit{
+		Number: p.Number, Limit: presence.ServerLimit{Server: p.Limit.Server}, Granted: answer.Granted, Wait: wait,
+	}}})
+}
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -99,21 +99,22 @@
 	attemptClientGone
 )
 
-// chooseAttempt chooses a server that was not tried and is not in avoid. The caller must call begin
-// and later end, unless no server was chosen.
-func (c *clientRequest) chooseAttempt(avoid ...string) *attempt {
-	now := time.Now()
-	a := &attempt{request: c, startedAt: now, lastData: now}
+// chooseAttempt chooses a server that was not tried and is not in avoid. maxDelay is how long the
+// attempt may wait for a permit. The caller must call begin and later end, unless no server was
+// chosen.
+func (c *clientRequest) chooseAttempt(maxDelay time.Duration, avoid ...string) *attempt {
+	a := &attempt{request: c}
 	c.mu.Lock()
 	dismissed := c.dismissedServers
 	c.mu.Unlock()
-	a.query = c.buildQuery(now, slices.Concat(avoid, dismissed)...)
-	a.choice = c.server.Upstreams.chooseServer(now, a.query)
+	a.query = c.buildQuery(time.Now(), slices.Concat(avoid, dismissed)...)
+	a.choosePermitted(maxDelay)
 	if a.choice.Server.ID == "" && len(dismissed) > 0 {
-		a.query = c.buildQuery(now, avoid...)
-		a.choice = c.server.Upstreams.chooseServer(now, a.query)
+		a.query = c.buildQuery(time.Now(), avoid...)
+		a.choosePermitted(maxDelay)
 	}
-	a.query.Priority = a.choice.Priority
+	a.startedAt = time.Now()
+	a.lastData = a.startedAt
 	return a
 }
 
@@ -142,11 +143,19 @@
 	if denied = c.attemptDenialReason(inProgress); denied != "" {
 		return nil, denied
 	}
-	a = c.chooseAttempt(avoid...)
+	if now := time.Now(); c.hasSent(inProgress) && !c.server.Upstreams.mayRetry(now, c.service.Name) {
+		return nil, deniedRetryBudget
+	}
+	maxDelay := c.maxPermitDelay()
+	if inProgress > 0 {
+		// The request still waits for another attempt.
+		maxDelay = 0
+	}
+	a = c.chooseAttempt(maxDelay, avoid...)
 	if a.choice.Server.ID == "" {
 		return a, string(a.choice.Reason)
 	}
-	// The budget is asked last, so that only a retry that is sent uses it.
+	// The budget is used last, so that only a retry that is sent uses it.
 	if now := time.Now(); c.hasSent(inProgress) && !c.server.Upstreams.takeRetry(now, c.service.Name) {
 		c.server.Upstreams.recordEnd(now, a.choice.Server.ID, balance.Abandoned, 0)
 		return nil, deniedRetryBudget
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -60,6 +60,7 @@
 	lastEventID string
 	// savedFailure is the latest failure response of a server, which is relayed if no retry succeeds.
 	savedFailure *bufferedResponse
+	permits      permitStats
 }
 
 // maxUnsentAttempts limits the attempts in which nothing was sent to a server. The route's limit
@@ -83,7 +84,7 @@
 	}
 	c.server.Upstreams.countRequest(c.receivedAt, c.service.Name)
 	defer c.standby.close()
-	a := c.chooseAttempt()
+	a := c.chooseAttempt(c.maxPermitDelay())
 	if a.choice.Server.ID == "" {
 		c.choice = a.choice
 		c.fail(string(a.choice.Reason))
@@ -144,12 +145,18 @@
 	if c.route.Sticky || c.service.Engine {
 		query.PrefixHashes = balance.PrefixHashes(c.metadata.Model, c.metadata.PromptParts)
 	}
-	if !c.deadline.IsZero() {
-		query.TimeLeft = c.deadline.Sub(now)
-	}
+	query.TimeLeft = c.timeLeft(now)
 	return query
 }
 
+// timeLeft returns the time until the deadline, or 0 if the request has none.
+func (c *clientRequest) timeLeft(now time.Time) time.Duration {
+	if c.deadline.IsZero() {
+		return 0
+	}
+	return c.deadline.Sub(now)
+}
+
 // fail ends a request for which no attempt succeeded. It relays a saved error response of a server
 // if there is one.
 func (c *clientRequest) fail(cause string) {
@@ -164,6 +171,9 @@
 		switch {
 		case cause == crashingRequest || cause == crashingPart:
 			retryAfter = quarantinedRetryAfter
+		case c.choice.Reason == balance.Limited:
+			now := time.Now()
+			retryAfter = c.server.Permits.retryAfter(now, c.service.Name, c.choice.Wait, c.choice.LimitSum, c.timeLeft(now))
 		case c.choice.Reason == balance.Full:
 			retryAfter = time.Duration(c.choice.RetryAfterSeconds() * float64(time.Second))
 		}
--- a/hornbeamd/gateway/permits.go
+++ b/hornbeamd/gateway/permits.go
@@ -1,25 +1,94 @@
 package gateway
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"hornbeamstep.example/hornbeamd/backend"
+	"hornbeamstep.example/routing/balance"
 	"hornbeamstep.example/routing/permit"
 	"hornbeamstep.example/routing/roster"
 )
 
+const (
+	// permitTimeout limits the time to wait for the issuer's answer. The round trip between two
+	// availability zones takes a small part of it.
+	permitTimeout = 40 * time.Millisecond
+	// unansweredWait is how long the issuer of a server is not asked again after it has not
+	// answered. A lost router is replaced as the issuer within a few times this time.
+	unansweredWait = 100 * time.Millisecond
+	// maxPermitQuestions limits the servers whose issuers are asked for one attempt. After that, the
+	// attempt goes to a server without a rate limit or fails.
+	maxPermitQuestions = 4
+	// maxPermitDelay limits the time that an attempt waits for a permit if all servers are limited.
+	// It is shorter for routes with a shorter latency target, of which it may use permitDelayShare.
+	maxPermitDelay   = 250 * time.Millisecond
+	permitDelayShare = 0.5
+	// maxLimitsPerHeartbeat is the number of rate limits that a heartbeat carries.
+	maxLimitsPerHeartbeat = 24
+)
+
+// PermitQuestion asks the issuer of a server for a permit.
+type PermitQuestion struct {
+	// Number identifies the question among those of its sender.
+	Number uint32
+	permit.Ask
+	// Limit is the limit of the server that the sender knows.
+	Limit permit.Limit
+}
+
+// Fleet is the routers that take callers, as this router sees them.
+type Fleet struct {
+	// Peers holds their heartbeat addresses by ID.
+	Peers map[string]string
+	// Lost is the number of routers that took callers when they were last heard of. They may be cut
+	// off from this router and go on, so they keep their part of the rate limits.
+	Lost int
+	// Size is the number of routers that share the servers. At least 1.
+	Size int
+}
+
 // Permits keeps the requests to servers that state a rate limit within that limit, together with
-// the other routers. It is safe for concurrent use.
+// the other routers. It is safe for concurrent use. Self and Send must be set before first use.
 type Permits struct {
-	mu     sync.Mutex
-	ledger *permit.Ledger
+	// Self is the ID of this router.
+	Self string
+	// Send sends a question to the router with the given heartbeat address. It must not block.
+	Send func(address string, q PermitQuestion)
+
+	// anyLimited is false if no server states a limit.
+	anyLimited atomic.Bool
+	mu         sync.Mutex
+	fleet      Fleet
+	routers    []string
+	ledger     *permit.Ledger
+	issuer     *permit.Issuer
+	denials    *permit.Denials
+	pacer      *permit.Pacer
+	// pending holds the questions that have not been answered, by their number.
+	pending    map[uint32]pendingQuestion
+	lastNumber uint32
+}
+
+// pendingQuestion is a question that has not been answered.
+type pendingQuestion struct {
+	issuer string
+	// answer has room for one answer.
+	answer chan permit.Answer
 }
 
-// NewPermits returns a Permits that knows no limits.
-func NewPermits() *Permits { return &Permits{ledger: permit.NewLedger()} }
+// NewPermits returns a Permits that knows no limits and no other routers.
+func NewPermits() *Permits {
+	return &Permits{
+		ledger: permit.NewLedger(), issuer: permit.NewIssuer(), denials: permit.NewDenials(), pacer: permit.NewPacer(), pending: map[uint32]pendingQuestion{},
+	}
+}
 
 // SetServers replaces the list of backend servers.
 func (p *Permits) SetServers(servers []roster.Server) {
@@ -30,21 +99,250 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ledger.SetServers(born)
+	p.denials.Retain(born)
+	p.updateAnyLimited()
 }
 
-// Limit returns the number of requests per second that a server takes from all routers together;
-// limited is false if it states no limit.
+// SetFleet replaces the routers that take callers.
+func (p *Permits) SetFleet(f Fleet) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet, p.routers = f, slices.Sorted(maps.Keys(f.Peers))
+}
+
+// Limit implements balance.RateLimits.
 func (p *Permits) Limit(server string) (perSecond float64, limited bool) {
+	if !p.anyLimited.Load() {
+		return 0, false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.ledger.Limit(server)
 }
 
+// Wait implements balance.RateLimits.
+func (p *Permits) Wait(now time.Time, server string, priority int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.denials.Wait(now, server, priority)
+}
+
+// Issuer returns the ID of the router that issues the permits for a server.
+func (p *Permits) Issuer(server string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.issuerOf(server)
+}
+
+// issuerOf returns this router if it knows no router that takes callers.
+func (p *Permits) issuerOf(server string) string {
+	if issuer := permit.IssuerOf(server, p.routers); issuer != "" {
+		return issuer
+	}
+	return p.Self
+}
+
+func (p *Permits) updateAnyLimited() { p.anyLimited.Store(p.ledger.HasLimits()) }
+
 // observe records the limit that a server states in a response, and reports whether it has changed.
 func (p *Permits) observe(now time.Time, server string, limit permit.Limit) (changed bool) {
+	if limit.Ended && !p.anyLimited.Load() {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ledger.Observe(now, server, limit)
+	changed = p.ledger.Observe(now, server, limit)
+	p.updateAnyLimited()
+	return changed
+}
+
+// Merge records the limits that another router has announced, and returns those that have changed.
+func (p *Permits) Merge(now time.Time, reports []permit.Report) (changed []permit.Report) {
+	if len(reports) == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed = p.ledger.Merge(now, reports)
+	p.updateAnyLimited()
+	return changed
+}
+
+// Outgoing returns the limits to announce to the other routers; see permit.Ledger.
+func (p *Permits) Outgoing(now time.Time, forward bool) []permit.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reports := p.ledger.Outgoing(now, forward, maxLimitsPerHeartbeat)
+	p.updateAnyLimited()
+	return reports
+}
+
+// AnswerQuestion answers the question of another router. A router that is not the issuer issues
+// nothing: the other one soon learns which router is.
+func (p *Permits) AnswerQuestion(now time.Time, ask permit.Ask) permit.Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.issuerOf(ask.Server) != p.Self {
+		return permit.Answer{Wait: unansweredWait}
+	}
+	return p.issue(now, ask)
+}
+
+// issue issues a permit as the issuer of a server.
+func (p *Permits) issue(now time.Time, ask permit.Ask) permit.Answer {
+	perSecond, limited := p.ledger.Limit(ask.Server)
+	if !limited {
+		return permit.Answer{Granted: true}
+	}
+	reached := max(1, len(p.routers))
+	return p.issuer.Issue(now, ask, perSecond*float64(reached)/float64(reached+p.fleet.Lost))
+}
+
+// HandleAnswer passes the answer of a router to the request that waits for it. An answer that
+// arrives too late, or from another router than the one that was asked, is dropped.
+func (p *Permits) HandleAnswer(from string, number uint32, answer permit.Answer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pending, waiting := p.pending[number]
+	if !waiting || pending.issuer != from {
+		return
+	}
+	delete(p.pending, number)
+	pending.answer <- answer
+}
+
+// Outcomes of questions for permits, in metrics.
+const (
+	permitGranted    = "granted"
+	permitDenied     = "denied"
+	permitUnanswered = "unanswered"
+)
+
+// acquire obtains a permit for one request to a limited server, and waits until the request may be
+// sent. It returns the outcome; the request must be sent only if that is permitGranted.
+func (p *Permits) acquire(ctx context.Context, ask permit.Ask) (outcome string) {
+	answer, answered := p.ask(ctx, ask)
+	now := time.Now()
+	switch {
+	case !answered:
+		p.recordDenial(now, ask.Server, 0, unansweredWait)
+		return permitUnanswered
+	case !answer.Granted:
+		p.recordDenial(now, ask.Server, ask.Priority, answer.Wait)
+		return permitDenied
+	}
+	if answer.Wait > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(answer.Wait):
+		}
+	}
+	return permitGranted
+}
+
+func (p *Permits) recordDenial(now time.Time, server string, priority int, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.denials.Record(now, server, priority, wait)
+}
+
+// ask returns the issuer's answer, or false if there is none.
+func (p *Permits) ask(ctx context.Context, ask permit.Ask) (answer permit.Answer, answered bool) {
+	p.mu.Lock()
+	issuer := p.issuerOf(ask.Server)
+	if issuer == p.Self {
+		defer p.mu.Unlock()
+		return p.issue(time.Now(), ask), true
+	}
+	p.lastNumber++
+	q := PermitQuestion{Number: p.lastNumber, Ask: ask}
+	q.Limit, _ = p.ledger.Get(ask.Server)
+	reply := make(chan permit.Answer, 1)
+	p.pending[q.Number] = pendingQuestion{issuer, reply}
+	address := p.fleet.Peers[issuer]
+	p.mu.Unlock()
+	p.Send(address, q)
+	timeout := time.NewTimer(permitTimeout)
+	defer timeout.Stop()
+	select {
+	case answer = <-reply:
+		return answer, true
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pending, q.Number)
+	return permit.Answer{}, false
+}
+
+// retryAfter returns the retry delay of a request that no server takes because of rate limits.
+// wait and limitSum are those of the balance.Choice.
+func (p *Permits) retryAfter(now time.Time, service string, wait time.Duration, limitSum float64, timeLeft time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pacer.RetryAfter(now, service, wait, limitSum/float64(max(1, p.fleet.Size)), timeLeft)
+}
+
+// choosePermitted chooses a server for an attempt. If the server states a rate limit, the attempt
+// needs a permit, and if it gets none, another server is chosen. Only if no server takes the request
+// at once, it waits for a permit for up to maxDelay.
+func (a *attempt) choosePermitted(maxDelay time.Duration) {
+	c := a.request
+	for questions := 0; ; {
+		a.choice = c.server.Upstreams.chooseServer(time.Now(), a.query)
+		a.query.IsRepeated = true
+		if a.choice.Server.ID == "" {
+			if a.choice.Reason == balance.Limited && !a.query.AvoidLimited && a.query.MaxLimitWait < maxDelay {
+				a.query.MaxLimitWait = maxDelay
+				continue
+			}
+			return
+		}
+		a.query.Priority = a.choice.Priority
+		if !a.choice.IsLimited {
+			return
+		}
+		asked := time.Now()
+		ask := permit.Ask{Server: a.choice.Server.ID, Priority: a.query.Priority, MaxDelay: a.query.MaxLimitWait}
+		outcome := c.server.Permits.acquire(c.ctx, ask)
+		c.server.Metrics.countPermit(outcome)
+		now := time.Now()
+		c.recordPermit(outcome, now.Sub(asked))
+		if outcome == permitGranted {
+			return
+		}
+		c.server.Upstreams.recordEnd(now, a.choice.Server.ID, balance.Abandoned, 0)
+		questions++
+		a.query.AvoidLimited = questions >= maxPermitQuestions
+	}
+}
+
+// permitStats counts the permits that a request needed, for logs.
+type permitStats struct {
+	denied, unanswered int
+	// waited is the time that the request spent on permits.
+	waited time.Duration
+}
+
+func (c *clientRequest) recordPermit(outcome string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch outcome {
+	case permitDenied:
+		c.permits.denied++
+	case permitUnanswered:
+		c.permits.unanswered++
+	}
+	c.permits.waited += took
+}
+
+// maxPermitDelay returns how long an attempt of the request may wait for a permit.
+func (c *clientRequest) maxPermitDelay() time.Duration {
+	if c.route.Target <= 0 {
+		return maxPermitDelay
+	}
+	return min(maxPermitDelay, time.Duration(permitDelayShare*float64(c.route.Target)))
 }
 
 // applyLimit records the rate limit that the chosen server states in a response, or that it no
--- a/hornbeamd/gateway/report.go
+++ b/hornbeamd/gateway/report.go
@@ -12,6 +12,7 @@
 	requests       *prometheus.CounterVec
 	failedAttempts *prometheus.CounterVec
 	standbys       *prometheus.CounterVec
+	permits        *prometheus.CounterVec
 	durations      *prometheus.HistogramVec
 	firstEvents    prometheus.Histogram
 }
@@ -29,6 +30,9 @@
 		standbys: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hornbeam_gateway_standbys_total", Help: "Standby attempts for silent backend servers, by event.",
 		}, []string{"event"}),
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hornbeam_gateway_permits_total", Help: "Questions for permits for backend servers that state a rate limit, by outcome.",
+		}, []string{"outcome"}),
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "hornbeam_gateway_request_seconds", Help: "Time from the head of a request to the end of its answer, in seconds.",
 			Buckets: buckets,
@@ -38,7 +42,7 @@
 			Buckets: buckets,
 		}),
 	}
-	r.MustRegister(m.requests, m.failedAttempts, m.standbys, m.durations, m.firstEvents)
+	r.MustRegister(m.requests, m.failedAttempts, m.standbys, m.permits, m.durations, m.firstEvents)
 	return m
 }
 
@@ -48,6 +52,9 @@
 // countStandby counts an event of a standby: started, ready or denied.
 func (m *Metrics) countStandby(event string) { m.standbys.WithLabelValues(event).Inc() }
 
+// countPermit counts a question for a permit by its outcome.
+func (m *Metrics) countPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
+
 func (m *Metrics) observeFirstEvent(c *clientRequest) {
 	m.firstEvents.Observe(time.Since(c.receivedAt).Seconds())
 }
@@ -63,7 +70,7 @@
 		version = c.table.Version()
 	}
 	c.mu.Lock()
-	sent, mayHaveRun := c.sentAttempts, c.mayHaveRun
+	sent, mayHaveRun, permits := c.sentAttempts, c.mayHaveRun, c.permits
 	c.mu.Unlock()
 	if a := c.current; a != nil && a.sent {
 		sent++
@@ -79,6 +86,7 @@
 	c.server.Log.Info(message, zap.String("id", c.metadata.Attempt), zap.String("outcome", outcome), zap.Int("status", status),
 		zap.String("route", name), zap.Int64("config", version), zap.String("account", c.account), zap.String("service", c.service.Name),
 		zap.String("server", c.choice.Server.ID), zap.String("reason", string(c.choice.Reason)), zap.Int("load", c.choice.Load),
-		zap.Float64("mean", c.choice.Mean), zap.Int("candidates", c.choice.Candidates), zap.Int64("era", c.choice.serversRevision.Era), zap.Int64("servers", c.choice.serversRevision.Number), zap.Duration("reports_age", c.choice.reportsAge), zap.Int("sent", sent),
+		zap.Float64("mean", c.choice.Mean), zap.Int("candidates", c.choice.Candidates), zap.Int64("era", c.choice.serversRevision.Era), zap.Int64("servers", c.choice.serversRevision.Number), zap.Duration("reports_age", c.choice.reportsAge), zap.Int("permits_denied", permits.denied),
+		zap.Int("permits_unanswered", permits.unanswered), zap.Duration("permits_took", permits.waited), zap.Int("sent", sent),
 		zap.Bool("may_have_run", mayHaveRun), zap.String("last_event", c.lastEventID), zap.Duration("took", took))
 }
