fix(edge): a draining router issues permits only if no other router can

While all routers of a fleet drain, each took itself for the only issuer, so that each issued all permits of a server. Routers that take callers issue the permits, and if there are none, all live ones do.

--- a/coord/presence/permit.go
+++ b/coord/presence/permit.go
@@ -30,22 +30,28 @@
 	Wait    int64
 }
 
-// ReadyRouters returns the IDs and heartbeat addresses of the routers that take callers, among them
-// this one unless it is not ready. Lost is the number of routers that took callers when they were
-// last heard of.
-func (s *State) ReadyRouters(now time.Time, selfReady bool) (peers map[string]string, lost int) {
-	peers = map[string]string{}
+// PermitIssuers returns the IDs and heartbeat addresses of the routers that may issue permits: those
+// that take callers, or else all that are live. selfReady says whether this router takes callers.
+// lost is the number of routers that took callers when they were last heard of.
+func (s *State) PermitIssuers(now time.Time, selfReady bool) (peers map[string]string, lost int) {
+	ready, live := map[string]string{}, map[string]string{s.self.ID: s.self.Peer}
 	if selfReady {
-		peers[s.self.ID] = s.self.Peer
+		ready[s.self.ID] = s.self.Peer
 	}
 	for _, m := range s.members {
 		switch {
-		case !m.Ready:
-		case s.live(now, m):
-			peers[m.ID] = m.Peer
-		default:
-			lost++
+		case !s.live(now, m):
+			if m.Ready {
+				lost++
+			}
+			continue
+		case m.Ready:
+			ready[m.ID] = m.Peer
 		}
+		live[m.ID] = m.Peer
 	}
-	return peers, lost
+	if len(ready) == 0 {
+		return live, lost
+	}
+	return ready, lost
 }
--- a/hornbeamctl/inspect/inspect.go
+++ b/hornbeamctl/inspect/inspect.go
@@ -46,13 +46,13 @@
 		rows.Row(p.ID, p.Zone, p.Ready, formatMillis(p.HeartbeatAge), p.ConfigVersion, p.ServersRevision)
 	}
 	rows.BlankLine()
-	rows.Row("SERVER", "SERVICE", "ZONE", "ADDRESS", "STATE", "OWN", "OTHERS", "SLOTS", "FAILING", "LIMIT")
+	rows.Row("SERVER", "SERVICE", "ZONE", "ADDRESS", "STATE", "OWN", "OTHERS", "SLOTS", "FAILING", "LIMIT", "ISSUER")
 	for _, s := range r.Servers {
-		limit := "-"
+		limit, issuer := "-", "-"
 		if s.Limited {
-			limit = fmt.Sprintf("%.4g/s", s.RateLimit)
+			limit, issuer = fmt.Sprintf("%.4g/s", s.RateLimit), s.Issuer
 		}
-		rows.Row(s.ID, s.Service, s.Zone, s.Address, s.State, s.OwnRequests, s.OtherRequests, s.Slots, fmt.Sprintf("%.2f", s.FailureRate), limit)
+		rows.Row(s.ID, s.Service, s.Zone, s.Address, s.State, s.OwnRequests, s.OtherRequests, s.Slots, fmt.Sprintf("%.2f", s.FailureRate), limit, issuer)
 	}
 	rows.BlankLine()
 	if len(r.PromptParts) > 0 {
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -138,8 +138,8 @@
 // applyPeerReports passes what the other routers report about backend servers to the gateway.
 func (c *controlLoop) applyPeerReports(now time.Time) {
 	reports := c.presence.OtherReports(now, c.self)
-	peers, lost := c.presence.ReadyRouters(now, c.isReady())
-	c.gateway.Permits.SetFleet(gateway.Fleet{Peers: peers, Lost: lost, Size: c.presence.FleetSize()})
+	issuers, lost := c.presence.PermitIssuers(now, c.isReady())
+	c.gateway.Permits.SetFleet(gateway.Fleet{Issuers: issuers, Lost: lost, Size: c.presence.FleetSize()})
 	leaving := c.upstreams.SetPeerReports(now, gateway.PeerReports{
 		Load: loadsByServerID(c.roster.Servers(), reports.Loads), Down: reports.Down, Leaving: reports.Leaving,
 	}, c.presence.FleetSize(), c.presence.Interval())
--- a/hornbeamd/edge/inspect.go
+++ b/hornbeamd/edge/inspect.go
@@ -51,7 +51,7 @@
 		limit, limited := c.gateway.Permits.Limit(s.ID)
 		r.Servers = append(r.Servers, inspect.BackendServer{
 			ID: s.ID, Service: s.Service, Zone: s.Zone, Address: s.Address, State: string(s.Condition), OwnRequests: s.Own, OtherRequests: s.Others,
-			Slots: s.Slots, FailureRate: s.FailureRate, Limited: limited, RateLimit: limit,
+			Slots: s.Slots, FailureRate: s.FailureRate, Limited: limited, RateLimit: limit, Issuer: c.gateway.Permits.Issuer(s.ID),
 		})
 	}
 	for _, p := range c.gateway.Crashes.PromptParts(now) {
--- a/hornbeamd/gateway/permits.go
+++ b/hornbeamd/gateway/permits.go
@@ -43,10 +43,10 @@
 	Limit permit.Limit
 }
 
-// Fleet is the routers that take callers, as this router sees them.
+// Fleet is the routers that share the rate limits, as this router sees them.
 type Fleet struct {
-	// Peers holds their heartbeat addresses by ID.
-	Peers map[string]string
+	// Issuers holds the heartbeat addresses of the routers that may issue permits, by ID.
+	Issuers map[string]string
 	// Lost is the number of routers that took callers when they were last heard of. They may be cut
 	// off from this router and go on, so they keep their part of the rate limits.
 	Lost int
@@ -66,11 +66,12 @@
 	anyLimited atomic.Bool
 	mu         sync.Mutex
 	fleet      Fleet
-	routers    []string
-	ledger     *permit.Ledger
-	issuer     *permit.Issuer
-	denials    *permit.Denials
-	pacer      *permit.Pacer
+	// issuers holds the IDs of fleet.Issuers.
+	issuers []string
+	ledger  *permit.Ledger
+	issuer  *permit.Issuer
+	denials *permit.Denials
+	pacer   *permit.Pacer
 	// pending holds the questions that have not been answered, by their number.
 	pending    map[uint32]pendingQuestion
 	lastNumber uint32
@@ -103,11 +104,11 @@
 	p.updateAnyLimited()
 }
 
-// SetFleet replaces the routers that take callers.
+// SetFleet replaces the routers that share the rate limits.
 func (p *Permits) SetFleet(f Fleet) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fleet, p.routers = f, slices.Sorted(maps.Keys(f.Peers))
+	p.fleet, p.issuers = f, slices.Sorted(maps.Keys(f.Issuers))
 }
 
 // Limit implements balance.RateLimits.
@@ -134,9 +135,9 @@
 	return p.issuerOf(server)
 }
 
-// issuerOf returns this router if it knows no router that takes callers.
+// issuerOf returns this router before the first SetFleet.
 func (p *Permits) issuerOf(server string) string {
-	if issuer := permit.IssuerOf(server, p.routers); issuer != "" {
+	if issuer := permit.IssuerOf(server, p.issuers); issuer != "" {
 		return issuer
 	}
 	return p.Self
@@ -194,7 +195,7 @@
 	if !limited {
 		return permit.Answer{Granted: true}
 	}
-	reached := max(1, len(p.routers))
+	reached := max(1, len(p.issuers))
 	return p.issuer.Issue(now, ask, perSecond*float64(reached)/float64(reached+p.fleet.Lost))
 }
 
@@ -259,7 +260,7 @@
 	q.Limit, _ = p.ledger.Get(ask.Server)
 	reply := make(chan permit.Answer, 1)
 	p.pending[q.Number] = pendingQuestion{issuer, reply}
-	address := p.fleet.Peers[issuer]
+	address := p.fleet.Issuers[issuer]
 	p.mu.Unlock()
 	p.Send(address, q)
 	timeout := time.NewTimer(permitTimeout)
--- a/hornbeamd/inspect/inspect.go
+++ b/hornbeamd/inspect/inspect.go
@@ -98,6 +98,8 @@
 	// second from all routers together.
 	Limited   bool    `json:"limited"`
 	RateLimit float64 `json:"limit"`
+	// Issuer is the ID of the router that issues the permits for the server while it is limited.
+	Issuer string `json:"issuer"`
 }
 
 // PromptPart is a part of prompts that was at backend servers when they crashed, and that no answer
