fix(routing): limited servers rather take requests that occupy a slot for long

Cause: a limit counts requests, not work, but all kinds of requests used it alike, short ones too, while the engines without a limit were kept busy by long ones. The weight of a limited server is now proportional to the number of tokens that a request may generate, scaled so that the server still gets its limit.

The bound by slots also took limited servers for free ones although they were at their limit: it now takes the mean of the servers that are not.

TestLimitedServersGetCostlyRequests fails without the change, since there is no cost to choose by.

--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -144,6 +144,8 @@
 	}
 	if c.route.Sticky || c.service.Engine {
 		query.PrefixHashes = balance.PrefixHashes(c.metadata.Model, c.metadata.PromptParts)
+		// A server generates the output token by token and reads the prompt much faster.
+		query.Cost = float64(c.metadata.MaxOutputTokens)
 	}
 	query.TimeLeft = c.timeLeft(now)
 	return query
--- a/routing/balance/affinity.go
+++ b/routing/balance/affinity.go
@@ -10,21 +10,20 @@
 // chooseByAffinity returns the first server in the rendezvous order of the request's prompt that
 // admits the request, or the choice of chooseByLoad if none does. The order is that of the longest
 // shared prefix. holder is a server that most likely has a longer prefix of the prompt in its cache
-// than the chosen server, or nil if none is known. mean is the mean load of all servers, and
-// limitMean the one to which the load limit applies.
-func (b *Balancer) chooseByAffinity(now time.Time, p *pool, usable []*entry, req Request, mean, limitMean float64) (chosen, holder *entry, reason Reason) {
+// than the chosen server, or nil if none is known. mean is that of Choice.Mean.
+func (b *Balancer) chooseByAffinity(now time.Time, p *pool, usable []*entry, req Request, mean float64) (chosen, holder *entry, reason Reason) {
 	var best, home *entry
 	var bestScore, homeScore float64
-	limit, promptRate := b.loadLimit(limitMean), b.promptIndex.rate(now, req.PrefixHashes[0])
+	limit, openMean, promptRate := b.loadLimit(mean), meanLoadOf(b.open(now, p, req)), b.promptIndex.rate(now, req.PrefixHashes[0])
 	draw := req.Draw
 	for _, e := range usable {
-		score := weightedScore(mix(req.PrefixHashes[0]^e.seed), e.weight)
+		score := e.score(req)
 		if home == nil || score > homeScore {
 			home, homeScore = e, score
 		}
 		// Each server needs an independent random number.
 		draw = deriveDraw(draw, e.seed)
-		if (best == nil || score > bestScore) && b.admits(e, e.boundBySlots(limit*(1-excessFailureRate(usable, e)), mean, req), promptRate, draw) {
+		if (best == nil || score > bestScore) && b.admits(e, e.boundBySlots(limit*(1-excessFailureRate(usable, e)), openMean, req), promptRate, draw) {
 			best, bestScore = e, score
 		}
 	}
@@ -122,9 +121,10 @@
 	return !now.Before(e.pausedUntil) && !now.Before(e.reportedUntil) && !slices.Contains(avoid, e.ID)
 }
 
-// boundBySlots lowers the load limit to the server's number of slots, but not below mean+1. While
-// the mean load is below the number of slots, other servers have free slots, and waiting for a slot
-// takes longer than processing the prompt on another server.
+// boundBySlots lowers the load limit to the server's number of slots, but not below mean+1, where
+// mean is that of the servers that are not at their rate limit. While it is below the number of
+// slots, other servers have free slots, and waiting for a slot takes longer than processing the prompt on
+// another server.
 func (e *entry) boundBySlots(limit, mean float64, req Request) float64 {
 	return min(limit, max(float64(max(1, req.Slots, e.Slots)), mean+1))
 }
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -117,6 +117,8 @@
 	// Slots is the number of slots assumed for servers that registered fewer; 0 keeps the
 	// registered number.
 	Slots int
+	// Cost is proportional to the time that the request is expected to occupy a slot; 0 if unknown.
+	Cost float64
 	// MaxLimitWait is how long the request may wait for a server that is at its rate limit.
 	MaxLimitWait time.Duration
 	// AvoidLimited is true if no server that states a rate limit may be chosen.
@@ -169,8 +171,10 @@
 	averageLoad float64
 	// sendRate is the rate of this router's requests to the server.
 	sendRate rate
-	// weight is the weight in the rendezvous order of prompts, from minWeight to 1.
-	weight float64
+	// weight is the weight in the rendezvous order of prompts. It is multiplied by the cost of the
+	// request if hasCostWeight is true; see updateWeights.
+	weight        float64
+	hasCostWeight bool
 	// failureRate is the moving average of failures, from 0 to 1.
 	failureRate float64
 	// consecutiveFailures is the number of consecutive requests without a response, and pauseCount
@@ -322,14 +326,13 @@
 		return Choice{Reason: NoServer}
 	}
 	if len(req.Avoid) == 0 && !req.IsRepeated {
-		p.demand.count(now)
+		p.demand.count(now, req)
 	}
 	usable := b.usable(now, p, req)
 	if len(usable) == 0 {
 		return b.noneUsable(now, p, req)
 	}
-	mean, unlimitedMean := b.meanLoads(p)
-	c := Choice{Mean: max(mean, unlimitedMean), Candidates: len(usable)}
+	c := Choice{Mean: b.meanLoad(p), Candidates: len(usable)}
 	if len(req.Avoid) == 0 && !req.IsRepeated && b.recordAndCheckSurge(now, req.Account) && p.busy {
 		req.Priority++
 	}
@@ -337,7 +340,7 @@
 	var e *entry
 	if len(req.PrefixHashes) > 0 {
 		var holder *entry
-		e, holder, c.Reason = b.chooseByAffinity(now, p, usable, req, mean, c.Mean)
+		e, holder, c.Reason = b.chooseByAffinity(now, p, usable, req, c.Mean)
 		if holder != nil {
 			c.Holder = holder.Server
 		}
@@ -364,18 +367,36 @@
 	return c
 }
 
-// meanLoads returns the mean load of the servers of a service, and that of the servers that state no
-// rate limit, or 0 if there are none. The latter get the requests that the others can't take.
-func (b *Balancer) meanLoads(p *pool) (all, unlimited float64) {
-	total, unlimitedTotal, unlimitedCount := 0, 0, 0
+// meanLoad returns the mean load of the servers of a service, or that of the servers without a rate
+// limit if it is higher: they get the requests that the others can't take.
+func (b *Balancer) meanLoad(p *pool) float64 {
+	unlimited := make([]*entry, 0, len(p.entries))
 	for _, e := range p.entries {
-		total += e.load()
 		if !b.isLimited(e) {
-			unlimitedTotal += e.load()
-			unlimitedCount++
+			unlimited = append(unlimited, e)
+		}
+	}
+	return max(meanLoadOf(p.entries), meanLoadOf(unlimited))
+}
+
+// open returns the servers of a service except those that are at their rate limit.
+func (b *Balancer) open(now time.Time, p *pool, req Request) []*entry {
+	out := make([]*entry, 0, len(p.entries))
+	for _, e := range p.entries {
+		if !b.isLimited(e) || b.takes(now, e, req) {
+			out = append(out, e)
 		}
 	}
-	return float64(total) / float64(len(p.entries)), float64(unlimitedTotal) / float64(max(1, unlimitedCount))
+	return out
+}
+
+// meanLoadOf returns the mean load of servers, or 0 if there are none.
+func meanLoadOf(entries []*entry) float64 {
+	total := 0
+	for _, e := range entries {
+		total += e.load()
+	}
+	return float64(total) / float64(max(1, len(entries)))
 }
 
 // isLimited reports whether a server states a rate limit.
--- a/routing/balance/limits_test.go
+++ b/routing/balance/limits_test.go
@@ -121,3 +121,34 @@
 	b.SetOtherLoads(now, nil, 1, 0)
 	c.Check(homes(now), qt.DeepEquals, before)
 }
+
+// Guards against servers without a limit that are overloaded because the limited ones use their
+// limits for short requests.
+func TestLimitedServersGetCostlyRequests(t *testing.T) {
+	c := qt.New(t)
+	const perSecond, limit = 90, 4.0
+	limits := fakeLimits{limits: map[string]float64{}}
+	for i := range 6 {
+		limits.limits[fmt.Sprint("s", i)] = limit
+	}
+	b := newBalancer(9, 64)
+	b.RateLimits = limits
+	now, costly, cheap := start, 0, 0
+	for i := range 60 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		prompt := balance.PrefixHashes("m", []string{fmt.Sprint("prompt ", i%997), "own"})
+		cost := []float64{400, 20, 20}[i%3]
+		_, limited := limits.limits[b.Choose(now, balance.Request{Service: "pool", PrefixHashes: prompt, Cost: cost}).Server.ID]
+		b.SetOtherLoads(now, nil, 1, 0)
+		switch {
+		case !limited || i < 30*perSecond:
+		case cost > 100:
+			costly++
+		default:
+			cheap++
+		}
+	}
+	rate := float64(costly+cheap) / 30 / 6
+	c.Check(rate > limit/2 && rate < limit*1.2, qt.IsTrue, qt.Commentf("a limited server gets %.2f requests/s", rate))
+	c.Check(costly > 3*cheap, qt.IsTrue, qt.Commentf("%d costly requests, %d others", costly, cheap))
+}
