fix(gateway): the last router that drains tells clients the time at which a router is expected

A router now records how long other routers were away when they restart, from the heartbeat in which they say that they take no callers (or the last one before a kill) until their new process takes them. The expected time is the median of the last nine such times, counted from when each router stopped; the grace period is taken until one was seen. It is the earliest among this router and the others that are away, but for overdue ones.

--- a/coord/presence/liveness.go
+++ b/coord/presence/liveness.go
@@ -182,7 +182,9 @@
 				joined = append(joined, m.ID)
 				m.joinedAt, m.changedAt = now, now
 			}
+			old := *m
 			m.update(sent, r, l)
+			s.recordReadiness(now, &old, m)
 		}
 	}
 	return joined
--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -154,6 +154,7 @@
 	if joined {
 		next.joinedAt = now
 	}
+	s.recordReadiness(now, old, next)
 	if joined || !sameCrashes(r.Crashes, old.Crashes) {
 		next.changedAt = now
 	}
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -148,7 +148,10 @@
 	// storeContactAt is when the store last responded to the member as of its record; zero if it
 	// never did.
 	storeContactAt time.Time
-	key            MemberKey
+	// stoppedAt is when the member stopped taking callers; zero while it takes them, and before it
+	// first does.
+	stoppedAt time.Time
+	key       MemberKey
 	// rank is the result of rank for the member's ID.
 	rank uint64
 }
@@ -225,6 +228,9 @@
 	maxFleet int
 	// firstHeartbeat is the time of the first heartbeat of this router.
 	firstHeartbeat time.Time
+	// restartTimes holds how long the latest restarts of other routers kept these from taking
+	// callers.
+	restartTimes []time.Duration
 }
 
 // New returns a State without other routers. self is this router's record.
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -29,6 +29,8 @@
 	// received no heartbeat from them.
 	seeds []string
 	log   *zap.Logger
+	// gracePeriod is the time between SIGTERM and SIGKILL.
+	gracePeriod time.Duration
 
 	tasks chan func()
 	// started is the start time of the process. storeContact is the time at which the store last
@@ -57,7 +59,8 @@
 	// Other goroutines may read the fields below. serverSnapshot holds the list of backend servers
 	// that other routers can fetch; nil before the first one.
 	watching storewatch.Switch
-	draining atomic.Bool
+	// drainingSince is when the shutdown of this router began; nil before.
+	drainingSince atomic.Pointer[time.Time]
 	// storeEra is the era of the list of backend servers.
 	storeEra       atomic.Int64
 	serverSnapshot atomic.Pointer[roster.Snapshot]
@@ -126,8 +129,8 @@
 		c.sendHeartbeat(now)
 		c.applyPeerReports(now)
 	}
-	if c.draining.Load() {
-		c.gateway.SetLast(!slices.ContainsFunc(c.presence.Members(now), func(m presence.Member) bool { return m.Ready }))
+	if stoppedAt := c.drainingSince.Load(); stoppedAt != nil {
+		c.gateway.SetNextRouterIn(c.presence.NextRouterIn(now, *stoppedAt, c.gracePeriod))
 	}
 	for _, m := range c.presence.Requests(now) {
 		c.send(m)
@@ -200,7 +203,9 @@
 }
 
 // isReady reports whether this router takes callers.
-func (c *controlLoop) isReady() bool { return c.gateway.Table() != nil && !c.draining.Load() }
+func (c *controlLoop) isReady() bool {
+	return c.gateway.Table() != nil && c.drainingSince.Load() == nil
+}
 
 // loadsByKey converts loads by server ID to loads by the short server key that messages carry.
 func loadsByKey(loads map[string]int) map[presence.ServerKey]int {
--- a/hornbeamd/edge/drain.go
+++ b/hornbeamd/edge/drain.go
@@ -32,7 +32,7 @@
 // request has been in progress for quietPeriod or the closeShare of the grace period has passed.
 func (e *Router) drain(servers []*http.Server) {
 	started := time.Now()
-	e.control.draining.Store(true)
+	e.control.drainingSince.Store(&started)
 	e.control.enqueue(func() { e.control.sendHeartbeat(time.Now()) })
 	plan := newDrainPlan(started, e.settings.GracePeriod)
 	e.gateway.Drain(plan)
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -128,7 +128,7 @@
 	}
 	e.control = &controlLoop{
 		self: self, presence: presence.New(presence.DefaultSettings(), self), roster: roster.New(roster.DefaultSettings(s.ServerHeartbeatInterval)),
-		gateway: e.gateway, upstreams: upstreams, seeds: heartbeatAddresses(s.Seeds, peerPort), log: e.Log.Named("control"),
+		gateway: e.gateway, upstreams: upstreams, seeds: heartbeatAddresses(s.Seeds, peerPort), gracePeriod: s.GracePeriod, log: e.Log.Named("control"),
 		tasks: make(chan func(), taskQueueSize), started: time.Now(), fetching: map[string]bool{},
 	}
 	e.mesh = &mesh.Node{Listen: self.Peer, Control: s.Control, State: e.control, Log: e.Log.Named("mesh")}
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -59,9 +59,10 @@
 	// drain is nil until the router shuts down. From then on, responses ask clients to close the
 	// connection.
 	drain atomic.Pointer[DrainPlan]
-	// isLast is true while no other router takes callers.
-	isLast atomic.Bool
-	active atomic.Int64
+	// nextRouterIn is the expected time until another router takes callers, in nanoseconds; 0 while
+	// one does.
+	nextRouterIn atomic.Int64
+	active       atomic.Int64
 }
 
 const (
@@ -74,9 +75,6 @@
 	// drainingRetryAfter is the retry delay sent by a router that is shutting down; another router
 	// can serve the request.
 	drainingRetryAfter = 50 * time.Millisecond
-	// lastRouterRetryAfter is the retry delay sent by a router that is shutting down while no other
-	// router takes callers. A router that restarts is back within about this time.
-	lastRouterRetryAfter = 2 * time.Second
 	// noServerRetryAfter is the retry delay sent when no backend server could take the request.
 	noServerRetryAfter = 300 * time.Millisecond
 	// defaultMaxBodyBytes is the size limit for request bodies if the configuration sets none.
@@ -129,8 +127,9 @@
 // connects to another router. Requests are served or rejected according to the plan.
 func (s *Server) Drain(plan DrainPlan) { s.drain.Store(&plan) }
 
-// SetLast says whether no other router takes callers. Only a draining router uses it.
-func (s *Server) SetLast(last bool) { s.isLast.Store(last) }
+// SetNextRouterIn sets the expected time until another router takes callers; 0 if one does. Only a
+// draining router uses it.
+func (s *Server) SetNextRouterIn(d time.Duration) { s.nextRouterIn.Store(int64(d)) }
 
 // Active returns the number of requests in progress.
 func (s *Server) Active() int { return int(s.active.Load()) }
@@ -213,10 +212,7 @@
 	c.service = c.table.Service(route.Service(c.server.Upstreams.RandomFraction()))
 	c.setDeadline()
 	if plan := c.server.drain.Load(); plan != nil && !plan.accepts(time.Now(), c.deadline) {
-		retryAfter := drainingRetryAfter
-		if c.server.isLast.Load() {
-			retryAfter = lastRouterRetryAfter
-		}
+		retryAfter := max(drainingRetryAfter, time.Duration(c.server.nextRouterIn.Load()))
 		return &rejection{http.StatusServiceUnavailable, "draining", retryAfter}
 	}
 	return nil
