fix(edge): reported loads count as soon as they arrive

Cause: a router kept the loads that others had reported until its own next heartbeat. A heartbeat is up to 200 ms old when it is sent (400 ms and twice in a fleet with hubs), and as much was added at its receiver.

Loads are now applied when they arrive: each heartbeat in a small fleet, the sums of hubs in a larger one. Averages are still updated once per heartbeat. No message is added.

--- a/coord/presence/hubs.go
+++ b/coord/presence/hubs.go
@@ -25,7 +25,7 @@
 // Interval returns the time between two heartbeats: Settings.Interval in a fleet without hubs, and
 // a multiple of it that grows with the fleet in a fleet with hubs.
 func (s *State) Interval() time.Duration {
-	if !s.usesHubs() {
+	if !s.UsesHubs() {
 		return s.settings.Interval
 	}
 	return s.settings.Interval * time.Duration(max(2, (len(s.members)+1)/routersPerIntervalStep))
@@ -38,7 +38,7 @@
 // maxContactAge returns the age of the latest known store response of any router after which
 // further routers watch the store.
 func (s *State) maxContactAge() time.Duration {
-	if !s.usesHubs() {
+	if !s.UsesHubs() {
 		return s.settings.MaxContactAge
 	}
 	return s.settings.MaxContactAge + 2*s.Interval()
@@ -48,10 +48,11 @@
 // crashes: hubs do, and all routers of a fleet without hubs, because not every router reaches every
 // other one.
 func (s *State) ForwardsReports(now time.Time, self Record) bool {
-	return !s.usesHubs() || slices.Contains(s.hubsOf(now, self, self.Zone), self.ID)
+	return !s.UsesHubs() || slices.Contains(s.hubsOf(now, self, self.Zone), self.ID)
 }
 
-func (s *State) usesHubs() bool { return len(s.members)+1 > maxMeshSize }
+// UsesHubs reports whether the fleet is so large that it has hubs.
+func (s *State) UsesHubs() bool { return len(s.members)+1 > maxMeshSize }
 
 // introductionInterval is the minimum time between two introductions for a router that has already
 // joined and still sends its messages to a router that is not a hub.
@@ -70,7 +71,7 @@
 	case m.Kind == Heartbeat && senderJoined:
 		s.introducedAt[m.From] = now
 		return true
-	case !s.usesHubs(), !s.isMisdirected(now, m, sender):
+	case !s.UsesHubs(), !s.isMisdirected(now, m, sender):
 		return false
 	}
 	if now.Sub(s.introducedAt[m.From]) < introductionInterval {
@@ -113,7 +114,7 @@
 	case requested:
 		filter = func(o *Member) bool { return slices.Contains(keys, o.key) }
 		message.Liveness = s.livenessOf(now, self, s.scopeFor(m))
-	case s.usesHubs():
+	case s.UsesHubs():
 		hubs := s.hubsOf(now, self, self.Zone)
 		for _, zone := range s.otherZones(self.Zone) {
 			hubs = append(hubs, s.hubsOf(now, self, zone)...)
@@ -166,7 +167,7 @@
 		s.firstHeartbeat = now
 	}
 	own := Message{Kind: Heartbeat, From: self.ID, Records: []AgedRecord{{Record: self, WithoutIdentity: self.omitsIdentity(now, s.firstHeartbeat)}}}
-	if !s.usesHubs() {
+	if !s.UsesHubs() {
 		return []OutgoingMessage{{To: s.peerAddresses(func(*Member) bool { return true }), Message: own}}
 	}
 	hubs := s.hubsOf(now, self, self.Zone)
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -354,7 +354,7 @@
 // watchers returns the number of routers that watch the store. It is higher by one in a fleet with
 // hubs, where a fault that isolates part of the fleet is more likely to hit two given routers.
 func (s *State) watchers() int {
-	if s.usesHubs() {
+	if s.UsesHubs() {
 		return s.settings.StoreWatchers + 1
 	}
 	return s.settings.StoreWatchers
--- a/coord/presence/reports.go
+++ b/coord/presence/reports.go
@@ -99,7 +99,7 @@
 func (s *State) OtherReports(now time.Time, self Record) Reports {
 	reports := Reports{Loads: map[ServerKey]int{}, Down: map[string]int{}}
 	isHub := slices.Contains(s.hubsOf(now, self, self.Zone), self.ID)
-	if s.usesHubs() && !isHub {
+	if s.UsesHubs() && !isHub {
 		z, known := s.zoneLoads[""]
 		if !known || now.Sub(z.at) > s.lostAfter() {
 			return reports
@@ -112,7 +112,7 @@
 		return reports
 	}
 	for _, m := range s.members {
-		if !s.live(now, m) || s.usesHubs() && m.Zone != self.Zone {
+		if !s.live(now, m) || s.UsesHubs() && m.Zone != self.Zone {
 			continue
 		}
 		addCounts(reports.Loads, m.Loads)
@@ -122,7 +122,7 @@
 		reports.Leaving = addMissing(reports.Leaving, m.Leaving)
 	}
 	for _, z := range s.zoneLoads {
-		if s.usesHubs() && z.Zone != self.Zone && z.Zone != "" && now.Sub(z.at) <= s.lostAfter() {
+		if s.UsesHubs() && z.Zone != self.Zone && z.Zone != "" && now.Sub(z.at) <= s.lostAfter() {
 			reports.addZone(z.ZoneLoad)
 		}
 	}
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -151,6 +151,12 @@
 	}
 }
 
+// applyPeerLoads passes the loads that other routers have just reported to the gateway, because they
+// are old enough when they arrive.
+func (c *controlLoop) applyPeerLoads(now time.Time) {
+	c.upstreams.UpdatePeerLoads(loadsByServerID(c.roster.Servers(), c.presence.OtherReports(now, c.self).Loads))
+}
+
 // storeFailureExpiry is the time after which a failed call to the store is disregarded. A router
 // that cannot reach the store may stop calling it, and would otherwise never learn that it can
 // again.
@@ -266,6 +272,9 @@
 		c.gateway.Crashes.Merge(now, crashEntries(now, r.Crashes))
 		c.gateway.Crashes.MergeParts(now, partReports(r.Parts))
 	}
+	if len(m.ZoneLoads) > 0 || !c.presence.UsesHubs() {
+		c.applyPeerLoads(now)
+	}
 	if len(joined) > 0 {
 		// One line per message, because with one line per router, the number of lines would grow
 		// with the square of the fleet size when all routers start at the same time.
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -78,6 +78,14 @@
 	return u.Balancer.MarkLeaving(r.Leaving)
 }
 
+// UpdatePeerLoads updates the other routers' requests in progress by server ID, between two calls of
+// SetPeerReports.
+func (u *Upstreams) UpdatePeerLoads(load map[string]int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.Balancer.UpdateOtherLoads(load)
+}
+
 // LocalReport is what this router tells the others about backend servers.
 type LocalReport struct {
 	// Load holds the requests in progress by server ID.
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -307,6 +307,14 @@
 	}
 }
 
+// UpdateOtherLoads sets the requests in progress from the other routers by server ID, between two
+// calls of SetOtherLoads.
+func (b *Balancer) UpdateOtherLoads(load map[string]int) {
+	for id, e := range b.servers {
+		e.others = load[id]
+	}
+}
+
 // OwnLoads returns this router's requests in progress by server ID. Servers without requests are
 // left out.
 func (b *Balancer) OwnLoads() map[string]int {
