test(gateway): a server that closes its connection after a response says so

Cause: the fake server closes each connection after its response without announcing that. If the gateway sends the second request on it before it sees the end, the request may have run and gets 502, as the route requires, and never arrives. What the test checks is unchanged.

--- a/hornbeamd/gateway/relay_test.go
+++ b/hornbeamd/gateway/relay_test.go
@@ -279,7 +279,8 @@
 			arrived <- struct{}{}
 			time.Sleep(3 * short)
 		}
-		io.WriteString(conn, responseHead(r, "HTTP/1.1")+"Content-Length: 2\r\n\r\nok")
+		// The gateway must not use the connection again, since the server closes it.
+		io.WriteString(conn, responseHead(r, "HTTP/1.1")+"Connection: close\r\nContent-Length: 2\r\n\r\nok")
 	})
 	cl := dial(c, address)
 	cl.send("/once/fast", short)
