--- a/coord/presence/permit.go
+++ b/coord/presence/permit.go
@@ -30,9 +30,9 @@
 	Wait    int64
 }
 
-// PermitIssuers returns the IDs and heartbeat addresses of the routers that may issue permits: those
-// that take callers, or else all that are live. selfReady says whether this router takes callers.
-// lost is the number of routers that took callers when they were last heard of.
+// PermitIssuers returns the IDs and heartbeat addresses of the routers that may issue permits:
+// those that take callers, or else all that are live. selfReady says whether this router takes
+// callers. lost is the number of routers that took callers when they were last heard of.
 func (s *State) PermitIssuers(now time.Time, selfReady bool) (peers map[string]string, lost int) {
 	ready, live := map[string]string{}, map[string]string{s.self.ID: s.self.Peer}
 	if selfReady {
--- a/coord/presence/permit_test.go
+++ b/coord/presence/permit_test.go
@@ -9,8 +9,7 @@
 	"hornbeamstep.example/coord/presence"
 )
 
-// Guards against routers that issue permits while they drain although others can, and against routers
-// that each issue all permits because all of them drain or because they have lost each other.
+// Guards against routers that each issue all permits of a server.
 func TestPermitIssuers(t *testing.T) {
 	for name, test := range map[string]struct {
 		selfReady, otherReady bool
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -46,8 +46,8 @@
 	Loads map[ServerKey]int
 	// Down holds the IDs of the backend servers that the router recently failed to reach.
 	Down []string
-	// Leaving holds the backend servers that recently told the router that they are leaving, each as
-	// ID and start time, separated by a slash.
+	// Leaving holds the backend servers that recently told the router that they are leaving, each
+	// as ID and start time, separated by a slash.
 	Leaving []string
 	// Crashes holds the requests that were running on backend servers which crashed recently.
 	Crashes []Crash
@@ -103,7 +103,8 @@
 	Key uint64
 	// Crashes holds the crashes that may be due to the part, and those that are not.
 	Crashes []PartCrash
-	// Confirmed is true if answers to other prompts have begun since, and none to one with the part.
+	// Confirmed is true if answers to other prompts have begun since, and none to one with the
+	// part.
 	Confirmed bool
 }
 
--- a/coord/presence/restarts.go
+++ b/coord/presence/restarts.go
@@ -8,8 +8,8 @@
 // maxRestartTimes is the number of restarts of other routers whose times are kept.
 const maxRestartTimes = 9
 
-// recordReadiness is called when a member's record or state replaces an earlier one. It records when
-// the member stopped taking callers, and how long that lasted once its new process takes them.
+// recordReadiness is called when a member's record or state replaces an earlier one. It records
+// when the member stopped taking callers, and how long that lasted once its new process takes them.
 func (s *State) recordReadiness(now time.Time, old, next *Member) {
 	next.stoppedAt = old.stoppedAt
 	switch {
@@ -28,9 +28,9 @@
 	next.stoppedAt = time.Time{}
 }
 
-// RestartTime returns the median of the times for which restarts of other routers have lately kept
+// restartTime returns the median of the times for which restarts of other routers have lately kept
 // these from taking callers, or the given time if none was seen.
-func (s *State) RestartTime(ifUnknown time.Duration) time.Duration {
+func (s *State) restartTime(ifUnknown time.Duration) time.Duration {
 	if len(s.restartTimes) == 0 {
 		return ifUnknown
 	}
@@ -39,10 +39,10 @@
 }
 
 // NextRouterIn returns the expected time until a router takes callers, or 0 if one does now. This
-// router must have stopped taking them at the given time. maxRestart is the longest time of a restart;
-// it is expected as long as no restart was seen.
+// router must have stopped taking them at the given time. maxRestart is the longest time of a
+// restart; it is expected as long as no restart was seen.
 func (s *State) NextRouterIn(now, stoppedAt time.Time, maxRestart time.Duration) time.Duration {
-	restart := s.RestartTime(maxRestart)
+	restart := s.restartTime(maxRestart)
 	next := max(restart-now.Sub(stoppedAt), 0)
 	for _, m := range s.members {
 		stopped := m.stoppedAt
--- a/coord/presence/restarts_test.go
+++ b/coord/presence/restarts_test.go
@@ -9,8 +9,7 @@
 	"hornbeamstep.example/coord/presence"
 )
 
-// Guards against callers of the last router that drains being told to come back while no router can
-// be back, or long after one is.
+// Guards against callers who are told to come back while no router can be back.
 func TestNextRouterIn(t *testing.T) {
 	const grace = 8 * time.Second
 	type event struct {
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// applyPeerLoads passes the loads that other routers have just reported to the gateway, because they
-// are old enough when they arrive.
+// applyPeerLoads passes the loads that other routers have just reported to the gateway, because
+// they are old enough when they arrive.
 func (c *controlLoop) applyPeerLoads(now time.Time) {
 	c.upstreams.UpdatePeerLoads(loadsByServerID(c.roster.Servers(), c.presence.OtherReports(now, c.self).Loads))
 }
@@ -186,9 +186,9 @@
 	return now.Sub(at)
 }
 
-// record returns the state that this router reports to the other routers. A StoreContactAge of -1
-// means that the store has never responded to this router.
-func (c *controlLoop) record(now time.Time) presence.Record {
+// state returns the state that this router reports to the other routers, without its reports on
+// backend servers. A StoreContactAge of -1 means that the store has never responded to this router.
+func (c *controlLoop) state(now time.Time) presence.Record {
 	r := c.self
 	r.StoreContactAge = -1
 	if !c.storeContact.IsZero() {
@@ -200,6 +200,13 @@
 	r.StoreLost = !c.storeFailedAt.IsZero()
 	r.Servers = c.roster.Revision()
 	r.Ready = c.isReady()
+	return r
+}
+
+// record returns the state that this router reports to the other routers, with its reports on
+// backend servers. These count as announced.
+func (c *controlLoop) record(now time.Time) presence.Record {
+	r := c.state(now)
 	report := c.upstreams.LocalReport(now)
 	r.Loads, r.Down, r.Leaving = loadsByKey(report.Load), report.Down, report.Leaving
 	r.Limits = serverLimits(now, c.gateway.Permits.Outgoing(now, c.presence.ForwardsReports(now, c.self)))
--- a/hornbeamd/edge/inspect.go
+++ b/hornbeamd/edge/inspect.go
@@ -27,7 +27,7 @@
 // report returns the status report without the numbers of requests by outcome. An age of -1 means
 // that the store has never responded.
 func (c *controlLoop) report(now time.Time) inspect.Report {
-	own := c.record(now)
+	own := c.state(now)
 	newest, _ := c.presence.LastStoreContact(now, c.storeContact)
 	r := inspect.Report{
 		Router: c.self.ID, Zone: c.self.Zone, Uptime: now.Sub(c.started).Milliseconds(), Ready: own.Ready, Draining: c.drainingSince.Load() != nil,
--- a/hornbeamd/edge/loads_test.go
+++ b/hornbeamd/edge/loads_test.go
@@ -14,8 +14,7 @@
 	"hornbeamstep.example/routing/roster"
 )
 
-// Guards against a hot server that gets requests beyond the load limit because reported loads wait for
-// the next heartbeat of the router that has received them.
+// Guards against routing by loads that were reported long before they are used.
 func TestReportedLoadsAreAppliedOnArrival(t *testing.T) {
 	const peer = "10.0.0.2:1"
 	key := presence.ServerKeyOf("s")
--- a/hornbeamd/edge/permits_test.go
+++ b/hornbeamd/edge/permits_test.go
@@ -43,8 +43,7 @@
 	return busiest
 }
 
-// Guards against a backend server that gets more requests from all routers together than the limit
-// that it states, and against requests that are rejected although another server takes them.
+// Guards against a server that gets more requests from all routers together than it states.
 func TestServerLimit(t *testing.T) {
 	const limit, window = 6, 4 * time.Second
 	const allowed = limit*3/2*4 + 5
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -40,8 +40,8 @@
 	cancel context.CancelCauseFunc
 	timer  *progressTimer
 
-	// settled is closed once a standby is ready or has failed; nil for other attempts. ready is true
-	// if it has a response to relay; standby.mu guards it.
+	// settled is closed once a standby is ready or has failed; nil for other attempts. ready is
+	// true if it has a response to relay; standby.mu guards it.
 	settled chan struct{}
 	ready   bool
 	// standbyDenied is the reason why the latest standby for this attempt was denied; standby.mu
@@ -99,19 +99,18 @@
 	attemptClientGone
 )
 
-// chooseAttempt chooses a server that was not tried and is not in avoid. maxDelay is how long the
-// attempt may wait for a permit. The caller must call begin and later end, unless no server was
-// chosen.
-func (c *clientRequest) chooseAttempt(maxDelay time.Duration, avoid ...string) *attempt {
+// chooseAttempt chooses a server that was not tried and is not in avoid, with a permit if it states
+// a rate limit. The caller must call begin and later end, unless no server was chosen.
+func (c *clientRequest) chooseAttempt(effort permitEffort, avoid ...string) *attempt {
 	a := &attempt{request: c}
 	c.mu.Lock()
 	dismissed := c.dismissedServers
 	c.mu.Unlock()
 	a.query = c.buildQuery(time.Now(), slices.Concat(avoid, dismissed)...)
-	a.choosePermitted(maxDelay)
+	a.choosePermitted(effort)
 	if a.choice.Server.ID == "" && len(dismissed) > 0 {
 		a.query = c.buildQuery(time.Now(), avoid...)
-		a.choosePermitted(maxDelay)
+		a.choosePermitted(effort)
 	}
 	a.startedAt = time.Now()
 	a.lastData = a.startedAt
@@ -146,12 +145,7 @@
 	if now := time.Now(); c.hasSent(inProgress) && !c.server.Upstreams.mayRetry(now, c.service.Name) {
 		return nil, deniedRetryBudget
 	}
-	maxDelay := c.maxPermitDelay()
-	if inProgress > 0 {
-		// The request still waits for another attempt.
-		maxDelay = 0
-	}
-	a = c.chooseAttempt(maxDelay, avoid...)
+	a = c.chooseAttempt(c.permitEffort(inProgress), avoid...)
 	if a.choice.Server.ID == "" {
 		return a, string(a.choice.Reason)
 	}
--- a/hornbeamd/gateway/crashes.go
+++ b/hornbeamd/gateway/crashes.go
@@ -72,7 +72,8 @@
 	quarantineRefreshInterval = time.Second
 	// maxPartsPerHeartbeat is the number of prompt parts that a heartbeat carries.
 	maxPartsPerHeartbeat = 6
-	// maxSuspectParts is the number of parts of one prompt that are tracked. Later parts are ignored.
+	// maxSuspectParts is the number of parts of one prompt that are tracked. Later parts are
+	// ignored.
 	maxSuspectParts = 64
 	// maxPartNameBytes is the length of the longest part ID that is kept for logs and reports.
 	maxPartNameBytes = 64
--- a/hornbeamd/gateway/crashes_test.go
+++ b/hornbeamd/gateway/crashes_test.go
@@ -54,8 +54,7 @@
 	}
 }
 
-// Guards against a request that crashes servers again because a router has started since, and
-// against a quarantine that restarts prolong.
+// Guards against a request that crashes servers again because a router has started since.
 func TestQuarantineOutlivesRestart(t *testing.T) {
 	c := qt.New(t)
 	now, request := time.Unix(1000, 0), suspect{fingerprint: "f"}
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -35,8 +35,8 @@
 	suspect suspect
 	// ctx ends at the deadline, or when the client disconnects.
 	ctx context.Context
-	// choice is that of the current attempt, or of the last one. current is nil while no attempt can
-	// send the client's response.
+	// choice is that of the current attempt, or of the last one. current is nil while no attempt
+	// can send the client's response.
 	choice  serverChoice
 	current *attempt
 	// standby is the attempt beside the current one.
@@ -47,8 +47,8 @@
 	mu sync.Mutex
 	// attempts is the number of attempts, including those in progress.
 	attempts int
-	// triedServers holds the IDs of the servers of failed attempts. sentAttempts counts the attempts
-	// that have ended and in which a server may have received a byte of the request.
+	// triedServers holds the IDs of the servers of failed attempts. sentAttempts counts the
+	// attempts that have ended and in which a server may have received a byte of the request.
 	triedServers []string
 	sentAttempts int
 	// dismissedServers holds the IDs of the servers of standbys that were not needed. They are used
@@ -58,7 +58,8 @@
 	mayHaveRun bool
 	// lastEventID is the ID of the last event that was sent to the client.
 	lastEventID string
-	// savedFailure is the latest failure response of a server, which is relayed if no retry succeeds.
+	// savedFailure is the latest failure response of a server, which is relayed if no retry
+	// succeeds.
 	savedFailure *bufferedResponse
 	permits      permitStats
 }
@@ -84,7 +85,7 @@
 	}
 	c.server.Upstreams.countRequest(c.receivedAt, c.service.Name)
 	defer c.standby.close()
-	a := c.chooseAttempt(c.maxPermitDelay())
+	a := c.chooseAttempt(c.permitEffort(0))
 	if a.choice.Server.ID == "" {
 		c.choice = a.choice
 		c.fail(string(a.choice.Reason))
--- a/hornbeamd/gateway/permits.go
+++ b/hornbeamd/gateway/permits.go
@@ -8,10 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
-	"hornbeamstep.example/hornbeamd/backend"
-	"hornbeamstep.example/routing/balance"
 	"hornbeamstep.example/routing/permit"
 	"hornbeamstep.example/routing/roster"
 )
@@ -23,13 +19,6 @@
 	// unansweredWait is how long the issuer of a server is not asked again after it has not
 	// answered. A lost router is replaced as the issuer within a few times this time.
 	unansweredWait = 100 * time.Millisecond
-	// maxPermitQuestions limits the servers whose issuers are asked for one attempt. After that, the
-	// attempt goes to a server without a rate limit or fails.
-	maxPermitQuestions = 4
-	// maxPermitDelay limits the time that an attempt waits for a permit if all servers are limited.
-	// It is shorter for routes with a shorter latency target, of which it may use permitDelayShare.
-	maxPermitDelay   = 250 * time.Millisecond
-	permitDelayShare = 0.5
 	// maxLimitsPerHeartbeat is the number of rate limits that a heartbeat carries.
 	maxLimitsPerHeartbeat = 24
 )
@@ -284,80 +273,3 @@
 	defer p.mu.Unlock()
 	return p.pacer.RetryAfter(now, service, wait, limitSum/float64(max(1, p.fleet.Size)), timeLeft)
 }
-
-// choosePermitted chooses a server for an attempt. If the server states a rate limit, the attempt
-// needs a permit, and if it gets none, another server is chosen. Only if no server takes the request
-// at once, it waits for a permit for up to maxDelay.
-func (a *attempt) choosePermitted(maxDelay time.Duration) {
-	c := a.request
-	for questions := 0; ; {
-		a.choice = c.server.Upstreams.chooseServer(time.Now(), a.query)
-		a.query.IsRepeated = true
-		if a.choice.Server.ID == "" {
-			if a.choice.Reason == balance.Limited && !a.query.AvoidLimited && a.query.MaxLimitWait < maxDelay {
-				a.query.MaxLimitWait = maxDelay
-				continue
-			}
-			return
-		}
-		a.query.Priority = a.choice.Priority
-		if !a.choice.IsLimited {
-			return
-		}
-		asked := time.Now()
-		ask := permit.Ask{Server: a.choice.Server.ID, Priority: a.query.Priority, MaxDelay: a.query.MaxLimitWait}
-		outcome := c.server.Permits.acquire(c.ctx, ask)
-		c.server.Metrics.countPermit(outcome)
-		now := time.Now()
-		c.recordPermit(outcome, now.Sub(asked))
-		if outcome == permitGranted {
-			return
-		}
-		c.server.Upstreams.recordEnd(now, a.choice.Server.ID, balance.Abandoned, 0)
-		questions++
-		a.query.AvoidLimited = questions >= maxPermitQuestions
-	}
-}
-
-// permitStats counts the permits that a request needed, for logs.
-type permitStats struct {
-	denied, unanswered int
-	// waited is the time that the request spent on permits.
-	waited time.Duration
-}
-
-func (c *clientRequest) recordPermit(outcome string, took time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch outcome {
-	case permitDenied:
-		c.permits.denied++
-	case permitUnanswered:
-		c.permits.unanswered++
-	}
-	c.permits.waited += took
-}
-
-// maxPermitDelay returns how long an attempt of the request may wait for a permit.
-func (c *clientRequest) maxPermitDelay() time.Duration {
-	if c.route.Target <= 0 {
-		return maxPermitDelay
-	}
-	return min(maxPermitDelay, time.Duration(permitDelayShare*float64(c.route.Target)))
-}
-
-// applyLimit records the rate limit that the chosen server states in a response, or that it no
-// longer states one. It logs a change.
-func (a *attempt) applyLimit(response *backend.Response) {
-	c, stated := a.request, response.Limit
-	// The response may be that of another server, or an unreadable one may hide a limit.
-	if response.Misdirected || stated.Unreadable || !stated.Stated && response.Attempt != c.metadata.Attempt {
-		return
-	}
-	now := time.Now()
-	if !c.server.Permits.observe(now, a.choice.Server.ID, permit.Limit{PerSecond: stated.PerSecond, Ended: !stated.Stated, At: now}) {
-		return
-	}
-	c.server.Log.Info("backend server changes its rate limit", zap.String("id", c.metadata.Attempt), zap.String("server", a.choice.Server.ID),
-		zap.Int64("born", a.choice.Server.Born), zap.Bool("limited", stated.Stated), zap.Float64("per_second", stated.PerSecond), zap.Int("status", response.Status))
-}
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -78,8 +78,8 @@
 	return u.Balancer.MarkLeaving(r.Leaving)
 }
 
-// UpdatePeerLoads updates the other routers' requests in progress by server ID, between two calls of
-// SetPeerReports.
+// UpdatePeerLoads updates the other routers' requests in progress by server ID, between two calls
+// of SetPeerReports.
 func (u *Upstreams) UpdatePeerLoads(load map[string]int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/hornbeamd/inspect/inspect.go
+++ b/hornbeamd/inspect/inspect.go
@@ -60,9 +60,9 @@
 	// its last answer to any router, as far as this router knows.
 	ContactAge      int64 `json:"contact_ms"`
 	FleetContactAge int64 `json:"newest_ms"`
-	// ServersEra and ServersRevision are the era and the revision of the list of backend servers; the
-	// era rises when the store is restored from a copy. RetainedServers is the number
-	// of servers that are still used although their entry is missing from the store.
+	// ServersEra and ServersRevision are the era and the revision of the list of backend servers;
+	// the era rises when the store is restored from a copy. RetainedServers is the number of
+	// servers that are still used although their entry is missing from the store.
 	ServersEra      int64 `json:"servers_era"`
 	ServersRevision int64 `json:"servers_revision"`
 	RetainedServers int   `json:"kept"`
--- a/routing/balance/affinity.go
+++ b/routing/balance/affinity.go
@@ -123,8 +123,8 @@
 
 // boundBySlots lowers the load limit to the server's number of slots, but not below mean+1, where
 // mean is that of the servers that are not at their rate limit. While it is below the number of
-// slots, other servers have free slots, and waiting for a slot takes longer than processing the prompt on
-// another server.
+// slots, other servers have free slots, and waiting for a slot takes longer than processing the
+// prompt on another server.
 func (e *entry) boundBySlots(limit, mean float64, req Request) float64 {
 	return min(limit, max(float64(max(1, req.Slots, e.Slots)), mean+1))
 }
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -140,8 +140,8 @@
 	// number over the servers of the service, or over those without a rate limit if that is higher.
 	Load int
 	Mean float64
-	// Priority is Request.Priority. It is one higher, which is less urgent, for the first attempt of
-	// a request whose client account surges while the service is busy.
+	// Priority is Request.Priority. It is one higher, which is less urgent, for the first attempt
+	// of a request whose client account surges while the service is busy.
 	Priority int
 	// Candidates is the number of servers that could take the request.
 	Candidates int
--- a/routing/balance/limits_test.go
+++ b/routing/balance/limits_test.go
@@ -25,8 +25,7 @@
 // Wait implements balance.RateLimits.
 func (f fakeLimits) Wait(_ time.Time, server string, _ int) time.Duration { return f.waits[server] }
 
-// Guards against a request to a server that is at its rate limit, and against one that is rejected
-// although another server takes it.
+// Guards against requests to a server at its limit, and rejections although another has room.
 func TestRateLimits(t *testing.T) {
 	const second = time.Second
 	for name, test := range map[string]struct {
@@ -77,8 +76,7 @@
 	}
 }
 
-// Guards against prompts that are computed on several servers because each limited server gets only
-// a part of the requests with each of its prompts.
+// Guards against prompts that are computed on several servers because one of them is limited.
 func TestLimitedServersGetFewerPrompts(t *testing.T) {
 	c := qt.New(t)
 	const perSecond, limit, prompts = 90, 4.0, 900
@@ -122,8 +120,7 @@
 	c.Check(homes(now), qt.DeepEquals, before)
 }
 
-// Guards against servers without a limit that are overloaded because the limited ones use their
-// limits for short requests.
+// Guards against unlimited servers that are overloaded while limited ones run short requests.
 func TestLimitedServersGetCostlyRequests(t *testing.T) {
 	c := qt.New(t)
 	const perSecond, limit = 90, 4.0
--- a/routing/balance/simulation_test.go
+++ b/routing/balance/simulation_test.go
@@ -394,9 +394,9 @@
 }
 
 // Guards against servers of a hot prompt above the load limit of 2 times the mean plus 3 in a large
-// pool, where the limit is a few requests: 75 routers, 140 servers, load reports that are 600 ms old,
-// and a tenth to a third of the requests with the same prompt. The platform allows 3 in 100 requests
-// above the limit.
+// pool, where the limit is a few requests: 75 routers, 140 servers, load reports that are 600 ms
+// old, and a tenth to a third of the requests with the same prompt. The platform allows 3 in 100
+// requests above the limit.
 func TestHotPromptInLargePool(t *testing.T) {
 	skipKnownRed(t)
 	for name, hotShare := range map[string]float64{"a tenth": 0.1, "a fifth": 0.2, "a third": 0.33} {
--- a/routing/balance/weights.go
+++ b/routing/balance/weights.go
@@ -16,8 +16,8 @@
 	// usableLimitShare is the part of a server's rate limit for which prompts are assigned to it.
 	// The rest is room for the variation of their rate.
 	usableLimitShare = 0.85
-	// weightTolerance is the relative change up to which a weight stays, because the estimated demand
-	// varies.
+	// weightTolerance is the relative change up to which a weight stays, because the estimated
+	// demand varies.
 	weightTolerance = 0.2
 )
 
@@ -28,8 +28,8 @@
 	// ownLoad and totalLoad are moving averages of the requests in progress from this router and
 	// from all routers.
 	ownLoad, totalLoad float64
-	// costs holds the costs of this router's latest requests, and next the index that is overwritten
-	// next.
+	// costs holds the costs of this router's latest requests, and next the index that is
+	// overwritten next.
 	costs []float64
 	next  int
 }
@@ -77,10 +77,10 @@
 	return own * d.totalLoad / d.ownLoad
 }
 
-// updateWeights sets the weights by which prompts are assigned to the servers of a service. A server
-// whose rate limit is below its part of the demand gets a smaller part of the prompts, and keeps
-// all requests with these. Without weights, it would get a part of the requests with each of its
-// prompts, and each prompt would be computed on several servers.
+// updateWeights sets the weights by which prompts are assigned to the servers of a service. A
+// server whose rate limit is below its part of the demand gets a smaller part of the prompts, and
+// keeps all requests with these. Without weights, it would get a part of the requests with each of
+// its prompts, and each prompt would be computed on several servers.
 //
 // The weight of such a server is proportional to the cost of a request: its limit counts requests,
 // however long they take, so the others have the less to do the more costly these are.
--- a/routing/metadata/metadata.go
+++ b/routing/metadata/metadata.go
@@ -74,8 +74,8 @@
 	IdleTimeout time.Duration
 	// Leaving is true if the server states that it is shutting down and takes no new requests.
 	Leaving bool
-	// RetryAfter is how long the server wants no further requests from this router; 0 if it does not
-	// say.
+	// RetryAfter is how long the server wants no further requests from this router; 0 if it does
+	// not say.
 	RetryAfter time.Duration
 	// Limit is the rate limit that the server states.
 	Limit RateLimit
--- a/routing/permit/ledger.go
+++ b/routing/permit/ledger.go
@@ -32,8 +32,8 @@
 	// refreshInterval is the time between two announcements of a limit that has not changed, for
 	// routers that have started or were cut off since.
 	refreshInterval = time.Second
-	// endedTTL is how long the end of a limit is remembered, so that outdated reports do not restore
-	// the limit.
+	// endedTTL is how long the end of a limit is remembered, so that outdated reports do not
+	// restore the limit.
 	endedTTL = 30 * time.Second
 	// confirmInterval is how much later a report must be to count as a confirmation. The time in a
 	// report grows by the transmission delay each time it is passed on.
@@ -50,8 +50,8 @@
 
 type ledgerEntry struct {
 	Limit
-	// changedAt is when the limit last changed, and sentAt when it was last announced. isOwn is true
-	// if this router has received the response that changed it.
+	// changedAt is when the limit last changed, and sentAt when it was last announced. isOwn is
+	// true if this router has received the response that changed it.
 	changedAt, sentAt time.Time
 	isOwn             bool
 }
--- a/routing/permit/ledger_test.go
+++ b/routing/permit/ledger_test.go
@@ -74,8 +74,7 @@
 	}
 }
 
-// Guards against a router that starts late and never learns of a limit, and against routers that
-// announce a change to each other forever.
+// Guards against a router that never learns of a limit, and against endless announcements.
 func TestLedgerAnnouncements(t *testing.T) {
 	c := qt.New(t)
 	l := newLedger()
--- a/routing/permit/permit_test.go
+++ b/routing/permit/permit_test.go
@@ -28,8 +28,7 @@
 	c.Assert(permit.IssuerOf("s0", nil), qt.Equals, "")
 }
 
-// Guards against permits that were saved under an earlier limit, and against a new issuer that
-// starts with a burst.
+// Guards against permits saved under an earlier limit, and a new issuer that starts with a burst.
 func TestIssuerChangesOfLimit(t *testing.T) {
 	c := qt.New(t)
 	issuer, now := permit.NewIssuer(), start
@@ -51,8 +50,7 @@
 	c.Assert(answer.Wait > 0 && answer.Wait <= 4*time.Second, qt.IsTrue, qt.Commentf("%v", answer))
 }
 
-// Guards against a request that waits although it may not, and against waiting requests that are
-// sent sooner than the limit allows.
+// Guards against requests that wait although they may not, or are sent before their time.
 func TestIssuerDelays(t *testing.T) {
 	c := qt.New(t)
 	issuer := permit.NewIssuer()
@@ -73,8 +71,7 @@
 	c.Assert(d.Wait(start, "other", 3), qt.Equals, time.Duration(0))
 }
 
-// Guards against callers that are all told to come back at the same time, and against callers that
-// are told a late time because of others that can't come back.
+// Guards against callers who are all told to come back at the same time.
 func TestPacer(t *testing.T) {
 	c := qt.New(t)
 	p := permit.NewPacer()
--- a/routing/permit/simulation_test.go
+++ b/routing/permit/simulation_test.go
@@ -111,8 +111,7 @@
 	return busiest
 }
 
-// Guards against routers that together exceed the limit of a server, which allows one and a half
-// times the limit and five requests in any four seconds, and against limits that are not used.
+// Guards against routers that together exceed the limit of a server, and against unused limits.
 func TestFleetKeepsLimits(t *testing.T) {
 	const window, d = 4 * time.Second, 30 * time.Second
 	all := func(n int) []string {
@@ -128,8 +127,8 @@
 	}
 	for name, test := range map[string]struct {
 		fleet
-		// minServed is the least part of the requests that must be served, or of what the servers take
-		// if that is less.
+		// minServed is the least part of the requests that must be served, or of what the servers
+		// take if that is less.
 		minServed float64
 	}{
 		"more than they take":             {fleet{routers: 8, servers: 3, limit: 5, demand: []float64{30}, view: agreed(8)}, 0.9},
--- a/routing/quarantine/quarantine.go
+++ b/routing/quarantine/quarantine.go
@@ -11,7 +11,8 @@
 
 // Settings configures a Tracker.
 type Settings struct {
-	// CrashLimit is the number of engine crashes after which a fingerprint is quarantined; at least 1.
+	// CrashLimit is the number of engine crashes after which a fingerprint is quarantined; at least
+	// 1.
 	CrashLimit int
 	// SuspectTTL is how long a suspect is retained, and QuarantineTTL how long a quarantine lasts.
 	SuspectTTL, QuarantineTTL time.Duration
