test(soak): backend servers that state a rate limit

Half of the runs have an event in which one server, or all of its service, states a limit of 3 requests per second for 8 to 11 s, beside the other events. From 3 s on, no 4 s may have more than 23 arrivals at it, from routers that were neither disrupted nor restarted since.

TestCheck has an exceeded limit and its three excuses.

--- a/hornbeambench/soak/checks_test.go
+++ b/hornbeambench/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -60,6 +61,20 @@
 	}
 }
 
+// exceedLimit makes more requests run on a limited server than it takes.
+func (o *observations) exceedLimit() {
+	o.limitations = []limitation{{Server: "plain-2", From: at(5), To: at(15)}}
+	for i := range maxArrivalsInWindow + 1 {
+		attempt := fmt.Sprint("limited-", i)
+		r := o.requests[0]
+		r.Attempt, r.Signature = attempt, standin.Signature("plain-2", attempt)
+		o.requests = append(o.requests, r)
+		serverRun := o.runs["a"][0]
+		serverRun.Attempt = attempt
+		o.runs[attempt] = []run{serverRun}
+	}
+}
+
 // Guards against a soak that does not detect a violation, and against one that reports a violation
 // although a disruption explains it.
 func TestCheck(t *testing.T) {
@@ -96,6 +111,19 @@
 			o.changeRequest("late", func(r *request) { r.Status = 503 })
 			delete(o.runs, "late")
 		}, "service returns"},
+		"limit exceeded": {func(o *observations) { o.exceedLimit() }, "servers get no more requests than the limit that they state"},
+		"limit exceeded, router restarted": {func(o *observations) {
+			o.exceedLimit()
+			o.disruptions = append(o.disruptions, disruption{Kind: stopRouter, Router: "r0", Planned: true, From: at(6), To: at(7)})
+		}, ""},
+		"limit exceeded, server killed": {func(o *observations) {
+			o.exceedLimit()
+			o.disruptions = append(o.disruptions, disruption{Kind: killServer, Server: "plain-2", From: at(4), To: at(6)})
+		}, ""},
+		"limit exceeded too early": {func(o *observations) {
+			o.exceedLimit()
+			o.limitations[0].From = at(10)
+		}, ""},
 		"request after a leaving notice": {func(o *observations) {
 			o.changeRequest("a", func(r *request) { r.Leaving = true })
 		}, "servers that say that they leave get no new requests"},
@@ -256,11 +284,11 @@
 		c.Assert(events, qt.DeepEquals, randomEvents(seed, 12*time.Second))
 		for i, e := range events {
 			seen[e.Kind] = true
-			c.Assert(e.At >= 0 && e.At <= 12*time.Second && e.Duration <= faultDurationRange+time.Second, qt.IsTrue)
+			c.Assert(e.At >= 0 && e.At <= 12*time.Second && e.Duration <= max(faultDurationRange+time.Second, minLimitTime+limitTimeRange), qt.IsTrue)
 			c.Assert(i == 0 || events[i-1].At <= e.At, qt.IsTrue)
 		}
 	}
-	for _, k := range slices.Concat(eventKinds, laterKinds, []eventKind{silenceServer}) {
+	for _, k := range slices.Concat(eventKinds, laterKinds, []eventKind{silenceServer, limitServers}) {
 		c.Assert(seen[k], qt.IsTrue, qt.Commentf("%s", k))
 	}
 }
--- a/hornbeambench/soak/child.go
+++ b/hornbeambench/soak/child.go
@@ -104,6 +104,10 @@
 	Fault      standin.Fault
 	RetryAfter string
 	Leaving    bool
+	// ChangesLimit is true if Limit replaces the rate limit that a backend server states. The fault
+	// and the headers of rejections then stay as they are.
+	ChangesLimit bool
+	Limit        string
 	// Silence is the time for which a backend server sends no data. If it is set, the fault and the
 	// headers of the server stay as they are.
 	Silence time.Duration
@@ -204,6 +208,10 @@
 			s.SetSilence(i.Silence)
 			return nil
 		}
+		if i.ChangesLimit {
+			s.SetLimit(i.Limit)
+			return nil
+		}
 		s.SetRetryAfter(i.RetryAfter)
 		s.SetLeaving(i.Leaving)
 		s.SetFault(i.Fault)
--- a/hornbeambench/soak/events.go
+++ b/hornbeambench/soak/events.go
@@ -47,6 +47,8 @@
 	putMalformedEntry eventKind = "foreign entry"
 	// silenceServer makes one or two sound backend servers send no data for about a second.
 	silenceServer eventKind = "server silent and sound"
+	// limitServers makes sound backend servers state a rate limit.
+	limitServers eventKind = "servers limited"
 	// changeTimeouts changes the timeouts in the configuration. It only occurs beside a silence.
 	changeTimeouts eventKind = "change timeouts"
 )
@@ -65,10 +67,11 @@
 var laterKinds = []eventKind{restoreStore, announceLeaving, rejectForTime}
 
 // maxLaterEvents is the maximum number of events of laterKinds in a run. A run has 1 to maxSilences
-// events of silenceServer.
+// events of silenceServer, and one of limitOdds runs has an event of limitServers.
 const (
 	maxLaterEvents = 3
 	maxSilences    = 3
+	limitOdds      = 2
 )
 
 // event is one fault or one piece of planned work.
@@ -126,6 +129,13 @@
 			Target: silences.IntN(1 << 16), Variant: silences.IntN(1 << 16),
 		})
 	}
+	limits := rand.New(rand.NewPCG(seed, 3))
+	if limits.IntN(limitOdds) == 0 {
+		events = append(events, event{
+			Kind: limitServers, At: randomDuration(limits, window/2), Duration: minLimitTime + randomDuration(limits, limitTimeRange),
+			Target: limits.IntN(1 << 16), Variant: limits.IntN(1 << 16),
+		})
+	}
 	slices.SortFunc(events, func(a, b event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
--- a/hornbeambench/soak/inject.go
+++ b/hornbeambench/soak/inject.go
@@ -68,6 +68,8 @@
 		return tb.writeConfig()
 	case silenceServer:
 		return tb.silenceServers(ctx, e)
+	case limitServers:
+		return tb.limitServers(ctx, e)
 	case putMalformedEntry:
 		tb.mu.Lock()
 		defer tb.mu.Unlock()
--- a/hornbeambench/soak/observations.go
+++ b/hornbeambench/soak/observations.go
@@ -22,6 +22,8 @@
 	drains []drain
 	// disruptions holds all injected faults, planned work and stalls of the machine.
 	disruptions []disruption
+	// limitations holds the periods in which backend servers stated a rate limit.
+	limitations []limitation
 	// rejections holds the requests that backend servers rejected with a retry delay.
 	rejections []rejection
 	// exits holds the IDs of the routers that exited unexpectedly.
