fix(routing): the queue of a server without a limit is bounded while others are limited

Cause: shedding goes by the delays of responses of the whole service. Those of limited servers start at once and hide the queue of the others, and in such a queue no response of a priority may start at a router for a second, after which its delays are ignored.

While a server of the service is limited, a first attempt is rejected if its expected wait exceeds the part of its latency target that a queue may take. Nothing changes where no server is limited.

Evidence: TestQueueBesideLimitedServers failed before (least_load, full wanted).

--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -359,9 +359,13 @@
 	c.Wait = p.expectedWait(e, req.Slots)
 	c.IsLimited = b.isLimited(e)
 	shed := b.shouldShed(now, p, req, c.Mean, c.Wait)
-	if c.IsLimited && c.Wait == 0 {
+	switch {
+	case c.IsLimited && c.Wait == 0:
 		// Its rate limit keeps the server from overload, whatever the load of the others.
 		shed = false
+	case b.hasLimited(p):
+		// The delays at limited servers hide the queues of the others from shouldShed.
+		shed = shed || req.LatencyTarget > 0 && c.Wait.Seconds() > targetQueueFraction*req.LatencyTarget.Seconds()
 	}
 	if req.TimeLeft > 0 && c.Wait+p.meanDuration > req.TimeLeft || shed {
 		c.Reason = Full
@@ -407,6 +411,9 @@
 	return float64(total) / float64(max(1, len(entries)))
 }
 
+// hasLimited reports whether a server of a service states a rate limit.
+func (b *Balancer) hasLimited(p *pool) bool { return slices.ContainsFunc(p.entries, b.isLimited) }
+
 // isLimited reports whether a server states a rate limit.
 func (b *Balancer) isLimited(e *entry) bool {
 	_, limited := b.RateLimits.Limit(e.ID)
--- a/routing/balance/limits_test.go
+++ b/routing/balance/limits_test.go
@@ -149,3 +149,28 @@
 	c.Check(rate > limit/2 && rate < limit*1.2, qt.IsTrue, qt.Commentf("a limited server gets %.2f requests/s", rate))
 	c.Check(costly > 3*cheap, qt.IsTrue, qt.Commentf("%d costly requests, %d others", costly, cheap))
 }
+
+// Guards against a queue at an unlimited server that grows because limited ones respond in time.
+func TestQueueBesideLimitedServers(t *testing.T) {
+	for name, test := range map[string]struct {
+		limits fakeLimits
+		load   int
+		want   balance.Reason
+	}{
+		"short queue": {fakeLimits{map[string]float64{"s0": 1, "s1": 1}, map[string]time.Duration{"s0": time.Second, "s1": time.Second}}, 10, balance.LeastLoad},
+		"long queue":  {fakeLimits{map[string]float64{"s0": 1, "s1": 1}, map[string]time.Duration{"s0": time.Second, "s1": time.Second}}, 24, balance.Full},
+		"no limits":   {fakeLimits{}, 24, balance.LeastLoad},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(3, 8)
+			b.RateLimits = test.limits
+			b.Start(start, "s2")
+			b.Finish(start, "s2", balance.Answered, 100*time.Millisecond)
+			for range test.load {
+				b.Start(start, "s2")
+			}
+			request := balance.Request{Service: "pool", LatencyTarget: 100 * time.Millisecond, TimeLeft: time.Minute}
+			qt.Assert(t, b.Choose(start, request).Reason, qt.Equals, test.want)
+		})
+	}
+}
