feat(gateway): logs show the software version of a server and the stream that a request resumes

The lines of attempts and requests now have `version` and `resumes`; the version is decoded into roster.Server, and `Resumes` by platform/headers. TestServer of platform/registry compares whole servers, so it now expects the version of the entry too. No decision changes. The stand-in registers a version, and its callers can resume streams.

--- a/hornbeambench/soak/testbed.go
+++ b/hornbeambench/soak/testbed.go
@@ -207,7 +207,7 @@
 
 // entry returns the server's entry in the store as JSON.
 func (s *server) entry(state string) string {
-	return standin.Entry(s.service, s.proxy.address(), "z1", state)
+	return standin.Entry(s.service, s.proxy.address(), "z1", standin.DefaultVersion, state)
 }
 
 // startServer starts or restarts the process of a server and sets it as the target of the proxy.
--- a/routing/metadata/metadata.go
+++ b/routing/metadata/metadata.go
@@ -24,6 +24,9 @@
 	// LastEventID is the ID of the last event that the caller has received; empty at the start of a
 	// stream.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of the stream that the request
+	// resumes; empty if the caller does not say.
+	Resumes string
 }
 
 // Forward is the metadata that the router adds when it forwards a request to a backend server.
--- a/routing/roster/roster.go
+++ b/routing/roster/roster.go
@@ -18,6 +18,8 @@
 	// Address is ip:port. Another server may use the same address after this one is gone.
 	Address string
 	Zone    string
+	// Version is the version of the server's software. Versions have no order.
+	Version string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
 	// Leaving is true for draining servers, which take no new requests.
