--- a/hornbeamd/edge/edge_test.go
+++ b/hornbeamd/edge/edge_test.go
@@ -195,10 +195,7 @@
 
 // sendRequest sends a request with a unique attempt ID.
 func (p *testPlatform) sendRequest(request standin.Request) standin.Response {
-	p.mu.Lock()
-	p.attempt++
-	request.Attempt = fmt.Sprintf("%016x", p.attempt)
-	p.mu.Unlock()
+	request.Attempt = p.nextAttempt()
 	response, err := standin.Do(context.Background(), request)
 	if err != nil {
 		return standin.Response{Err: err}
@@ -206,6 +203,14 @@
 	return response
 }
 
+// nextAttempt returns a unique attempt ID.
+func (p *testPlatform) nextAttempt() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.attempt++
+	return fmt.Sprintf("%016x", p.attempt)
+}
+
 // setFault injects a fault into the backend servers whose ID has a prefix.
 func (p *testPlatform) setFault(prefix string, fault standin.Fault) {
 	for id, s := range p.servers {
--- a/hornbeamd/gateway/standby_test.go
+++ b/hornbeamd/gateway/standby_test.go
@@ -38,6 +38,8 @@
 	attempts int
 	// timeout is that of the routes, target the latency target of those with streams.
 	timeout, target time.Duration
+	// versions holds the software versions of the servers; empty if they have the same one.
+	versions []string
 }
 
 // unlimited allows any number of retries.
@@ -54,6 +56,10 @@
 	assigned := map[int]http.HandlerFunc{}
 	var servers []roster.Server
 	for i := range handlers {
+		version := ""
+		if len(with.versions) > 0 {
+			version = with.versions[i]
+		}
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			// The server notices that its client disconnects only after it has read the body.
 			io.Copy(io.Discard, r.Body)
@@ -69,7 +75,7 @@
 		}))
 		c.Cleanup(server.Close)
 		servers = append(servers, roster.Server{
-			ID: fmt.Sprint("s", i), Service: "pool", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8, Born: 1,
+			ID: fmt.Sprint("s", i), Service: "pool", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 8, Born: 1, Version: version,
 		})
 	}
 	upstreams.SetServers(servers, roster.Revision{Number: 1})
