fix(gateway): a stream goes on only at the software version that began it

Cause: the version of a server was decoded and used nowhere, and `Resumes` was not read. The home of a prompt, a retry and a standby could be of any version. Class: what has to hold over several attempts of a request was decided for each attempt alone, and what one router knows was lost with it.

Change: routing/origin (pure) decides at which build of a service a stream may go on. Before a router relays the first event of a stream that may be resumed, it tells three other routers, in different availability zones as far as possible, which build began it. A router at which a client resumes the stream asks the likely holders. Without a record the stream goes on only if its service had a single build while it may have begun; otherwise it is rejected at once (`unknown_version`, `version_gone`). Retries, standbys and the choice of the balancer are restricted to the version; a standby of another version can't follow events of the current attempt. Caches of prompts are fetched from servers of the same version only. Resumed streams are not shed, as a server has already worked for them. Messages between routers have format 20; TestHostileDatagrams names the format and the number of fields, and was changed with them.

Evidence: TestResumedStreamKeepsVersion and TestStreamKeepsVersionWithinResponse failed before and pass; they leave KNOWN-RED.

--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -25,8 +25,16 @@
 	// messages answer that. They hold no records and are not passed to State.
 	PermitRequest
 	PermitAnswer
+	// OriginRecord messages tell which build began a stream. OriginQuestion messages ask for that,
+	// and OriginAnswer messages answer. They are not passed to State either.
+	OriginRecord
+	OriginQuestion
+	OriginAnswer
 )
 
+// LastKind is the kind with the highest number.
+const LastKind = OriginAnswer
+
 // Message is a message from one router to others.
 type Message struct {
 	Kind Kind
@@ -44,6 +52,8 @@
 	Wanted []MemberKey
 	// Permit is set in PermitRequest and PermitAnswer messages only.
 	Permit *Permit
+	// Origin is set in OriginRecord, OriginQuestion and OriginAnswer messages only.
+	Origin *StreamOrigin
 }
 
 // AgedRecord is a record in a message, with its age.
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -143,6 +143,7 @@
 	reports := c.presence.OtherReports(now, c.self)
 	issuers, lost := c.presence.PermitIssuers(now, c.isReady())
 	c.gateway.Permits.SetFleet(gateway.Fleet{Issuers: issuers, Lost: lost, Size: c.presence.FleetSize()})
+	c.gateway.Origins.SetRouters(c.originRouters(now))
 	leaving := c.upstreams.SetPeerReports(now, gateway.PeerReports{
 		Load: loadsByServerID(c.roster.Servers(), reports.Loads), Down: reports.Down, Leaving: reports.Leaving,
 	}, c.presence.FleetSize(), c.presence.Interval())
@@ -270,7 +271,7 @@
 		}
 		return
 	}
-	if c.handlePermit(now, m, source) {
+	if c.handlePermit(now, m, source) || c.handleOrigin(now, m, source) {
 		return
 	}
 	joined, introduce := c.presence.Receive(now, m)
@@ -383,6 +384,7 @@
 func (c *controlLoop) publishServers() {
 	c.upstreams.SetServers(c.roster.Servers(), c.roster.Revision())
 	c.gateway.Permits.SetServers(c.roster.Servers())
+	c.gateway.Origins.SetServers(time.Now(), c.roster.Servers())
 	c.serverIDs = serverIDsByKey(c.roster.Servers())
 	r := c.roster.Snapshot()
 	c.serverSnapshot.Store(&r)
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -115,7 +115,7 @@
 		Limits:   gateway.RetryLimits{Share: s.RetryRatio, Extra: s.RetrySlack, Window: s.RetryWindow},
 	}
 	e.gateway = &gateway.Server{
-		Codec: codec, Upstreams: upstreams, Crashes: gateway.NewCrashTracker(), Permits: permits, Zone: s.Zone, Log: e.Log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
+		Codec: codec, Upstreams: upstreams, Crashes: gateway.NewCrashTracker(), Permits: permits, Origins: gateway.NewOrigins(), Zone: s.Zone, Log: e.Log.Named("gateway"), Metrics: gateway.NewMetrics(e.registry),
 		Pool: &backend.Pool{Codec: codec, DialTimeout: backend.DefaultDialTimeout, OnConnect: e.connectionCounter()},
 	}
 	e.gateway.Crashes.Log, e.gateway.Crashes.Metrics = e.gateway.Log, gateway.NewCrashMetrics(e.registry)
@@ -137,6 +137,7 @@
 	permits.Send = func(address string, q gateway.PermitQuestion) {
 		e.mesh.Send(permitRequest(time.Now(), s.Name, address, q))
 	}
+	e.gateway.Origins.Transport = originTransport{s.Name, e.mesh}
 	e.store = metastore.New(s.Store, storeTimeout, watchMargin)
 	e.store.Count = e.storeCounter()
 }
--- a/hornbeamd/edge/hostile_test.go
+++ b/hornbeamd/edge/hostile_test.go
@@ -39,7 +39,7 @@
 }
 
 // formatVersion is that of the heartbeats of this release; see package mesh.
-const formatVersion = 19
+const formatVersion = 20
 
 // hostileDatagrams returns datagrams that no router sends, by the fault that they aim at.
 func hostileDatagrams(c *qt.C, p *testPlatform) map[string][]byte {
@@ -59,7 +59,7 @@
 		[]any{[]any{uint64(7), true, []any{1, 0, false, 2, 0, false, 3, 0, false}}},
 		[]any{7, 0, 0},
 		[]any{"z1", "r", peer, peer, peer, 0.4},
-	}}, []any{}, nil, []any{}, nil}
+	}}, []any{}, nil, []any{}, nil, nil}
 	whole := encode(forged)
 	return map[string][]byte{
 		"truncated":        whole[:len(whole)/2],
@@ -70,7 +70,7 @@
 		"earlier version":  encode([]any{0, "router-0", []any{}, []any{}}),
 		"forged record":    whole,
 		"not a message":    []byte("GET / HTTP/1.1\r\n\r\n"),
-		"negative numbers": encode([]any{formatVersion, -1, "router-0", []any{}, []any{}, nil, []any{}, nil}),
+		"negative numbers": encode([]any{formatVersion, -1, "router-0", []any{}, []any{}, nil, []any{}, nil, nil}),
 		"empty":            {},
 	}
 }
--- a/hornbeamd/edge/version_test.go
+++ b/hornbeamd/edge/version_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -83,9 +82,6 @@
 // Guards against a stream that a caller resumes at another router after the first one was killed,
 // and that goes on at another software version than the one that began it.
 func TestResumedStreamKeepsVersion(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("listed in KNOWN-RED.txt; set KNOWN_RED=1 to run it")
-	}
 	c := qt.New(t)
 	p := newTestPlatform(c, 4)
 	p.addPoolServers("v1", "v2", "v1.1")
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -65,6 +65,8 @@
 	// start of the attempt.
 	events   int
 	lastData time.Time
+	// claimed is true once events of the attempt may be sent to the client; see claimStream.
+	claimed bool
 }
 
 // readResult is the first event of a stream, or the response that is not a stream, with the error
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -58,6 +58,10 @@
 	mayHaveRun bool
 	// lastEventID is the ID of the last event that was sent to the client.
 	lastEventID string
+	// version is the software version at which the client's stream began, and at which alone it may
+	// go on; set if hasVersion is true.
+	version    string
+	hasVersion bool
 	// savedFailure is the latest failure response of a server, which is relayed if no retry
 	// succeeds.
 	savedFailure *bufferedResponse
@@ -83,6 +87,10 @@
 		c.reject(&rejection{http.StatusServiceUnavailable, reason, quarantinedRetryAfter})
 		return
 	}
+	if rejected := c.resolveOrigin(); rejected != nil {
+		c.reject(rejected)
+		return
+	}
 	c.server.Upstreams.countRequest(c.receivedAt, c.service.Name)
 	defer c.standby.close()
 	a := c.chooseAttempt(c.permitEffort(0))
@@ -133,12 +141,13 @@
 func (c *clientRequest) buildQuery(now time.Time, avoid ...string) balance.Request {
 	c.mu.Lock()
 	avoid = append(avoid, c.triedServers...)
+	version := c.version
 	c.mu.Unlock()
 	query := balance.Request{
-		Service: c.service.Name, Zone: c.server.Zone, Avoid: avoid, Slots: c.service.Slots, Draw: c.server.Upstreams.RandomFraction(),
+		Service: c.service.Name, Version: version, Zone: c.server.Zone, Avoid: avoid, Slots: c.service.Slots, Draw: c.server.Upstreams.RandomFraction(),
 		Priority: c.priority, Account: c.account,
 	}
-	if len(avoid) == 0 {
+	if len(avoid) == 0 && !c.isResumed() {
 		// The balancer sheds only requests with a latency target. Retries and resumed streams have
 		// none, because a server has already done work for them.
 		query.LatencyTarget = c.route.Target
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -44,6 +44,7 @@
 	Upstreams *Upstreams
 	Crashes   *CrashTracker
 	Permits   *Permits
+	Origins   *Origins
 	// Zone is the availability zone of the router.
 	Zone    string
 	Log     *zap.Logger
--- /dev/null
+++ b/hornbeamd/gateway/origins.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"hornbeamstep.example/routing/origin"
+	"hornbeamstep.example/routing/roster"
+	"hornbeamstep.example/routing/routes"
+)
+
+const (
+	// originRounds is the number of times that other routers are asked for the origin of a stream
+	// while it is unknown, because datagrams may be lost. originTimeout limits the wait for the
+	// answers of each round.
+	originRounds  = 2
+	originTimeout = 50 * time.Millisecond
+	// defaultStreamTimeout is how long a stream may last if its route has no timeout.
+	defaultStreamTimeout = 30 * time.Second
+)
+
+// OriginTransport sends messages to routers with the given heartbeat addresses. It must not block.
+type OriginTransport interface {
+	// SendOrigin tells routers which build began a stream. It returns once the message is sent, so
+	// that the message arrives even if this router is killed after that.
+	SendOrigin(to []string, stream origin.Stream, build origin.Build)
+	// AskOrigin asks routers for the build that began a stream.
+	AskOrigin(to []string, q origin.Question)
+}
+
+// Origins knows at which build each stream began, together with the other routers. It is safe for
+// concurrent use. Transport must be set before first use; without one there are no other routers.
+type Origins struct {
+	Transport OriginTransport
+
+	mu      sync.Mutex
+	ledger  *origin.Ledger
+	routers []origin.Router
+	// pending holds the answers to the questions that are open, by their number.
+	pending    map[uint32]chan origin.Answer
+	lastNumber uint32
+}
+
+// NewOrigins returns an Origins that knows no streams and no other routers.
+func NewOrigins() *Origins {
+	return &Origins{ledger: origin.NewLedger(), pending: map[uint32]chan origin.Answer{}}
+}
+
+// SetServers replaces the list of backend servers.
+func (o *Origins) SetServers(now time.Time, servers []roster.Server) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ledger.SetServers(now, servers)
+}
+
+// SetRouters replaces the other routers.
+func (o *Origins) SetRouters(routers []origin.Router) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.routers = routers
+}
+
+// Merge records the origin of a stream that another router has told.
+func (o *Origins) Merge(now time.Time, stream origin.Stream, build origin.Build) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ledger.Record(now, stream, build)
+}
+
+// AnswerQuestion answers the question of another router.
+func (o *Origins) AnswerQuestion(now time.Time, q origin.Question) origin.Answer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ledger.Answer(now, q)
+}
+
+// HandleAnswer passes the answer of a router to the request that waits for it. An answer that
+// arrives too late is dropped.
+func (o *Origins) HandleAnswer(number uint32, answer origin.Answer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case o.pending[number] <- answer:
+	default:
+	}
+}
+
+// record remembers the build that began a stream and tells the holders.
+func (o *Origins) record(now time.Time, stream origin.Stream, build origin.Build) {
+	o.mu.Lock()
+	o.ledger.Record(now, stream, build)
+	to := addressesOf(origin.HoldersOf(stream, o.routers))
+	o.mu.Unlock()
+	if len(to) > 0 {
+		o.Transport.SendOrigin(to, stream, build)
+	}
+}
+
+// find returns the build at which a stream may go on. It asks other routers unless this router has
+// a record. isNamed is false if the client does not say which stream it resumes, so that no router
+// can have a record.
+func (o *Origins) find(ctx context.Context, q origin.Question, isNamed bool) (origin.Build, origin.Source) {
+	o.mu.Lock()
+	inquiry := o.ledger.Inquire(time.Now(), q)
+	to := addressesOf(origin.CandidatesOf(q.Stream, o.routers))
+	o.mu.Unlock()
+	for round := range originRounds {
+		if len(to) == 0 || inquiry.HasRecord() || inquiry.HasResult() && (round > 0 || !isNamed) {
+			break
+		}
+		inquiry = o.ask(ctx, inquiry, to)
+	}
+	return inquiry.Result()
+}
+
+// ask sends the question of an inquiry, and returns the inquiry with the answers.
+func (o *Origins) ask(ctx context.Context, inquiry origin.Inquiry, to []string) origin.Inquiry {
+	answers := make(chan origin.Answer, len(to))
+	o.mu.Lock()
+	o.lastNumber++
+	inquiry.Number = o.lastNumber
+	o.pending[inquiry.Number] = answers
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.pending, inquiry.Number)
+	}()
+	o.Transport.AskOrigin(to, inquiry.Question)
+	timeout := time.NewTimer(originTimeout)
+	defer timeout.Stop()
+	for range to {
+		select {
+		case a := <-answers:
+			inquiry = inquiry.WithAnswer(a)
+		case <-timeout.C:
+			return inquiry
+		case <-ctx.Done():
+			return inquiry
+		}
+		if inquiry.HasRecord() {
+			break
+		}
+	}
+	return inquiry
+}
+
+// version returns the service and the version of a build that a listed server has.
+func (o *Origins) version(build origin.Build) (service, version string, found bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ledger.Version(build)
+}
+
+func addressesOf(routers []origin.Router) []string {
+	out := make([]string, len(routers))
+	for i, r := range routers {
+		out[i] = r.Address
+	}
+	return out
+}
+
+// Outcomes of requests that resume a stream which can't go on.
+const (
+	// unknownOrigin means that no router that could be reached knows which version began the
+	// stream.
+	unknownOrigin = "unknown_version"
+	// versionGone means that no server of the version that began the stream is listed.
+	versionGone = "version_gone"
+)
+
+// isResumed reports whether the client resumes a stream of an earlier request.
+func (c *clientRequest) isResumed() bool {
+	return c.route.Kind == routes.Streaming && (c.metadata.LastEventID != "" || c.metadata.Resumes != "")
+}
+
+// stream identifies the stream that the request begins or resumes.
+func (c *clientRequest) stream() origin.Stream {
+	if c.metadata.Resumes != "" {
+		return origin.StreamOf(c.metadata.Resumes)
+	}
+	return origin.StreamOf(c.metadata.Attempt)
+}
+
+// resolveOrigin restricts a request that resumes a stream to the version that began it. It returns
+// a rejection if the stream can't go on.
+func (c *clientRequest) resolveOrigin() *rejection {
+	if !c.isResumed() {
+		return nil
+	}
+	life := c.route.Timeout
+	if life <= 0 {
+		life = defaultStreamTimeout
+	}
+	origins := c.server.Origins
+	build, source := origins.find(c.ctx, origin.Question{Stream: c.stream(), Service: origin.ServiceOf(c.service.Name), Within: life}, c.metadata.Resumes != "")
+	service, version, listed := origins.version(build)
+	listed = listed && slices.ContainsFunc(c.route.Shares, func(s routes.WeightedService) bool { return s.Service == service })
+	c.server.Log.Info("client resumes a stream", zap.String("id", c.metadata.Attempt), zap.String("resumes", c.metadata.Resumes),
+		zap.String("last_event", c.metadata.LastEventID), zap.String("origin", string(source)), zap.String("service", service),
+		zap.String("version", version), zap.Bool("listed", listed), zap.Duration("took", time.Since(c.receivedAt)))
+	c.server.Metrics.countResumed(string(source))
+	switch {
+	case source == origin.Unknown:
+		// A router that did not answer may be reached by the next attempt.
+		return &rejection{http.StatusServiceUnavailable, unknownOrigin, noServerRetryAfter}
+	case !listed:
+		return &rejection{http.StatusServiceUnavailable, versionGone, 0}
+	}
+	c.service = c.table.Service(service)
+	c.version, c.hasVersion = version, true
+	return nil
+}
+
+// claimStream must be called before events of an attempt are sent to the client. It returns false
+// if they must not be sent, because another version began the stream, or because a standby has
+// replaced the attempt before it sent any. The first call that returns true determines the version
+// of the stream, and records it if a client may resume the stream.
+func (c *clientRequest) claimStream(a *attempt) bool {
+	if a.claimed {
+		return true
+	}
+	if !c.lockVersion(a) {
+		return false
+	}
+	a.claimed = true
+	if c.route.Resumable && !c.responseStarted {
+		c.server.Origins.record(time.Now(), c.stream(), origin.BuildOf(c.service.Name, a.choice.Server.Version))
+	}
+	return true
+}
+
+// lockVersion sets the version of the stream to that of an attempt, unless the stream has begun,
+// and reports whether it is that version. It returns false if a standby has replaced the attempt.
+func (c *clientRequest) lockVersion(a *attempt) bool {
+	c.standby.mu.Lock()
+	defer c.standby.mu.Unlock()
+	if standby := c.standby.attempt; standby != nil && standby.ready {
+		return false
+	}
+	c.mu.Lock()
+	if !c.hasVersion {
+		c.version, c.hasVersion = a.choice.Server.Version, true
+	}
+	c.mu.Unlock()
+	return a.continuesStream()
+}
+
+// continuesStream reports whether the stream has not begun yet, or at the version of the attempt's
+// server.
+func (a *attempt) continuesStream() bool {
+	c := a.request
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.hasVersion || c.version == a.choice.Server.Version
+}
--- a/hornbeamd/gateway/relay_test.go
+++ b/hornbeamd/gateway/relay_test.go
@@ -36,7 +36,7 @@
 		servers = append(servers, roster.Server{ID: id, Service: "pool", Address: startRawServer(c, respond), Slots: 8, Born: 1})
 	}
 	s := &gateway.Server{
-		Codec: headers.Codec{}, Pool: &backend.Pool{Codec: headers.Codec{}, DialTimeout: time.Second}, Crashes: gateway.NewCrashTracker(), Permits: gateway.NewPermits(),
+		Codec: headers.Codec{}, Pool: &backend.Pool{Codec: headers.Codec{}, DialTimeout: time.Second}, Crashes: gateway.NewCrashTracker(), Permits: gateway.NewPermits(), Origins: gateway.NewOrigins(),
 		Upstreams: &gateway.Upstreams{
 			Balancer: balance.New(balance.DefaultSettings(), "r"), Limits: gateway.RetryLimits{Extra: 100, Window: time.Minute},
 		},
--- a/hornbeamd/gateway/report.go
+++ b/hornbeamd/gateway/report.go
@@ -13,6 +13,7 @@
 	failedAttempts *prometheus.CounterVec
 	standbys       *prometheus.CounterVec
 	permits        *prometheus.CounterVec
+	resumed        *prometheus.CounterVec
 	durations      *prometheus.HistogramVec
 	firstEvents    prometheus.Histogram
 }
@@ -33,6 +34,9 @@
 		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hornbeam_gateway_permits_total", Help: "Questions for permits for backend servers that state a rate limit, by outcome.",
 		}, []string{"outcome"}),
+		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hornbeam_gateway_resumed_streams_total", Help: "Streams that clients resume, by how the version that began them is known.",
+		}, []string{"origin"}),
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "hornbeam_gateway_request_seconds", Help: "Time from the head of a request to the end of its answer, in seconds.",
 			Buckets: buckets,
@@ -42,7 +46,7 @@
 			Buckets: buckets,
 		}),
 	}
-	r.MustRegister(m.requests, m.failedAttempts, m.standbys, m.permits, m.durations, m.firstEvents)
+	r.MustRegister(m.requests, m.failedAttempts, m.standbys, m.permits, m.resumed, m.durations, m.firstEvents)
 	return m
 }
 
@@ -55,6 +59,9 @@
 // countPermit counts a question for a permit by its outcome.
 func (m *Metrics) countPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
 
+// countResumed counts a stream that a client resumes, by the name of its origin.Source.
+func (m *Metrics) countResumed(source string) { m.resumed.WithLabelValues(source).Inc() }
+
 func (m *Metrics) observeFirstEvent(c *clientRequest) {
 	m.firstEvents.Observe(time.Since(c.receivedAt).Seconds())
 }
--- a/hornbeamd/gateway/standby.go
+++ b/hornbeamd/gateway/standby.go
@@ -167,7 +167,7 @@
 	s := &c.standby
 	s.mu.Lock()
 	// A cancelled standby may have read data from its buffer.
-	if result == attemptFinished && a.ctx.Err() == nil {
+	if result == attemptFinished && a.ctx.Err() == nil && a.continuesStream() {
 		a.ready = true
 		if s.current != a {
 			s.current.cancel(errReplaced)
--- a/hornbeamd/gateway/standby_test.go
+++ b/hornbeamd/gateway/standby_test.go
@@ -80,7 +80,7 @@
 	}
 	upstreams.SetServers(servers, roster.Revision{Number: 1})
 	s := &Server{
-		Codec: headers.Codec{}, Pool: &backend.Pool{Codec: with.codec, DialTimeout: time.Second}, Upstreams: upstreams, Crashes: NewCrashTracker(), Permits: NewPermits(),
+		Codec: headers.Codec{}, Pool: &backend.Pool{Codec: with.codec, DialTimeout: time.Second}, Upstreams: upstreams, Crashes: NewCrashTracker(), Permits: NewPermits(), Origins: NewOrigins(),
 		Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()), Started: time.Now(),
 	}
 	s.Init()
--- a/hornbeamd/gateway/stream.go
+++ b/hornbeamd/gateway/stream.go
@@ -91,6 +91,9 @@
 		if !e.isAfter(c.lastEventID) {
 			continue
 		}
+		if !c.claimStream(a) {
+			return balance.Abandoned, attemptMayHaveRun
+		}
 		// Events that arrived together are flushed together.
 		if !c.writeEvent(a, e, !hasBufferedEvent(a.reader)) {
 			return balance.Abandoned, attemptClientGone
@@ -147,6 +150,9 @@
 	if !a.isStreamEnd(rest, err) {
 		return a.classifyReadError()
 	}
+	if !c.claimStream(a) {
+		return balance.Abandoned, attemptMayHaveRun
+	}
 	c.writeHeader(a)
 	if len(rest.text) > 0 {
 		if _, err := c.w.Write(rest.text); err != nil {
--- a/hornbeamd/gateway/version_test.go
+++ b/hornbeamd/gateway/version_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -32,9 +31,6 @@
 
 // Guards against a router that continues a stream at another software version within one response.
 func TestStreamKeepsVersionWithinResponse(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("listed in KNOWN-RED.txt; set KNOWN_RED=1 to run it")
-	}
 	first := "id: 1\ndata: 1\n\n"
 	rest := strings.TrimPrefix(events, first)
 	send := func(w http.ResponseWriter, text string) {
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -35,7 +35,7 @@
 }
 
 // formatVersion is the first element of each datagram. A router drops datagrams of other versions.
-const formatVersion = 19
+const formatVersion = 20
 
 // Sizes in bytes: the largest encoded record without and with an identity, not counting its loads
 // and crashes, the load of one server, a prompt part and one of its crashes, the rate limit of one
@@ -92,6 +92,9 @@
 	if m.Permit != nil {
 		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, Permit: m.Permit})
 	}
+	if m.Origin != nil {
+		parts = append(parts, presence.Message{Kind: m.Kind, From: m.From, Origin: m.Origin})
+	}
 	return parts
 }
 
@@ -119,12 +122,13 @@
 		w.integer(int64(key))
 	}
 	w.permit(m.Permit)
+	w.origin(m.Origin)
 	return data.Bytes(), eris.Wrap(w.err, "encode heartbeat message")
 }
 
 // Numbers of fields in the wire format.
 const (
-	messageFields  = 8
+	messageFields  = 9
 	recordFields   = 17
 	identityFields = 6
 	crashFields    = 3
@@ -136,6 +140,7 @@
 	// serverLimitFields is the number of elements that each rate limit adds to a list.
 	serverLimitFields = 3
 	permitFields      = 8
+	originFields      = 6
 )
 
 // datagramWriter encodes the fields of a datagram. err is the first error.
@@ -258,6 +263,20 @@
 	w.integer(p.Wait)
 }
 
+func (w *datagramWriter) origin(o *presence.StreamOrigin) {
+	if o == nil {
+		w.keep(w.encoder.EncodeNil())
+		return
+	}
+	w.list(originFields)
+	w.integer(int64(o.Number))
+	w.keep(w.encoder.EncodeUint(o.Stream))
+	w.keep(w.encoder.EncodeUint(o.Recorded))
+	w.keep(w.encoder.EncodeUint(o.Sole))
+	w.integer(int64(o.Service))
+	w.integer(o.Within)
+}
+
 func (w *datagramWriter) zoneLoad(z presence.ZoneLoad) {
 	w.list(zoneLoadFields)
 	w.text(z.Zone)
--- a/hornbeamd/mesh/decode.go
+++ b/hornbeamd/mesh/decode.go
@@ -19,6 +19,8 @@
 	maxTextBytes = 256
 	// maxAgeMillis is the longest age, one hour. Records and loads are relayed for seconds.
 	maxAgeMillis = 3_600_000
+	// maxStreamMillis is the longest time that a stream may last, one day.
+	maxStreamMillis = 86_400_000
 	// maxLoad is the highest number of requests in progress at one backend server. The sum over
 	// all servers and routers fits an int.
 	maxLoad = 1 << 20
@@ -38,7 +40,7 @@
 
 // decode parses the wire format of a message. The data is untrusted, because any program can send
 // datagrams to the router. A message is [version, kind, from, records, zone loads, liveness or nil,
-// wanted keys, permit or nil].
+// wanted keys, permit or nil, origin or nil].
 func decode(data []byte) (presence.Message, error) {
 	remaining := bytes.NewReader(data)
 	r := datagramReader{data: remaining, decoder: msgpack.NewDecoder(remaining)}
@@ -47,7 +49,7 @@
 	if r.integer(0, math.MaxInt64) != formatVersion && r.err == nil {
 		return presence.Message{}, errFormatVersion
 	}
-	m.Kind = presence.Kind(r.integer(0, int64(presence.PermitAnswer)))
+	m.Kind = presence.Kind(r.integer(0, int64(presence.LastKind)))
 	m.From = r.text()
 	for range r.list(recordFields) {
 		m.Records = append(m.Records, r.record())
@@ -64,6 +66,9 @@
 	if !r.isNil() {
 		m.Permit = r.permit()
 	}
+	if !r.isNil() {
+		m.Origin = r.origin()
+	}
 	if remaining.Len() > 0 {
 		r.fail(errInvalidField)
 	}
@@ -271,6 +276,15 @@
 	}
 }
 
+// origin reads [number, stream, recorded build, sole build, service, duration].
+func (r *datagramReader) origin() *presence.StreamOrigin {
+	r.fields(originFields)
+	return &presence.StreamOrigin{
+		Number: uint32(r.integer(0, math.MaxUint32)), Stream: r.unsigned(), Recorded: r.unsigned(), Sole: r.unsigned(),
+		Service: uint32(r.integer(0, math.MaxUint32)), Within: r.integer(0, maxStreamMillis),
+	}
+}
+
 // part reads [key, confirmed, crashes]. Each crash consists of three elements of a list: its key,
 // age and whether it is cleared.
 func (r *datagramReader) part() presence.PromptPart {
--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -172,6 +172,18 @@
 	}
 }
 
+// SendNow sends a short message at once, ahead of the queue. It is safe for concurrent use.
+func (n *Node) SendNow(s presence.OutgoingMessage) {
+	data, err := encode(s.Message)
+	if err != nil {
+		n.Log.Error("message to other routers can't be encoded", zap.Error(err))
+		return
+	}
+	for _, address := range s.To {
+		n.sendDatagram(data, address)
+	}
+}
+
 // sendQueued sends the queued messages until the context is canceled.
 func (n *Node) sendQueued(ctx context.Context) {
 	for {
--- a/routing/balance/affinity.go
+++ b/routing/balance/affinity.go
@@ -54,7 +54,7 @@
 		if b.promptIndex.has(prefix, chosen.incarnation()) {
 			return nil
 		}
-		if e := b.findPreviousRecipient(now, p, prefix, req.Avoid); e != nil {
+		if e := b.findPreviousRecipient(now, p, prefix, req, chosen); e != nil {
 			return e
 		}
 		if e := b.findPreviousHome(now, p, req, chosen); i == 0 && e != nil {
@@ -65,11 +65,11 @@
 }
 
 // findPreviousRecipient returns a server to which this router has already sent a prompt with this
-// prefix, or nil if none is known.
-func (b *Balancer) findPreviousRecipient(now time.Time, p *pool, prefix uint64, avoid []string) *entry {
+// prefix, and from which the chosen server can fetch it, or nil if none is known.
+func (b *Balancer) findPreviousRecipient(now time.Time, p *pool, prefix uint64, req Request, chosen *entry) *entry {
 	for _, servers := range [][]*entry{p.entries, p.draining} {
 		for _, e := range servers {
-			if b.promptIndex.has(prefix, e.incarnation()) && b.canFetchFrom(now, e, avoid) {
+			if b.promptIndex.has(prefix, e.incarnation()) && b.canFetchFrom(now, e, chosen, req) {
 				return e
 			}
 		}
@@ -90,7 +90,7 @@
 		for _, servers := range [][]*entry{p.entries, p.draining} {
 			for _, e := range servers {
 				score := mix(req.PrefixHashes[0] ^ e.seed)
-				if e != chosen && b.canFetchFrom(now, e, req.Avoid) && matches(e, score) && (none || score > bestScore) {
+				if e != chosen && b.canFetchFrom(now, e, chosen, req) && matches(e, score) && (none || score > bestScore) {
 					best, bestScore, none = e, score, false
 				}
 			}
@@ -115,10 +115,11 @@
 	return !e.joinedAt.IsZero() && now.Sub(e.joinedAt) < within
 }
 
-// canFetchFrom reports whether another server can fetch a prompt prefix from this one. It is false
-// if the server is paused or in the list of servers to avoid.
-func (b *Balancer) canFetchFrom(now time.Time, e *entry, avoid []string) bool {
-	return !now.Before(e.pausedUntil) && !now.Before(e.reportedUntil) && !slices.Contains(avoid, e.ID)
+// canFetchFrom reports whether the chosen server can fetch a prompt prefix from another one. It is
+// false if the other server has another software version, is paused or in the list of servers to
+// avoid.
+func (b *Balancer) canFetchFrom(now time.Time, e, chosen *entry, req Request) bool {
+	return e.Version == chosen.Version && !now.Before(e.pausedUntil) && !now.Before(e.reportedUntil) && !slices.Contains(req.Avoid, e.ID)
 }
 
 // boundBySlots lowers the load limit to the server's number of slots, but not below mean+1, where
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -97,6 +97,8 @@
 // Request is a request that needs a server.
 type Request struct {
 	Service string
+	// Version is the only software version whose servers may be chosen; empty allows all.
+	Version string
 	// Zone is the availability zone of the router.
 	Zone string
 	// PrefixHashes holds the hashes of the prompt prefixes that other requests may share, as
@@ -432,7 +434,7 @@
 		if limited {
 			wait = max(wait, b.RateLimits.Wait(now, e.ID, req.Priority))
 		}
-		if wait <= 0 && !limited || slices.Contains(req.Avoid, e.ID) {
+		if wait <= 0 && !limited || !req.allows(e) {
 			continue
 		}
 		if c.Reason == NoServer || wait < c.Wait {
@@ -473,10 +475,15 @@
 	return available
 }
 
-// takes reports whether a server wants requests from this router, is not at its rate limit, and is
-// not in the request's list to avoid.
+// allows reports whether a server has the request's version and is not in its list to avoid.
+func (r Request) allows(e *entry) bool {
+	return (r.Version == "" || r.Version == e.Version) && !slices.Contains(r.Avoid, e.ID)
+}
+
+// takes reports whether a server wants requests from this router, is not at its rate limit, and may
+// be chosen for the request.
 func (b *Balancer) takes(now time.Time, e *entry, req Request) bool {
-	if now.Before(e.refusedUntil) || slices.Contains(req.Avoid, e.ID) {
+	if now.Before(e.refusedUntil) || !req.allows(e) {
 		return false
 	}
 	return !b.isLimited(e) || !req.AvoidLimited && b.RateLimits.Wait(now, e.ID, req.Priority) <= req.MaxLimitWait
--- /dev/null
+++ b/routing/balance/version_test.go
@@ -0,0 +1,51 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/routing/roster"
+)
+
+// Guards against a resumed stream that goes to another software version because the servers of its
+// own are loaded, tried or gone, and against cache transfers between versions.
+func TestVersionOfServer(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	prompt := PrefixHashes("m", []string{"shared", "own"})
+	for name, test := range map[string]struct {
+		request Request
+		want    string
+	}{
+		"home of another version": {Request{Version: "v2", PrefixHashes: prompt}, "new"},
+		"least load":              {Request{Version: "v2"}, "new"},
+		"loaded":                  {Request{Version: "v1"}, "old"},
+		"tried":                   {Request{Version: "v2", Avoid: []string{"new"}}, ""},
+		"gone":                    {Request{Version: "v3", PrefixHashes: prompt}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := New(DefaultSettings(), "r")
+			b.SetServers(now, []roster.Server{{ID: "old", Service: "pool", Version: "v1", Slots: 2}, {ID: "new", Service: "pool", Version: "v2", Slots: 2}})
+			for range 8 {
+				b.Start(now, "old")
+			}
+			test.request.Service = "pool"
+			choice := b.Choose(now, test.request)
+			c.Assert(choice.Server.ID, qt.Equals, test.want)
+			if test.want == "" {
+				c.Assert(choice.Reason, qt.Equals, NoServer)
+			}
+		})
+	}
+	c := qt.New(t)
+	b := New(DefaultSettings(), "r")
+	servers := []roster.Server{{ID: "old", Service: "pool", Version: "v1", Slots: 8}}
+	b.SetServers(now, servers)
+	c.Assert(b.Choose(now, Request{Service: "pool", PrefixHashes: prompt}).Server.ID, qt.Equals, "old")
+	servers = append(servers, roster.Server{ID: "same", Service: "pool", Version: "v1", Slots: 8}, roster.Server{ID: "new", Service: "pool", Version: "v2", Slots: 8})
+	b.SetServers(now, servers)
+	c.Assert(b.Choose(now, Request{Service: "pool", PrefixHashes: prompt, Avoid: []string{"same"}, Version: "v2"}).Holder.ID, qt.Equals, "")
+	c.Assert(b.Choose(now, Request{Service: "pool", PrefixHashes: prompt, Avoid: []string{"new"}, Version: "v1"}).Server.Version, qt.Equals, "v1")
+}
--- /dev/null
+++ b/routing/origin/inquiry.go
@@ -0,0 +1,92 @@
+package origin
+
+import "time"
+
+// Question asks other routers for the origin of a stream.
+type Question struct {
+	Number  uint32
+	Stream  Stream
+	Service Service
+	// Within is how long a stream of the route may last.
+	Within time.Duration
+}
+
+// Answer is the answer of a router. At most one of its builds is set.
+type Answer struct {
+	// Recorded is the build that began the stream.
+	Recorded Build
+	// Sole is the only build that the service had while the stream may have begun. It is set by
+	// routers without a record.
+	Sole Build
+}
+
+// Answer answers the question of another router.
+func (l *Ledger) Answer(now time.Time, q Question) Answer {
+	if build := l.Get(q.Stream); build != 0 {
+		return Answer{Recorded: build}
+	}
+	return Answer{Sole: l.Sole(now, q.Service, q.Within)}
+}
+
+// Source says how the origin of a stream is known.
+type Source string
+
+// The sources of origins.
+const (
+	// Recorded origins were told by the router that began the stream.
+	Recorded Source = "recorded"
+	// Single origins are those of services that had a single build while the stream may have begun.
+	Single Source = "single"
+	// Unknown means that the origin is not known, so that the stream must not go on.
+	Unknown Source = "unknown"
+)
+
+// Inquiry collects what is known of the origin of a stream.
+type Inquiry struct {
+	Question
+	own    Answer
+	listed Build
+	// settled is the build of SoleSettled.
+	settled Build
+	// single is the build that other routers state as the only one.
+	single Build
+}
+
+// Inquire begins an inquiry with what this ledger knows.
+func (l *Ledger) Inquire(now time.Time, q Question) Inquiry {
+	return Inquiry{Question: q, own: l.Answer(now, q), listed: l.SoleListed(q.Service), settled: l.SoleSettled(now, q.Service, q.Within)}
+}
+
+// WithAnswer returns the inquiry with the answer of another router. A router that lags behind may
+// state a single build although this router knows a second one; that counts as no answer.
+func (i Inquiry) WithAnswer(a Answer) Inquiry {
+	switch {
+	case a.Recorded != 0 && i.own.Recorded == 0:
+		i.own = a
+	case a.Sole != 0 && a.Sole == i.listed:
+		i.single = a.Sole
+	}
+	return i
+}
+
+// HasRecord reports whether the build that began the stream is known. What a router knows of the
+// builds of a service is less certain, because it may learn of a new one later than others do.
+func (i Inquiry) HasRecord() bool { return i.own.Recorded != 0 }
+
+// HasResult reports whether the stream may go on with what is known.
+func (i Inquiry) HasResult() bool { return i.own.Recorded != 0 || i.own.Sole != 0 }
+
+// Result returns the build at which the stream may go on, or 0 if the source is Unknown.
+func (i Inquiry) Result() (Build, Source) {
+	switch {
+	case i.own.Recorded != 0:
+		return i.own.Recorded, Recorded
+	case i.own.Sole != 0:
+		return i.own.Sole, Single
+	case i.single != 0:
+		return i.single, Single
+	case i.settled != 0:
+		return i.settled, Single
+	}
+	return 0, Unknown
+}
