fix(origin): a router cut off from the fleet doesn't resume streams by what it knew

It now resumes only streams of which it has a record, until it hears of the store or gets an answer of another router. TestInquiry, "cut off, single version", fails without the change: the stream went on at v1.

--- a/hornbeamd/gateway/origins.go
+++ b/hornbeamd/gateway/origins.go
@@ -41,6 +41,8 @@
 	mu      sync.Mutex
 	ledger  *origin.Ledger
 	routers []origin.Router
+	// isOutdated is true if the list of backend servers may lack new ones.
+	isOutdated bool
 	// pending holds the answers to the questions that are open, by their number.
 	pending    map[uint32]chan origin.Answer
 	lastNumber uint32
@@ -58,11 +60,12 @@
 	o.ledger.SetServers(now, servers)
 }
 
-// SetRouters replaces the other routers.
-func (o *Origins) SetRouters(routers []origin.Router) {
+// SetRouters replaces the other routers. isOutdated is true if the list of backend servers may lack
+// new ones, because no router that this one hears has been in contact with the registry.
+func (o *Origins) SetRouters(routers []origin.Router, isOutdated bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.routers = routers
+	o.routers, o.isOutdated = routers, isOutdated
 }
 
 // Merge records the origin of a stream that another router has told.
@@ -107,6 +110,9 @@
 func (o *Origins) find(ctx context.Context, q origin.Question, isNamed bool) (origin.Build, origin.Source) {
 	o.mu.Lock()
 	inquiry := o.ledger.Inquire(time.Now(), q)
+	if o.isOutdated {
+		inquiry = inquiry.WithOutdatedServers()
+	}
 	to := addressesOf(origin.CandidatesOf(q.Stream, o.routers))
 	o.mu.Unlock()
 	for round := range originRounds {
--- a/routing/origin/inquiry.go
+++ b/routing/origin/inquiry.go
@@ -48,8 +48,12 @@
 	listed Build
 	// settled is the build of SoleSettled.
 	settled Build
-	// single is the build that other routers state as the only one.
-	single Build
+	// isOutdated is true if this router may not know of new builds.
+	isOutdated bool
+	// answers is the number of answers of other routers. single is the build that these state as
+	// the only one.
+	answers int
+	single  Build
 }
 
 // Inquire begins an inquiry with what this ledger knows.
@@ -57,9 +61,18 @@
 	return Inquiry{Question: q, own: l.Answer(now, q), listed: l.SoleListed(q.Service), settled: l.SoleSettled(now, q.Service, q.Within)}
 }
 
+// WithOutdatedServers returns the inquiry of a router that has had no contact with the registry for
+// some time, neither itself nor through other routers. Unless another router answers, only a record
+// counts.
+func (i Inquiry) WithOutdatedServers() Inquiry {
+	i.isOutdated = true
+	return i
+}
+
 // WithAnswer returns the inquiry with the answer of another router. A router that lags behind may
 // state a single build although this router knows a second one; that counts as no answer.
 func (i Inquiry) WithAnswer(a Answer) Inquiry {
+	i.answers++
 	switch {
 	case a.Recorded != 0 && i.own.Recorded == 0:
 		i.own = a
@@ -74,13 +87,18 @@
 func (i Inquiry) HasRecord() bool { return i.own.Recorded != 0 }
 
 // HasResult reports whether the stream may go on with what is known.
-func (i Inquiry) HasResult() bool { return i.own.Recorded != 0 || i.own.Sole != 0 }
+func (i Inquiry) HasResult() bool {
+	build, _ := i.Result()
+	return build != 0
+}
 
 // Result returns the build at which the stream may go on, or 0 if the source is Unknown.
 func (i Inquiry) Result() (Build, Source) {
 	switch {
 	case i.own.Recorded != 0:
 		return i.own.Recorded, Recorded
+	case i.isOutdated && i.answers == 0:
+		return 0, Unknown
 	case i.own.Sole != 0:
 		return i.own.Sole, Single
 	case i.single != 0:
--- a/routing/origin/origin_test.go
+++ b/routing/origin/origin_test.go
@@ -44,22 +44,26 @@
 		now        float64
 		recorded   Build
 		answers    []Answer
+		outdated   bool
 		want       Build
 		wantSource Source
 	}{
-		"own record":                      {[]list{{0, -99, []string{"v1", "v2"}}}, 1, v2, nil, v2, Recorded},
-		"record of a holder":              {[]list{{0, -99, []string{"v1", "v2"}}}, 1, 0, []Answer{{}, {Recorded: v2}}, v2, Recorded},
-		"record beats a single version":   {[]list{{0, -99, []string{"v1"}}}, 99, 0, []Answer{{Sole: v1}, {Recorded: v2}}, v2, Recorded},
-		"lost record, two versions":       {[]list{{0, -99, []string{"v1", "v2"}}}, 99, 0, []Answer{{}, {}}, 0, Unknown},
-		"lost record, single version":     {[]list{{0, -99, []string{"v1"}}}, 99, 0, nil, v1, Single},
-		"second version just gone":        {[]list{{0, -99, []string{"v1", "v2"}}, {90, -99, []string{"v2"}}}, 99, 0, nil, 0, Unknown},
-		"second version long gone":        {[]list{{0, -99, []string{"v1", "v2"}}, {20, -99, []string{"v2"}}}, 99, 0, nil, v2, Single},
-		"new router, others know":         {[]list{{0, -1, []string{"v1"}}}, 1, 0, []Answer{{Sole: v1}}, v1, Single},
-		"new router, others lag":          {[]list{{0, -1, []string{"v1", "v2"}}}, 1, 0, []Answer{{Sole: v1}}, 0, Unknown},
-		"new routers, old servers":        {[]list{{0, -99, []string{"v1"}}}, 1, 0, []Answer{{}}, v1, Single},
-		"new routers, new servers":        {[]list{{0, -4, []string{"v2"}}}, 1, 0, []Answer{{}}, 0, Unknown},
-		"new routers, unknown start time": {[]list{{0, unknownStart, []string{"v2"}}}, 1, 0, nil, 0, Unknown},
-		"no servers":                      {nil, 1, 0, nil, 0, Unknown},
+		"own record":                      {[]list{{0, -99, []string{"v1", "v2"}}}, 1, v2, nil, false, v2, Recorded},
+		"record of a holder":              {[]list{{0, -99, []string{"v1", "v2"}}}, 1, 0, []Answer{{}, {Recorded: v2}}, false, v2, Recorded},
+		"record beats a single version":   {[]list{{0, -99, []string{"v1"}}}, 99, 0, []Answer{{Sole: v1}, {Recorded: v2}}, false, v2, Recorded},
+		"lost record, two versions":       {[]list{{0, -99, []string{"v1", "v2"}}}, 99, 0, []Answer{{}, {}}, false, 0, Unknown},
+		"lost record, single version":     {[]list{{0, -99, []string{"v1"}}}, 99, 0, nil, false, v1, Single},
+		"second version just gone":        {[]list{{0, -99, []string{"v1", "v2"}}, {90, -99, []string{"v2"}}}, 99, 0, nil, false, 0, Unknown},
+		"second version long gone":        {[]list{{0, -99, []string{"v1", "v2"}}, {20, -99, []string{"v2"}}}, 99, 0, nil, false, v2, Single},
+		"new router, others know":         {[]list{{0, -1, []string{"v1"}}}, 1, 0, []Answer{{Sole: v1}}, false, v1, Single},
+		"new router, others lag":          {[]list{{0, -1, []string{"v1", "v2"}}}, 1, 0, []Answer{{Sole: v1}}, false, 0, Unknown},
+		"new routers, old servers":        {[]list{{0, -99, []string{"v1"}}}, 1, 0, []Answer{{}}, false, v1, Single},
+		"new routers, new servers":        {[]list{{0, -4, []string{"v2"}}}, 1, 0, []Answer{{}}, false, 0, Unknown},
+		"new routers, unknown start time": {[]list{{0, unknownStart, []string{"v2"}}}, 1, 0, nil, false, 0, Unknown},
+		"cut off, single version":         {[]list{{0, -99, []string{"v1"}}}, 99, 0, nil, true, 0, Unknown},
+		"cut off, own record":             {[]list{{0, -99, []string{"v1"}}}, 99, v1, nil, true, v1, Recorded},
+		"outdated, others answer":         {[]list{{0, -99, []string{"v1"}}}, 99, 0, []Answer{{}}, true, v1, Single},
+		"no servers":                      {nil, 1, 0, nil, false, 0, Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -75,6 +79,9 @@
 			for _, a := range test.answers {
 				inquiry = inquiry.WithAnswer(a)
 			}
+			if test.outdated {
+				inquiry = inquiry.WithOutdatedServers()
+			}
 			build, source := inquiry.Result()
 			c.Assert(build, qt.Equals, test.want)
 			c.Assert(source, qt.Equals, test.wantSource)
