feat(gateway): routers notice that they have lost the path to the servers of a service

A first failure, and requests that wait without any data, start probes of other servers, so that crashed or silent servers don't look like a lost path. While it is lost, probes find out when it is back.

Routers log and count the changes and tell each other with a heartbeat that goes out at once. They no longer report the servers of such a service as down, since two such reports made sound routers avoid sound servers, and end the pauses of the servers when the path is back. Idle connections of a lost path are closed. Where requests go does not change yet. Messages between routers have format 21; TestHostileDatagrams has one field more with it.

--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -165,7 +165,7 @@
 		next.joinedAt = now
 	}
 	s.recordReadiness(now, old, next)
-	if joined || !sameCrashes(r.Crashes, old.Crashes) {
+	if joined || !sameCrashes(r.Crashes, old.Crashes) || !slices.Equal(r.Unreached, old.Unreached) {
 		next.changedAt = now
 	}
 	delete(s.byKey, old.key)
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -46,6 +46,9 @@
 	Loads map[ServerKey]int
 	// Down holds the IDs of the backend servers that the router recently failed to reach.
 	Down []string
+	// Unreached holds the services whose backend servers the router doesn't reach, although they
+	// may be sound.
+	Unreached []ServiceKey
 	// Leaving holds the backend servers that recently told the router that they are leaving, each
 	// as ID and start time, separated by a slash.
 	Leaving []string
@@ -67,6 +70,12 @@
 // ServerKeyOf returns the key of the backend server with the given ID.
 func ServerKeyOf(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
 
+// ServiceKey is a hash that replaces the name of a service in messages.
+type ServiceKey uint32
+
+// ServiceKeyOf returns the key of the service with the given name.
+func ServiceKeyOf(name string) ServiceKey { return ServiceKey(xxhash.Sum64String(name)) }
+
 // identityEvery is the interval, in heartbeats, at which a heartbeat carries the fields that do not
 // change while the process runs. The others omit them.
 const identityEvery = 5
@@ -143,8 +152,8 @@
 	// joinedAt is when the first record of the router's process arrived, or the first one after the
 	// router had been lost.
 	joinedAt time.Time
-	// changedAt is when the member joined, or when the crashes in its record last changed. Hubs
-	// relay its record for a short time after that.
+	// changedAt is when the member joined, or when the crashes in its record or the services that it
+	// doesn't reach last changed. Hubs relay its record for a short time after that.
 	changedAt time.Time
 	// storeContactAt is when the store last responded to the member as of its record; zero if it
 	// never did.
--- a/hornbeamd/backend/pool.go
+++ b/hornbeamd/backend/pool.go
@@ -45,6 +45,8 @@
 	DialTimeout time.Duration
 	// OnConnect, if set, is called after each new connection is established.
 	OnConnect func(address string)
+	// OnDial, if set, is called with the result of each attempt to connect that was not canceled.
+	OnDial func(address string, ok bool)
 
 	mu sync.Mutex
 	// hosts is keyed by the server's address, as host:port.
@@ -72,8 +74,7 @@
 	if !p.reserveSlot(r) {
 		return nil, &Error{Kind: ConnectionLimit, Cause: errConnectionLimit}
 	}
-	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAlive: unackedTimeout / 2, Control: setUserTimeout}
-	netConn, err := dialer.DialContext(ctx, "tcp", r.Address)
+	netConn, err := p.dial(ctx, r.Address)
 	if err != nil {
 		p.releaseSlot(r.Address)
 		kind := Unreachable
@@ -82,15 +83,40 @@
 		}
 		return nil, &Error{Kind: kind, Cause: err}
 	}
-	if p.OnConnect != nil {
-		p.OnConnect(r.Address)
-	}
 	address := r.Address
 	c := &conn{Conn: netConn, headerBytes: -1, release: func() { p.releaseSlot(address) }}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
 
+// dial establishes a connection.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAlive: unackedTimeout / 2, Control: setUserTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if p.OnDial != nil && (err == nil || ctx.Err() == nil) {
+		p.OnDial(address, err == nil)
+	}
+	if err == nil && p.OnConnect != nil {
+		p.OnConnect(address)
+	}
+	return conn, err
+}
+
+// Probe finds out whether a server accepts connections, and reports it to OnDial.
+func (p *Pool) Probe(ctx context.Context, address string) {
+	if conn, err := p.dial(ctx, address); err == nil {
+		// The connection carries nothing, so an error while closing it does not matter.
+		_ = conn.Close()
+	}
+}
+
+// CloseIdle closes the idle connections to a server.
+func (p *Pool) CloseIdle(address string) {
+	for c := p.popIdle(address); c != nil; c = p.popIdle(address) {
+		c.close()
+	}
+}
+
 // takeIdle returns the most recently used idle connection that is still reusable, or nil if there
 // is none or the request must not use it. It closes the connections that it rejects.
 func (p *Pool) takeIdle(r *Request) *conn {
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -49,6 +49,8 @@
 	// fetching holds the kinds of data for which a call to another router is in progress.
 	fetching      map[string]bool
 	lastHeartbeat time.Time
+	// lostPaths holds the services whose backend servers this router doesn't reach, sorted.
+	lostPaths []string
 	// serverIDs holds the IDs of the backend servers by the keys that messages carry.
 	serverIDs map[presence.ServerKey]string
 	// foreignMessages counts the messages that were not sent from the address of their sender;
@@ -124,6 +126,7 @@
 	for _, id := range c.upstreams.CheckStalls(now) {
 		c.log.Warn("backend server sends no data; trying its streams on other servers", zap.String("server", id))
 	}
+	c.updatePaths(ctx, now)
 	c.updateWatching(now)
 	if now.Sub(c.lastHeartbeat) >= c.presence.Interval() {
 		c.sendHeartbeat(now)
@@ -201,6 +204,9 @@
 	r.StoreLost = !c.storeFailedAt.IsZero()
 	r.Servers = c.roster.Revision()
 	r.Ready = c.isReady()
+	for _, service := range c.lostPaths {
+		r.Unreached = append(r.Unreached, presence.ServiceKeyOf(service))
+	}
 	return r
 }
 
@@ -209,7 +215,7 @@
 func (c *controlLoop) record(now time.Time) presence.Record {
 	r := c.state(now)
 	report := c.upstreams.LocalReport(now)
-	r.Loads, r.Down, r.Leaving = loadsByKey(report.Load), report.Down, report.Leaving
+	r.Loads, r.Down, r.Leaving = loadsByKey(report.Load), c.withoutUnreached(report.Down), report.Leaving
 	r.Limits = serverLimits(now, c.gateway.Permits.Outgoing(now, c.presence.ForwardsReports(now, c.self)))
 	r.Crashes = crashRecords(now, c.gateway.Crashes.Outgoing(now, c.presence.ForwardsReports(now, c.self)))
 	r.Parts = partRecords(c.gateway.Crashes.OutgoingParts(now, c.presence.ForwardsReports(now, c.self)))
@@ -385,6 +391,7 @@
 	c.upstreams.SetServers(c.roster.Servers(), c.roster.Revision())
 	c.gateway.Permits.SetServers(c.roster.Servers())
 	c.gateway.Origins.SetServers(time.Now(), c.roster.Servers())
+	c.gateway.Paths.SetServers(c.roster.Servers())
 	c.serverIDs = serverIDsByKey(c.roster.Servers())
 	r := c.roster.Snapshot()
 	c.serverSnapshot.Store(&r)
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -119,6 +119,9 @@
 		Pool: &backend.Pool{Codec: codec, DialTimeout: backend.DefaultDialTimeout, OnConnect: e.connectionCounter()},
 	}
 	e.gateway.Crashes.Log, e.gateway.Crashes.Metrics = e.gateway.Log, gateway.NewCrashMetrics(e.registry)
+	e.gateway.Paths = gateway.NewPaths(e.gateway.Pool)
+	e.gateway.Paths.OnRegained = upstreams.ResumeServers
+	e.gateway.Paths.Log, e.gateway.Paths.Metrics = e.gateway.Log, gateway.NewPathMetrics(e.registry)
 	e.gateway.Started = time.Now()
 	e.gateway.Init()
 	peerPort := strconv.Itoa(s.FirstPort)
--- a/hornbeamd/edge/hostile_test.go
+++ b/hornbeamd/edge/hostile_test.go
@@ -39,7 +39,7 @@
 }
 
 // formatVersion is that of the heartbeats of this release; see package mesh.
-const formatVersion = 20
+const formatVersion = 21
 
 // hostileDatagrams returns datagrams that no router sends, by the fault that they aim at.
 func hostileDatagrams(c *qt.C, p *testPlatform) map[string][]byte {
@@ -56,6 +56,7 @@
 		[]any{},
 		[]any{},
 		[]any{},
+		[]any{},
 		[]any{[]any{uint64(7), true, []any{1, 0, false, 2, 0, false, 3, 0, false}}},
 		[]any{7, 0, 0},
 		[]any{"z1", "r", peer, peer, peer, 0.4},
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -188,6 +188,8 @@
 	a.timer = c.newProgressTimer(a)
 	defer a.timer.stop()
 	defer c.server.Upstreams.removeStream(&a.timer.stream)
+	c.server.Paths.recordWaiting(c.service.Name, 1)
+	defer c.server.Paths.recordWaiting(c.service.Name, -1)
 	c.current = a
 	c.standby.setCurrent(a)
 	var outcome balance.Outcome
@@ -230,6 +232,7 @@
 		return a.classifyRequestError(err)
 	}
 	a.sent = true
+	c.server.Paths.recordData(c.service.Name)
 	a.applyNotice(response)
 	a.applyLimit(response)
 	switch {
@@ -397,6 +400,7 @@
 	e, err := readEvent(a.reader)
 	if err == nil {
 		a.recordAnswer()
+		a.request.server.Paths.recordData(a.request.service.Name)
 		a.events++
 		a.lastData = time.Now()
 	}
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -45,6 +45,7 @@
 	Crashes   *CrashTracker
 	Permits   *Permits
 	Origins   *Origins
+	Paths     *Paths
 	// Zone is the availability zone of the router.
 	Zone    string
 	Log     *zap.Logger
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -104,6 +104,13 @@
 	return LocalReport{Load: u.Balancer.OwnLoads(), Down: u.Balancer.Paused(now), Leaving: u.Balancer.LeavingNotices(now)}
 }
 
+// ResumeServers ends the pauses of the servers of a service.
+func (u *Upstreams) ResumeServers(service string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.Balancer.EndPauses(service)
+}
+
 // recordNotice applies what a server states of itself in a response, and reports whether it is new.
 func (u *Upstreams) recordNotice(now time.Time, s roster.Server, n balance.Notice) bool {
 	u.mu.Lock()
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -35,7 +35,7 @@
 }
 
 // formatVersion is the first element of each datagram. A router drops datagrams of other versions.
-const formatVersion = 20
+const formatVersion = 21
 
 // Sizes in bytes: the largest encoded record without and with an identity, not counting its loads
 // and crashes, the load of one server, a prompt part and one of its crashes, the rate limit of one
@@ -129,7 +129,7 @@
 // Numbers of fields in the wire format.
 const (
 	messageFields  = 9
-	recordFields   = 17
+	recordFields   = 18
 	identityFields = 6
 	crashFields    = 3
 	partFields     = 3
@@ -195,6 +195,10 @@
 		w.loads(r.Loads)
 	}
 	w.texts(r.Down)
+	w.list(len(r.Unreached))
+	for _, key := range r.Unreached {
+		w.integer(int64(key))
+	}
 	w.texts(r.Leaving)
 	w.list(len(r.Crashes))
 	for _, c := range r.Crashes {
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -20,7 +20,7 @@
 	Kind: presence.HubUpdate, From: "a",
 	Records: []presence.AgedRecord{{Age: 5, Record: presence.Record{
 		ID: "a", Zone: "z", Region: "r", Boot: 1, Sequence: 2, Peer: "p", Control: "c", Front: "f", Ready: true, Capacity: 0.192,
-		Config: 3, Servers: roster.Revision{Era: 2, Number: 4}, StoreContactAge: -1, StoreLost: true, Loads: map[presence.ServerKey]int{7: 1}, Down: []string{"d"},
+		Config: 3, Servers: roster.Revision{Era: 2, Number: 4}, StoreContactAge: -1, StoreLost: true, Loads: map[presence.ServerKey]int{7: 1}, Down: []string{"d"}, Unreached: []presence.ServiceKey{math.MaxUint32, 5},
 		Leaving: []string{"l/9"},
 		Crashes: []presence.Crash{{Fingerprint: "f", Servers: []string{"s/1"}, Age: 1500}},
 		Limits:  []presence.ServerLimit{{Server: 9, PerSecond: 4.75, Age: 30}, {Server: 1 << 31, Ended: true}},
--- a/hornbeamd/mesh/decode.go
+++ b/hornbeamd/mesh/decode.go
@@ -220,7 +220,7 @@
 }
 
 // record reads [age, ID, boot, sequence, ready, config, era, revision, store contact age, store
-// lost, loads or nil, down, leaving, crashes, prompt parts, limits, identity or nil].
+// lost, loads or nil, down, unreached, leaving, crashes, prompt parts, limits, identity or nil].
 func (r *datagramReader) record() presence.AgedRecord {
 	var a presence.AgedRecord
 	r.fields(recordFields)
@@ -237,6 +237,9 @@
 		a.Loads = r.loads()
 	}
 	a.Down = r.texts()
+	for range r.list(1) {
+		a.Unreached = append(a.Unreached, presence.ServiceKey(r.integer(0, math.MaxUint32)))
+	}
 	a.Leaving = r.texts()
 	for range r.list(crashFields) {
 		r.fields(crashFields)
--- a/routing/balance/health.go
+++ b/routing/balance/health.go
@@ -108,6 +108,16 @@
 	return ids
 }
 
+// EndPauses ends the pauses of the servers of a service, which the loss of the path from this router
+// has caused.
+func (b *Balancer) EndPauses(service string) {
+	for _, e := range b.servers {
+		if e.Service == service {
+			e.consecutiveFailures, e.pauseCount, e.pausedUntil, e.reportedUntil = 0, 0, time.Time{}, time.Time{}
+		}
+	}
+}
+
 // ReportUnreachable records how many other routers could not reach each server, by server ID. A
 // server that at least two of them could not reach gets no requests until the given time. Servers
 // with requests of this router in progress are excluded, as are servers whose latest request of
