--- a/hornbeamd/gateway/paths_test.go
+++ b/hornbeamd/gateway/paths_test.go
@@ -32,8 +32,8 @@
 	urls     []string
 	peers    []PeerRouter
 	// relays holds the servers for relayed requests.
-	relays []*httptest.Server
-	attempt  int
+	relays  []*httptest.Server
+	attempt int
 }
 
 // newTestFleet starts a gateway for each element of cut, which says whether it has no path to the
