feat(balance): brittle servers get no requests that would wait

The header was read nowhere, so that under overload all routers together filled the queues until the servers rejected, and failed one after another. Class: what a server states of itself is not heeded, and a limit that holds for all routers together can't be kept by each for itself.

While the servers of a service state it, and for 3 s after that, a request goes only to a server that most likely has a free slot. What all routers together may send within the age of the load reports follows from the free slots and the requests that end in that time; of that each router takes its share by its own request rate, with the draw of the request (balance.chooseByRoom). After a rejection a router sends that server nothing for as long as keeps the rejections of all routers within half of those that it withstands, and admits fewer requests for some seconds. Others are rejected at once with outcome `full`.

--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -255,6 +255,7 @@
 	c.server.Paths.recordData(c.service.Name)
 	a.applyNotice(response)
 	a.applyLimit(response)
+	a.applyBrittleness(response)
 	switch {
 	case response.Misdirected:
 		response.Close()
--- a/hornbeamd/gateway/limits.go
+++ b/hornbeamd/gateway/limits.go
@@ -94,6 +94,17 @@
 	return permitEffort{maxPermitQuestions, min(maxPermitDelay, time.Duration(permitDelayShare*float64(c.route.Target)))}
 }
 
+// applyBrittleness records that the servers of a service fail if they have to reject too many
+// requests. It logs that once while it lasts.
+func (a *attempt) applyBrittleness(response *backend.Response) {
+	c := a.request
+	if response.Misdirected || !c.server.Upstreams.recordBrittle(time.Now(), a.choice.Server, response.Brittle) {
+		return
+	}
+	c.server.Log.Warn("backend servers are brittle; sending no requests that would wait", zap.String("id", c.metadata.Attempt),
+		zap.String("service", c.service.Name), zap.String("server", a.choice.Server.ID), zap.Int("max_rejections", response.Brittle.MaxRejections))
+}
+
 // applyLimit records the rate limit that the chosen server states in a response, or that it no
 // longer states one. It logs a change.
 func (a *attempt) applyLimit(response *backend.Response) {
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hornbeamstep.example/routing/balance"
+	"hornbeamstep.example/routing/metadata"
 	"hornbeamstep.example/routing/retry"
 	"hornbeamstep.example/routing/roster"
 )
@@ -118,6 +119,14 @@
 	return u.Balancer.RecordNotice(now, s.ID, s.Born, n)
 }
 
+// recordBrittle applies what a server states about the rejections that it withstands, and reports
+// whether its service was not known to be brittle.
+func (u *Upstreams) recordBrittle(now time.Time, s roster.Server, stated metadata.Brittleness) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.Balancer.RecordBrittle(now, s.ID, stated)
+}
+
 // States returns the state of each server as this router sees it.
 func (u *Upstreams) States(now time.Time) []balance.State {
 	u.mu.Lock()
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -218,8 +218,9 @@
 	delays map[int]*delayStats
 	// busy is true while most slots are in use.
 	busy bool
-	// demand is kept when the list of servers changes.
-	demand *demand
+	// demand and brittle are kept when the list of servers changes.
+	demand  *demand
+	brittle *brittleness
 }
 
 // Balancer chooses servers. It is not safe for concurrent use.
@@ -268,9 +269,9 @@
 		next[s.ID] = e
 		p := pools[s.Service]
 		if p == nil {
-			p = &pool{delays: map[int]*delayStats{}, demand: &demand{}}
+			p = &pool{delays: map[int]*delayStats{}, demand: &demand{}, brittle: &brittleness{}}
 			if old := b.pools[s.Service]; old != nil {
-				p.meanDuration, p.delays, p.demand = old.meanDuration, old.delays, old.demand
+				p.meanDuration, p.delays, p.demand, p.brittle = old.meanDuration, old.delays, old.demand, old.brittle
 			}
 			pools[s.Service] = p
 		}
@@ -338,6 +339,9 @@
 	if len(req.Avoid) == 0 && !req.IsRepeated {
 		p.demand.count(now, req)
 	}
+	if !p.brittle.admits(now, deriveDraw(req.Draw, b.salt)) {
+		return Choice{Reason: Full, Wait: backoffInterval}
+	}
 	usable := b.usable(now, p, req)
 	if len(usable) == 0 {
 		return b.noneUsable(now, p, req)
@@ -348,13 +352,22 @@
 	}
 	c.Priority = req.Priority
 	var e *entry
-	if len(req.PrefixHashes) > 0 {
+	switch {
+	case p.brittle.holds(now):
+		if e, c.Reason = b.chooseByRoom(now, p, usable, req); e == nil {
+			c.Wait = backoffInterval
+			return c
+		}
+		if holder := b.findHolder(now, p, req, e); holder != nil {
+			c.Holder = holder.Server
+		}
+	case len(req.PrefixHashes) > 0:
 		var holder *entry
 		e, holder, c.Reason = b.chooseByAffinity(now, p, usable, req, c.Mean)
 		if holder != nil {
 			c.Holder = holder.Server
 		}
-	} else {
+	default:
 		e, c.Reason = b.chooseByLoad(now, p, usable, req), LeastLoad
 	}
 	c.Load = e.load()
@@ -434,6 +447,9 @@
 		if limited {
 			wait = max(wait, b.RateLimits.Wait(now, e.ID, req.Priority))
 		}
+		if !b.hasRoom(now, e, req) {
+			wait = max(wait, p.meanDuration/time.Duration(max(1, req.Slots, e.Slots)))
+		}
 		if wait <= 0 && !limited || !req.allows(e) {
 			continue
 		}
@@ -480,12 +496,15 @@
 	return (r.Version == "" || r.Version == e.Version) && !slices.Contains(r.Avoid, e.ID)
 }
 
-// takes reports whether a server wants requests from this router, is not at its rate limit, and may
-// be chosen for the request.
+// takes reports whether a server wants requests from this router, is not at its rate limit, has room
+// if it is brittle, and may be chosen for the request.
 func (b *Balancer) takes(now time.Time, e *entry, req Request) bool {
 	if now.Before(e.refusedUntil) || !req.allows(e) {
 		return false
 	}
+	if !b.hasRoom(now, e, req) {
+		return false
+	}
 	return !b.isLimited(e) || !req.AvoidLimited && b.RateLimits.Wait(now, e.ID, req.Priority) <= req.MaxLimitWait
 }
 
--- a/routing/balance/simulation_test.go
+++ b/routing/balance/simulation_test.go
@@ -23,6 +23,11 @@
 	servers []roster.Server
 	// queue is the maximum number of requests that wait on one server; it refuses more.
 	queue int
+	// brittleFrom is the time since the start from which servers state that they are brittle; 0 for
+	// never. From one second later on, no requests wait on them, and one that refuses more than
+	// maxRejections requests in a second is down for downTime.
+	brittleFrom   time.Duration
+	maxRejections int
 	// rate is the request rate per second. Until warmUp has passed, warmUpRate applies instead.
 	// duration is how long a server runs a request.
 	rate       float64
@@ -40,6 +45,9 @@
 	balancers   []*balance.Balancer
 	queues      map[string][]*simulatedRequest
 	lastReports []map[string]int
+	// refusedAt holds the times of refusals, and downUntil the end of a failure, by server.
+	refusedAt map[string][]time.Time
+	downUntil map[string]time.Time
 }
 
 // simulatedRequest is a request on a server.
@@ -57,6 +65,10 @@
 	// rejected requests were not sent to a server, and refused ones were sent to a server whose
 	// queue was full.
 	rejected, refused int
+	// failures is the number of brittle servers that failed.
+	failures int
+	// failedAt holds the times of these failures since the start.
+	failedAt []time.Duration
 	// inTime is the number of requests that started within their target, for priority 0 and for all
 	// others.
 	inTime [2]int
@@ -123,6 +135,7 @@
 	for _, r := range sim.queues[s.ID] {
 		if !r.finishAt.IsZero() && !r.finishAt.After(now) {
 			sim.balancers[r.router].Finish(now, s.ID, balance.Answered, now.Sub(r.arrived))
+			sim.balancers[r.router].RecordBrittle(now, s.ID, sim.brittleness(now))
 			o.latencies[r.request.Account] = append(o.latencies[r.request.Account], int(now.Sub(r.arrived).Milliseconds()))
 			if now.Sub(r.arrived)-sim.duration <= r.request.LatencyTarget {
 				o.inTime[min(r.request.Priority, 1)]++
@@ -180,9 +193,19 @@
 	}
 	req.Priority = choice.Priority
 	sim.balancers[router].Start(now, s.ID)
-	if len(sim.queues[s.ID]) >= s.Slots+sim.queue {
+	if now.Before(sim.downUntil[s.ID]) {
+		sim.balancers[router].Finish(now, s.ID, balance.Unreachable, 0)
+		return
+	}
+	queue := sim.queue
+	if sim.isFragile(now) {
+		queue = 0
+	}
+	if len(sim.queues[s.ID]) >= s.Slots+queue {
 		o.refused++
+		sim.balancers[router].RecordBrittle(now, s.ID, sim.brittleness(now))
 		sim.balancers[router].Finish(now, s.ID, balance.Refused, 0)
+		sim.recordRefusal(now, s.ID, o)
 		return
 	}
 	sim.queues[s.ID] = append(sim.queues[s.ID], &simulatedRequest{router: router, request: req, arrived: now})
--- a/routing/metadata/metadata.go
+++ b/routing/metadata/metadata.go
@@ -62,6 +62,15 @@
 	PerSecond float64
 }
 
+// Brittleness is what a backend server states about the rejections that it withstands. The zero
+// value states nothing.
+type Brittleness struct {
+	// Stated is true if the server fails when it has to reject more than MaxRejections requests
+	// within a second because its queue is full.
+	Stated        bool
+	MaxRejections int
+}
+
 // Answer is the metadata that a backend server sends with an answer.
 type Answer struct {
 	// Attempt is the attempt ID of the request; empty if the server does not send it.
@@ -82,6 +91,8 @@
 	RetryAfter time.Duration
 	// Limit is the rate limit that the server states.
 	Limit RateLimit
+	// Brittle is what the server states about the rejections that it withstands.
+	Brittle Brittleness
 	// Close is true if the server closes the connection after this answer.
 	Close bool
 	// Load is nil if the server does not report its load.
