--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -116,7 +116,13 @@
 	c.mu.Lock()
 	dismissed := c.dismissedServers
 	c.mu.Unlock()
-	if !a.chooseRelay(avoid) {
+	switch {
+	case a.chooseRelay(avoid):
+	case c.server.Paths.IsLost(c.service.Name):
+		// Probes find out when the path is back.
+		a.choice.Reason = noPath
+		return a
+	default:
 		a.query = c.buildQuery(time.Now(), slices.Concat(avoid, dismissed)...)
 		a.choosePermitted(effort)
 	}
--- a/hornbeamd/gateway/paths_test.go
+++ b/hornbeamd/gateway/paths_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.uber.org/zap"
 
 	"hornbeamstep.example/hornbeamd/backend"
@@ -305,3 +306,35 @@
 		c.Assert(versions, qt.HasLen, 1)
 	}
 }
+
+// Guards against requests that wait for connections to servers which no router reaches.
+func TestRejectionWithoutPathIsImmediate(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFleet(c, true, true)
+	for _, g := range f.gateways {
+		for _, service := range []string{"pool", "plain"} {
+			for end := time.Now().Add(5 * time.Second); !g.Paths.IsLost(service); time.Sleep(5 * time.Millisecond) {
+				c.Assert(time.Now().Before(end), qt.IsTrue)
+				for _, s := range f.servers {
+					g.Paths.RecordDial(f.addressAt(g, s.ID), false)
+				}
+			}
+		}
+		// As the other router reports it.
+		g.Relays.SetPeers(nil)
+	}
+	for _, path := range []string{"/once/x", "/stream/x"} {
+		response := f.send(0, path)
+		c.Assert(response.Status, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(response.RetryAfter, qt.Not(qt.Equals), "")
+	}
+	attempts := testutil.ToFloat64(f.gateways[0].Metrics.failedAttempts.WithLabelValues(balance.Unreachable.String()))
+	c.Assert(attempts, qt.Equals, 0.0)
+}
+
+// addressAt returns the address by which a gateway knows a server.
+func (f *testFleet) addressAt(g *Server, id string) string {
+	s, known := g.Upstreams.Balancer.Server(id)
+	f.c.Assert(known, qt.IsTrue)
+	return s.Address
+}
--- a/hornbeamd/gateway/relays.go
+++ b/hornbeamd/gateway/relays.go
@@ -40,7 +40,8 @@
 	peerRetryInterval = time.Second
 	// viaPeer is the reason of the choice of a peer.
 	viaPeer balance.Reason = "relayed"
-	// noPath is the outcome of a relayed request at a router without a path to the servers.
+	// noPath is the reason why no server is chosen if neither this router nor a peer has a path to
+	// the servers. It is also the outcome of a relayed request at a router without a path.
 	noPath = "no_path"
 )
 
