fix(balance): short deadlines are not rejected for the time that longer requests take

Cause: a request was rejected if the mean duration over all requests of its service exceeded its time left. Those with the short deadline are the ones that lower that mean, so that it stayed high once they were rejected. Class: an estimate that leaves out what it rejects.

A request that need not wait, and has time for its latency target, is now sent. TestShortDeadlineBesideLongRequests failed (rejected) and passes; TestRejectedPromptIsNotRecorded still holds for a request with 1 ms left.

--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -382,7 +382,7 @@
 		// The delays at limited servers hide the queues of the others from shouldShed.
 		shed = shed || req.LatencyTarget > 0 && c.Wait.Seconds() > targetQueueFraction*req.LatencyTarget.Seconds()
 	}
-	if req.TimeLeft > 0 && c.Wait+p.meanDuration > req.TimeLeft || shed {
+	if shed || p.isTooLate(req, c.Wait) {
 		c.Reason = Full
 		return c
 	}
@@ -532,6 +532,16 @@
 	return time.Duration(float64(p.meanDuration) * float64(ahead) / float64(slots))
 }
 
+// isTooLate reports whether a request most likely misses its deadline. One that need not wait and
+// has time for its latency target is sent, because requests with a short deadline take less time
+// than the mean over all requests of a service. Were they rejected, the mean would stay high.
+func (p *pool) isTooLate(req Request, wait time.Duration) bool {
+	if req.TimeLeft <= 0 || wait == 0 && req.LatencyTarget > 0 && req.TimeLeft >= req.LatencyTarget {
+		return false
+	}
+	return wait+p.meanDuration > req.TimeLeft
+}
+
 // Start counts a request that is sent to a server. Finish must be called when it ends.
 func (b *Balancer) Start(now time.Time, id string) {
 	if e := b.servers[id]; e != nil {
--- a/routing/balance/balance_test.go
+++ b/routing/balance/balance_test.go
@@ -322,3 +322,19 @@
 	}
 	c.Assert(moved > 0, qt.IsTrue)
 }
+
+// Guards against a service that rejects requests with a short deadline although it has free slots,
+// because its other requests take longer than that.
+func TestShortDeadlineBesideLongRequests(t *testing.T) {
+	c := qt.New(t)
+	b := newBalancer(1, 2)
+	for range 50 {
+		b.Start(start, "s0")
+		b.Finish(start, "s0", balance.Answered, 5*time.Second)
+	}
+	short := balance.Request{Service: "pool", TimeLeft: 3 * time.Second, LatencyTarget: time.Second}
+	c.Assert(b.Choose(start, short).Server.ID, qt.Equals, "s0")
+	b.Start(start, "s0")
+	b.Start(start, "s0")
+	c.Assert(b.Choose(start, short).Reason, qt.Equals, balance.Full)
+}
