fix(gateway): a retry after a lost connection uses a new one

Class: what broke one connection is taken for a failure of its server. After an attempt whose connection failed, and beside a silent one, attempts now open a connection, which fails before anything is sent if the path is lost; the next one then goes through another router.

TestNewConnection guards the pool.

--- a/hornbeamd/backend/backend.go
+++ b/hornbeamd/backend/backend.go
@@ -81,6 +81,10 @@
 	// idle for a short time, because the server may be closing a connection that was idle for
 	// longer.
 	AtMostOnce bool
+	// NewConnection makes the request use a new connection, unless MaxConnections is reached. What
+	// broke an earlier attempt may have broken idle connections too, which shows only once the
+	// request is sent.
+	NewConnection bool
 	// MaxConnections limits the pool's open connections to the server; 0 means no limit.
 	MaxConnections int
 }
--- a/hornbeamd/backend/backend_test.go
+++ b/hornbeamd/backend/backend_test.go
@@ -292,3 +292,28 @@
 	c.Assert(opened, qt.Equals, 3)
 	c.Assert(p.OpenConnections(), qt.Equals, 1)
 }
+
+// Guards against a retry on an idle connection that has failed together with that of the earlier
+// attempt, and against a retry that fails because the idle connections use up the limit.
+func TestNewConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		limit, wantOpened int
+	}{
+		"unlimited":     {0, 2},
+		"limit reached": {1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			opened := 0
+			pool, address := newPool(&opened), startServer(c, okResponse, okResponse)
+			_, err := sendRequest(c, pool, address)
+			c.Assert(err == nil, qt.IsTrue)
+			response, err := pool.Do(context.Background(), &backend.Request{
+				Address: address, Method: "POST", Target: "/a/", Host: "h", Header: http.Header{}, Attempt: "1", NewConnection: true, MaxConnections: test.limit,
+			})
+			c.Assert(err == nil, qt.IsTrue)
+			response.Close()
+			c.Assert(opened, qt.Equals, test.wantOpened)
+		})
+	}
+}
--- a/hornbeamd/backend/pool.go
+++ b/hornbeamd/backend/pool.go
@@ -68,10 +68,14 @@
 
 // get returns an idle connection or dials a new one.
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, *Error) {
-	if c := p.takeIdle(r); c != nil {
-		return c, nil
+	reserved := r.NewConnection && p.reserveSlot(r)
+	if !reserved {
+		if c := p.takeIdle(r); c != nil {
+			return c, nil
+		}
+		reserved = p.reserveSlot(r)
 	}
-	if !p.reserveSlot(r) {
+	if !reserved {
 		return nil, &Error{Kind: ConnectionLimit, Cause: errConnectionLimit}
 	}
 	netConn, err := p.dial(ctx, r.Address)
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -69,6 +69,8 @@
 	// sentBefore is the number of servers that may have received the request before.
 	viaPeer    bool
 	sentBefore int
+	// newConnection is true if an earlier attempt has lost its connection, or is silent.
+	newConnection bool
 	// sentByPeer is the number of servers to which the peer has sent the request, and versionAtPeer
 	// the version of the server that responds. peerOutcome is empty unless the peer itself responds.
 	sentByPeer                 int
@@ -174,6 +176,7 @@
 	}
 	c.mu.Lock()
 	a.sentBefore = c.sentAttempts + inProgress
+	a.newConnection = inProgress > 0 || c.connectionFailed
 	c.mu.Unlock()
 	a.begin()
 	return a, ""
@@ -308,6 +311,7 @@
 	if a.sent {
 		c.sentAttempts += max(1, a.sentByPeer)
 	}
+	c.connectionFailed = c.connectionFailed || outcome == balance.Broken || outcome == balance.Silent || a.err != nil
 	if outcome == balance.Unreachable && !a.viaPeer {
 		c.unreachable++
 	}
@@ -358,7 +362,7 @@
 	return &backend.Request{
 		Address: a.choice.Server.Address, Method: c.r.Method, Target: c.target, Host: c.r.Host,
 		Header: c.server.Codec.BuildRequestHeader(c.r.Header, forward), Body: c.body, HasBody: c.hasBody, Attempt: c.metadata.Attempt,
-		AtMostOnce: !c.route.Retryable(), MaxConnections: c.server.Upstreams.ConnectionShare(c.service.Connections),
+		AtMostOnce: !c.route.Retryable(), NewConnection: a.newConnection, MaxConnections: c.server.Upstreams.ConnectionShare(c.service.Connections),
 	}
 }
 
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -60,6 +60,8 @@
 	dismissedServers []string
 	// mayHaveRun is true if a server may have run the request.
 	mayHaveRun bool
+	// connectionFailed is true if the connection of an attempt has failed.
+	connectionFailed bool
 	// relays is the number of attempts through other routers, and unreachable that of servers that
 	// could not be reached.
 	relays, unreachable int
