--- a/hornbeamd/gateway/standby_test.go
+++ b/hornbeamd/gateway/standby_test.go
@@ -40,6 +40,8 @@
 	timeout, target time.Duration
 	// versions holds the software versions of the servers; empty if they have the same one.
 	versions []string
+	// received is called with the index of the server that gets a request; optional.
+	received func(server int)
 }
 
 // unlimited allows any number of retries.
@@ -66,6 +68,9 @@
 			w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 			standin.Sign(w.Header(), fmt.Sprint("s", i), r.Header.Get("Attempt-Id"))
 			mu.Lock()
+			if with.received != nil {
+				with.received(i)
+			}
 			if assigned[i] == nil {
 				assigned[i] = handlers[len(assigned)]
 			}
--- a/hornbeamd/gateway/version_test.go
+++ b/hornbeamd/gateway/version_test.go
@@ -1,34 +1,14 @@
 package gateway
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 )
 
-// versionRecorder records the versions of the servers that get requests.
-type versionRecorder struct {
-	versions []string
-	mu       sync.Mutex
-	got      []string
-}
-
-func (v *versionRecorder) handler(handle http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		var index int
-		fmt.Sscanf(r.Header.Get("Target-Instance"), "s%d", &index)
-		v.mu.Lock()
-		v.got = append(v.got, v.versions[index])
-		v.mu.Unlock()
-		handle(w, r)
-	}
-}
-
 // Guards against a router that continues a stream at another software version within one response.
 func TestStreamKeepsVersionWithinResponse(t *testing.T) {
 	first := "id: 1\ndata: 1\n\n"
@@ -53,16 +33,19 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			for range 6 {
-				v := &versionRecorder{versions: []string{"v1", "v2", "v1", "v2"}}
-				resume := v.handler(func(w http.ResponseWriter, _ *http.Request) { send(w, rest) })
-				url, _ := startGateway(c, setup{limits: unlimited, attempts: 2, timeout: 4 * pause, target: 100 * time.Millisecond, versions: v.versions},
-					v.handler(begin), resume, resume, resume)
+				versions := []string{"v1", "v2", "v1", "v2"}
+				var got []string
+				resume := func(w http.ResponseWriter, _ *http.Request) { send(w, rest) }
+				url, _ := startGateway(c, setup{
+					limits: unlimited, attempts: 2, timeout: 4 * pause, target: 100 * time.Millisecond, versions: versions,
+					received: func(server int) { got = append(got, versions[server]) },
+				}, begin, resume, resume, resume)
 				status, body, err := get(c, url+"/stream/x")
 				c.Assert(err, qt.IsNil)
 				c.Assert(status, qt.Equals, 200)
 				c.Assert(body, qt.Equals, events)
-				c.Assert(v.got, qt.HasLen, 2)
-				c.Assert(v.got[1], qt.Equals, v.got[0])
+				c.Assert(got, qt.HasLen, 2)
+				c.Assert(got[1], qt.Equals, got[0])
 			}
 		})
 	}
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -230,3 +230,14 @@
 		_, _ = decode(data)
 	})
 }
+
+// Guards against origins of streams that take more than a few packets' headers: each stream that may
+// be resumed costs three such messages.
+func TestOriginRecordSize(t *testing.T) {
+	const maxBytes = 72
+	c := qt.New(t)
+	data, err := encode(presence.Message{Kind: presence.OriginRecord, From: "edge-greytown-hall-11", Origin: &presence.StreamOrigin{Stream: math.MaxUint64, Recorded: math.MaxUint64}})
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(data) <= maxBytes, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
+	t.Logf("%d bytes", len(data))
+}
