test(soak): servers of two software versions, and callers that resume broken streams

Now every second pair of servers registers another version, a caller whose resumable stream broke off resumes it with its next request, and a check compares the version of each run that continues a stream with those that may have begun it. The check of streams expects the rest after the last event of a resumed one; it is as strict for the others. TestCheck has a case for the new check.

--- a/hornbeambench/soak/caller.go
+++ b/hornbeambench/soak/caller.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"hornbeamstep.example/platform/standin"
@@ -37,6 +40,9 @@
 	client    *http.Client
 	routerID  string
 	sentCount int
+	// interrupted is the request of a stream that broke off and may be resumed; nil if there is
+	// none.
+	interrupted *request
 	// addresses holds the router addresses from service discovery, and resolvedAt the time of the
 	// response.
 	addresses  []string
@@ -109,6 +115,10 @@
 		Attempt: fmt.Sprintf("%s-%d", c.name, c.sentCount), Path: requestPaths[c.random.IntN(len(requestPaths))], Key: permanentKey, Router: c.routerID,
 	}
 	q.Body = "body of " + q.Attempt
+	if c.interrupted != nil {
+		q.Path, q.Body = c.interrupted.Path, c.interrupted.Body
+		q.Resumes, q.LastEvent = c.interrupted.stream(), c.interrupted.lastEvent()
+	}
 	if c.random.IntN(5) == 0 {
 		q.Key = toggledKey
 	}
@@ -123,6 +133,10 @@
 	q.Ended = time.Now()
 	// A request that ended before its short timeout was not canceled.
 	q.Canceled = q.Canceled && ctx.Err() != nil
+	c.interrupted = nil
+	if q.Incomplete && !q.Canceled && strings.HasPrefix(q.Path, "/resume/") && q.lastEvent() > 0 {
+		c.interrupted = &q
+	}
 	c.testbed.observations.addRequest(q)
 	if unusable {
 		c.disconnect()
@@ -134,6 +148,7 @@
 func (c *caller) send(ctx context.Context, q *request) bool {
 	response, err := standin.Request{
 		Address: standin.Host, Path: q.Path, Attempt: q.Attempt, Key: q.Key, Body: q.Body, Timeout: callerTimeout,
+		Resumes: q.Resumes, LastEventID: strconv.Itoa(q.LastEvent),
 	}.Send(ctx, c.client)
 	if err != nil {
 		q.Incomplete = true
@@ -143,3 +158,9 @@
 	q.Leaving = response.Leaving
 	return response.Err != nil || response.Close
 }
+
+// stream returns the attempt that brought the first event of the request's stream.
+func (q *request) stream() string { return cmp.Or(q.Resumes, q.Attempt) }
+
+// lastEvent returns the number of the last event that the caller has received of the stream.
+func (q *request) lastEvent() int { return q.LastEvent + strings.Count(q.ResponseBody, "\n\n") }
--- a/hornbeambench/soak/checks.go
+++ b/hornbeambench/soak/checks.go
@@ -56,7 +56,7 @@
 	for _, check := range []func() []violation{
 		o.checkResponses, o.checkRuns, o.checkNonRetryable, o.checkRejections, o.checkAPIKeys, o.checkDrains, o.checkUnanswered,
 		o.checkAttempts, o.checkRetryBudget, o.checkCanceled, o.checkTimeouts, o.checkRecovery, o.checkExits, o.checkLeavingNotices, o.checkRejectionTimes,
-		o.checkLimits,
+		o.checkLimits, o.checkVersions,
 	} {
 		found = append(found, check()...)
 	}
@@ -77,9 +77,12 @@
 }
 
 // fullStream returns the complete stream of a fake backend server.
-func fullStream() string {
+func fullStream() string { return streamAfter(0) }
+
+// streamAfter returns the rest of the stream after an event.
+func streamAfter(event int) string {
 	var stream strings.Builder
-	for i := 1; i <= 5; i++ {
+	for i := event + 1; i <= 5; i++ {
 		_, _ = fmt.Fprintf(&stream, "id: %d\ndata: piece %d\n\n", i, i)
 	}
 	return stream.String()
@@ -96,7 +99,7 @@
 			continue
 		case !strings.HasSuffix(r.Signature, "-for-"+r.Attempt):
 			found = append(found, violation{"answers belong to their request", fmt.Sprintf("%s got one signed %q", r.Attempt, r.Signature)})
-		case stream && !strings.HasPrefix(fullStream(), r.ResponseBody), stream && !r.Incomplete && !r.Canceled && r.ResponseBody != fullStream():
+		case stream && !strings.HasPrefix(streamAfter(r.LastEvent), r.ResponseBody), stream && !r.Incomplete && !r.Canceled && r.ResponseBody != streamAfter(r.LastEvent):
 			found = append(found, violation{"streams are complete and in order", fmt.Sprintf("%s got %q", r.Attempt, r.ResponseBody)})
 		case !stream && !r.Incomplete && !strings.HasPrefix(r.ResponseBody, r.Body+" by "):
 			found = append(found, violation{"answers are whole", fmt.Sprintf("%s sent %q and got %q", r.Attempt, r.Body, r.ResponseBody)})
@@ -105,6 +108,26 @@
 	return found
 }
 
+// checkVersions checks that each run that continues a stream has the software version of a run that
+// may have begun it. Several may have, since a router may make a second attempt beside a first one.
+func (o *observations) checkVersions() []violation {
+	var found []violation
+	for _, r := range o.requests {
+		began := map[string]bool{}
+		for _, first := range o.runs[r.stream()] {
+			if first.After == 0 {
+				began[first.Version] = true
+			}
+		}
+		for _, next := range o.runs[r.Attempt] {
+			if next.After > 0 && len(began) > 0 && !began[next.Version] {
+				found = append(found, violation{"streams keep their software version", fmt.Sprintf("%s resumes %s at %s (%s)", r.Attempt, r.stream(), next.Server, next.Version)})
+			}
+		}
+	}
+	return found
+}
+
 // checkRuns checks that backend servers run only requests that callers sent, for the client account
 // of the API key, without receiving the API key itself, and at the service of the path.
 func (o *observations) checkRuns() []violation {
--- a/hornbeambench/soak/checks_test.go
+++ b/hornbeambench/soak/checks_test.go
@@ -93,6 +93,11 @@
 		"stream ends early": {func(o *observations) {
 			o.changeRequest("s", func(r *request) { r.ResponseBody = "id: 1\ndata: piece 1\n\n" })
 		}, "streams are complete and in order"},
+		"resumed at another version": {func(o *observations) {
+			o.runs["s"][0].Version = "v1"
+			o.runs["s"] = append(o.runs["s"], run{Run: o.runs["s"][0].Run, Service: "pool", Version: "v2"})
+			o.runs["s"][1].After = 2
+		}, "streams keep their software version"},
 		"changed body":                     {func(o *observations) { o.runs["a"][0].Body = "x" }, "servers run what callers sent"},
 		"unknown request":                  {func(o *observations) { o.runs["x"] = []run{{Run: standin.Run{Attempt: "x"}}} }, "servers run what callers sent"},
 		"other client account":             {func(o *observations) { o.runs["a"][0].Account = "forged" }, "requests run for the account of their key"},
--- a/hornbeambench/soak/observations.go
+++ b/hornbeambench/soak/observations.go
@@ -46,6 +46,10 @@
 	// ResponseBody is the received part of the response body. Signature is the signature in the
 	// response header, by which the backend server identifies itself and the attempt.
 	ResponseBody, Signature string
+	// Resumes is the attempt that brought the first event of the stream that the request resumes,
+	// and LastEvent the number of the last event received of it; empty and 0 for other requests.
+	Resumes   string
+	LastEvent int
 	// Canceled is true if the caller closed the connection before the end of the response.
 	Canceled bool
 	// Leaving is true if the response states that its backend server is leaving.
@@ -63,6 +67,8 @@
 type run struct {
 	standin.Run
 	Server, Service string
+	// Version is the software version of the server.
+	Version string
 	// Ended is zero if the server did not report the end of the run. Complete is true if the server
 	// sent the whole response.
 	Ended    time.Time
--- a/hornbeambench/soak/testbed.go
+++ b/hornbeambench/soak/testbed.go
@@ -72,6 +72,8 @@
 
 type server struct {
 	id, service string
+	// version is the software version that the server registers.
+	version string
 	// proxy forwards connections from routers to the server.
 	proxy   *proxy
 	process *child
@@ -190,7 +192,7 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.serverCount++
-	s := &server{id: fmt.Sprintf("%s-%d", service, tb.serverCount), service: service, noLength: tb.serverCount%noLengthRatio == 0}
+	s := &server{id: fmt.Sprintf("%s-%d", service, tb.serverCount), service: service, version: versions[tb.serverCount/2%len(versions)], noLength: tb.serverCount%noLengthRatio == 0}
 	var err error
 	if s.proxy, err = newProxy("127.0.0.1:0", ""); err != nil {
 		return err
@@ -205,9 +207,12 @@
 	return nil
 }
 
+// versions are the software versions of backend servers.
+var versions = []string{"v1", "v2"}
+
 // entry returns the server's entry in the store as JSON.
 func (s *server) entry(state string) string {
-	return standin.Entry(s.service, s.proxy.address(), "z1", standin.DefaultVersion, state)
+	return standin.Entry(s.service, s.proxy.address(), "z1", s.version, state)
 }
 
 // startServer starts or restarts the process of a server and sets it as the target of the proxy.
@@ -224,7 +229,7 @@
 		case n.Address != "":
 			addresses <- n.Address
 		case n.Began != nil:
-			tb.observations.addRun(run{Run: *n.Began, Server: s.id, Service: s.service})
+			tb.observations.addRun(run{Run: *n.Began, Server: s.id, Service: s.service, Version: s.version})
 		case n.Ended != nil:
 			tb.observations.endRun(s.id, *n.Ended, n.At, n.Complete)
 		case n.Rejected != "":
