fix(gateway): a peer's rejection doesn't say that a request has not run which may have

Found by reading: a repeatable request may run at a server whose answer is lost, and its router may then lose the path and relay it. The peer does not know of the first server, and its 503, which says "not run", went to the client as it was. The router now answers 502 then, or passes on the failure that a server gave. A response without the number of servers that may have got the request counts as sent to one. TestPeerRejectsRequestThatMayHaveRun failed with 503 for 502.

--- a/hornbeamd/gateway/relays.go
+++ b/hornbeamd/gateway/relays.go
@@ -254,8 +254,11 @@
 		return outcome, result
 	}
 	a.peerOutcome = response.Header.Get(outcomeHeader)
-	// A missing or invalid number counts as 0.
-	sent, _ := strconv.Atoi(response.Header.Get(sentHeader))
+	sent, invalid := strconv.Atoi(response.Header.Get(sentHeader))
+	if invalid != nil {
+		// The response is not that of a router, so the request may have been sent.
+		sent = 1
+	}
 	a.sentByPeer, a.versionAtPeer = max(0, sent), response.Header.Get(versionHeader)
 	removeRelayHeaders(response.Header)
 	a.sent = a.sentByPeer > 0
@@ -291,6 +294,11 @@
 	if err != nil {
 		return a.classifyReadError()
 	}
-	c.sendBuffered(buffered, a.peerOutcome)
+	if c.mayHaveRun && buffered.status == http.StatusServiceUnavailable {
+		// The peer does not know that the request may have run before.
+		c.fail(a.peerOutcome)
+	} else {
+		c.sendBuffered(buffered, a.peerOutcome)
+	}
 	return balance.Abandoned, attemptFinished
 }
