fix(reach): one server that accepts connections shows that the path is back

Found by reading: if all three servers of a service crash, routers take the path for lost, and regained it only once two of them accepted connections. While one was back and two were not, all requests were rejected as `no_path`. TestServersReturnOneByOne failed (not regained before the second server was back) and passes; TestPath holds.

--- a/routing/reach/reach.go
+++ b/routing/reach/reach.go
@@ -208,11 +208,11 @@
 	return []Change{{Service: name, Lost: true, Unreached: failed, Servers: len(s.addresses), Since: now.Sub(s.failingSince)}}
 }
 
-// updateLost decides whether a lost path is regained. Some of the servers may have failed
-// meanwhile, so connections to most of those that were probed suffice, or to two.
+// updateLost decides whether a lost path is regained. One server that accepts connections shows that
+// it is, because the others may have failed.
 func (t *Tracker) updateLost(now time.Time, name string, s *service) []Change {
 	succeeded, failed := s.results(later(now.Add(-t.settings.FailureTTL), s.lostAt))
-	if succeeded <= failed && succeeded < 2 {
+	if succeeded == 0 {
 		s.settlingSince = time.Time{}
 		return nil
 	}
--- a/routing/reach/reach_test.go
+++ b/routing/reach/reach_test.go
@@ -164,3 +164,23 @@
 	c.Assert(counts["large"] > 2*counts["far"], qt.IsTrue)
 	c.Assert(counts["unknown"] > 0, qt.IsTrue)
 }
+
+// Guards against a service that counts as out of reach while one of its crashed servers is back.
+func TestServersReturnOneByOne(t *testing.T) {
+	const crash, firstBack, secondBack = 2 * time.Second, 5 * time.Second, 9 * time.Second
+	c := qt.New(t)
+	n := newNetwork(3, func(address string, at time.Duration) bool {
+		return at < crash || address == "s0" && at >= firstBack || at >= secondBack
+	})
+	n.dialTimeout = 0
+	n.run(secondBack, func(at time.Duration) {
+		if at%(100*time.Millisecond) == 0 && !n.tracker.IsLost("pool") {
+			for i := range 3 {
+				n.dial(fmt.Sprint("s", i))
+			}
+		}
+	})
+	c.Assert(n.log, qt.HasLen, 2)
+	c.Assert(n.log[1].lost, qt.IsFalse)
+	c.Assert(n.log[1].at >= firstBack && n.log[1].at < firstBack+time.Second, qt.IsTrue, qt.Commentf("%v", n.log))
+}
