fix(origin): streams go on after a start of all routers

Now one such server suffices, and servers that don't state their start count as old: what replaces all servers of another version within seconds is then still rejected where it can be seen. A list of servers that has just arrived is also no longer taken for outdated until the next heartbeat.

TestSettledBuild failed before.

--- a/hornbeamd/edge/origins.go
+++ b/hornbeamd/edge/origins.go
@@ -58,10 +58,11 @@
 const maxServersAge = 3 * time.Second
 
 // isOutdated reports whether the list of backend servers may lack new ones that other routers know.
-// A router without others learns of new servers before any of their streams begins.
+// A router without others learns of new servers before any of their streams begins, and one that
+// has started has no list until it hears of the store.
 func (c *controlLoop) isOutdated(now time.Time) bool {
 	newest, _ := c.presence.LastStoreContact(now, c.storeContact)
-	return c.presence.FleetSize() > 1 && now.Sub(newest) > maxServersAge
+	return c.presence.FleetSize() > 1 && !newest.IsZero() && now.Sub(newest) > maxServersAge
 }
 
 // originRouters returns the other live routers as possible holders of the origins of streams.
--- a/hornbeamd/gateway/origins.go
+++ b/hornbeamd/gateway/origins.go
@@ -53,11 +53,12 @@
 	return &Origins{ledger: origin.NewLedger(), pending: map[uint32]chan origin.Answer{}}
 }
 
-// SetServers replaces the list of backend servers.
+// SetServers replaces the list of backend servers by one that has just arrived.
 func (o *Origins) SetServers(now time.Time, servers []roster.Server) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ledger.SetServers(now, servers)
+	o.isOutdated = false
 }
 
 // SetRouters replaces the other routers. isOutdated is true if the list of backend servers may lack
--- a/routing/origin/ledger.go
+++ b/routing/origin/ledger.go
@@ -33,8 +33,9 @@
 	service, version string
 	lastSeen         time.Time
 	listed           bool
-	// youngest is the latest start of its listed servers; zero if one of them is unknown.
-	youngest time.Time
+	// oldest is the earliest start of its listed servers. Servers that don't state their start count
+	// as old.
+	oldest time.Time
 }
 
 // NewLedger returns a ledger that knows no streams and no servers.
@@ -70,23 +71,18 @@
 		if now.Sub(b.lastSeen) > recordTTL {
 			delete(l.builds, build)
 		}
-		b.listed, b.youngest = false, time.Time{}
+		b.listed, b.oldest = false, now
 	}
-	ageUnknown := map[Build]bool{}
 	for _, s := range servers {
 		key := BuildOf(s.Service, s.Version)
 		b := l.builds[key]
 		if b == nil {
-			b = &buildState{service: s.Service, version: s.Version}
+			b = &buildState{service: s.Service, version: s.Version, oldest: now}
 			l.builds[key] = b
 		}
 		b.listed, b.lastSeen = true, now
-		ageUnknown[key] = ageUnknown[key] || s.Born == 0
-		if born := time.UnixMilli(s.Born); born.After(b.youngest) {
-			b.youngest = born
-		}
-		if ageUnknown[key] {
-			b.youngest = time.Time{}
+		if born := time.UnixMilli(s.Born); born.Before(b.oldest) {
+			b.oldest = born
 		}
 	}
 }
@@ -114,15 +110,15 @@
 // otherwise.
 func (l *Ledger) SoleListed(service Service) Build { return l.sole(time.Time{}, service, 0) }
 
-// SoleSettled returns the same as Sole for a ledger that doesn't go back that far, if no server of
-// the build started within the given time: unless servers start, no other build was replaced.
+// SoleSettled returns the same as Sole for a ledger that doesn't go back that far, if a server of the
+// build started before that time. If all servers started since, they may have replaced those of
+// another build.
 func (l *Ledger) SoleSettled(now time.Time, service Service, within time.Duration) Build {
 	build := l.sole(now, service, within)
 	if build == 0 || !l.builds[build].listed {
 		return 0
 	}
-	youngest := l.builds[build].youngest
-	if youngest.IsZero() || now.Sub(youngest) < within+clockTolerance {
+	if now.Sub(l.builds[build].oldest) < within+clockTolerance {
 		return 0
 	}
 	return build
