--- a/hornbeamd/backend/backend_test.go
+++ b/hornbeamd/backend/backend_test.go
@@ -293,8 +293,7 @@
 	c.Assert(p.OpenConnections(), qt.Equals, 1)
 }
 
-// Guards against a retry on an idle connection that has failed together with that of the earlier
-// attempt, and against a retry that fails because the idle connections use up the limit.
+// Guards against a retry on an idle connection that has failed with the first, or at the limit.
 func TestNewConnection(t *testing.T) {
 	for name, test := range map[string]struct {
 		limit, wantOpened int
--- a/hornbeamd/edge/paths_test.go
+++ b/hornbeamd/edge/paths_test.go
@@ -11,8 +11,7 @@
 	"hornbeamstep.example/platform/standin"
 )
 
-// Guards against routers that don't serve the requests that others relay to them, or that accept
-// such requests without the name of the other router.
+// Guards against routers that do not serve relayed requests, or serve those of nobody.
 func TestRelayAddress(t *testing.T) {
 	c := qt.New(t)
 	p := newTestPlatform(c, 2)
--- a/hornbeamd/edge/version_test.go
+++ b/hornbeamd/edge/version_test.go
@@ -85,8 +85,7 @@
 	return response, p.versionOf(attempt)
 }
 
-// Guards against a stream that a caller resumes at another router after the first one was killed,
-// and that goes on at another software version than the one that began it.
+// Guards against a stream that changes its version when resumed after its router was killed.
 func TestResumedStreamKeepsVersion(t *testing.T) {
 	c := qt.New(t)
 	p := newTestPlatform(c, 4)
--- a/hornbeamd/gateway/origins_test.go
+++ b/hornbeamd/gateway/origins_test.go
@@ -11,8 +11,7 @@
 	"hornbeamstep.example/routing/roster"
 )
 
-// Guards against streams that don't go on after a start, because the router goes on to take its list
-// of servers for outdated after a new one has arrived.
+// Guards against a new list of servers that is taken for outdated after a start.
 func TestNewListOfServersIsNotOutdated(t *testing.T) {
 	c := qt.New(t)
 	o := NewOrigins()
--- a/hornbeamd/gateway/paths_test.go
+++ b/hornbeamd/gateway/paths_test.go
@@ -147,8 +147,7 @@
 	return response
 }
 
-// Guards against a router that rejects requests because it has no path to the backend servers,
-// although another router has one.
+// Guards against rejections by a router without a path to the servers that others reach.
 func TestRouterWithoutPathServes(t *testing.T) {
 	for _, path := range []string{"/once/x", "/again/x", "/stream/x"} {
 		t.Run(path, func(t *testing.T) {
@@ -171,8 +170,7 @@
 	return n
 }
 
-// Guards against relayed requests that run twice, or whose response promises that they did not run
-// although they may have.
+// Guards against relayed requests that run twice, or are wrongly said not to have run.
 func TestRelayedRequestsWithServerFaults(t *testing.T) {
 	for name, test := range map[string]struct {
 		path          string
@@ -209,8 +207,7 @@
 	}
 }
 
-// Guards against requests that routers without a path relay to each other in a circle, or hold
-// until their deadline.
+// Guards against requests that go in a circle between routers without a path.
 func TestNoRouterHasPath(t *testing.T) {
 	const bound = 500 * time.Millisecond
 	c := qt.New(t)
@@ -240,8 +237,7 @@
 	c.Assert(served >= 50, qt.IsTrue, qt.Commentf("%d of 60 served", served))
 }
 
-// Guards against headers between routers that reach clients or backend servers, and against API
-// keys that reach these.
+// Guards against headers between routers that reach clients, and API keys that reach servers.
 func TestRelayHeaders(t *testing.T) {
 	c := qt.New(t)
 	f := newTestFleet(c, true, false)
@@ -258,8 +254,7 @@
 	}
 }
 
-// Guards against servers that go on working for a client that has left the router which relays its
-// request.
+// Guards against servers that go on working for a client that has left.
 func TestClientLeavesRelayedStream(t *testing.T) {
 	c := qt.New(t)
 	f := newTestFleet(c, true, false)
@@ -283,8 +278,7 @@
 	}
 }
 
-// Guards against a stream that goes on at another software version because the peer that relayed it
-// was lost.
+// Guards against a stream that changes its version because its peer was lost.
 func TestRelayedStreamKeepsVersion(t *testing.T) {
 	for range 6 {
 		c := qt.New(t)
@@ -320,8 +314,7 @@
 	}
 }
 
-// Guards against a promise that a request has not run, although it may have run before its router
-// lost the path: the peer that rejects it does not know of that.
+// Guards against a peer's promise "not run" for a request that may have run before.
 func TestPeerRejectsRequestThatMayHaveRun(t *testing.T) {
 	for range 10 {
 		c := qt.New(t)
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -231,8 +231,7 @@
 	})
 }
 
-// Guards against origins of streams that take more than a few packets' headers: each stream that may
-// be resumed costs three such messages.
+// Guards against large records of origins: each resumable stream costs three of them.
 func TestOriginRecordSize(t *testing.T) {
 	const maxBytes = 72
 	c := qt.New(t)
--- a/routing/balance/balance_test.go
+++ b/routing/balance/balance_test.go
@@ -323,8 +323,7 @@
 	c.Assert(moved > 0, qt.IsTrue)
 }
 
-// Guards against a service that rejects requests with a short deadline although it has free slots,
-// because its other requests take longer than that.
+// Guards against rejecting short requests for the duration of long ones.
 func TestShortDeadlineBesideLongRequests(t *testing.T) {
 	c := qt.New(t)
 	b := newBalancer(1, 2)
--- a/routing/balance/brittle_test.go
+++ b/routing/balance/brittle_test.go
@@ -50,8 +50,7 @@
 	sim.refusedAt[server] = recent
 }
 
-// Guards against brittle servers that fail because all routers together make them reject too many
-// requests under overload. Of n servers, 2 + n/10 may fail.
+// Guards against brittle servers that fail under overload; of n servers, 2 + n/10 may.
 func TestBrittleServers(t *testing.T) {
 	for name, test := range map[string]struct {
 		newSimulation func(rate float64) *simulation
--- a/routing/balance/version_test.go
+++ b/routing/balance/version_test.go
@@ -9,8 +9,7 @@
 	"hornbeamstep.example/routing/roster"
 )
 
-// Guards against a resumed stream that goes to another software version because the servers of its
-// own are loaded, tried or gone, and against cache transfers between versions.
+// Guards against streams and cache transfers that cross software versions.
 func TestVersionOfServer(t *testing.T) {
 	now := time.UnixMilli(1_700_000_000_000)
 	prompt := PrefixHashes("m", []string{"shared", "own"})
--- a/routing/origin/origin_test.go
+++ b/routing/origin/origin_test.go
@@ -28,8 +28,7 @@
 	return out
 }
 
-// Guards against a stream that goes on at a version which can't be known to be the one that began
-// it, and against streams that don't go on although the version is known.
+// Guards against a stream that goes on at a version which may not have begun it.
 func TestInquiry(t *testing.T) {
 	const life = 15 * time.Second
 	v1, v2 := BuildOf("pool", "v1"), BuildOf("pool", "v2")
@@ -114,8 +113,7 @@
 	return out
 }
 
-// Guards against origins that nobody knows after many routers were killed at once or an
-// availability zone was lost. The routers that were killed have started again without memory.
+// Guards against origins that nobody knows after many routers were killed at once.
 func TestOriginsSurviveKills(t *testing.T) {
 	const streams = 2000
 	for name, test := range map[string]struct {
@@ -155,8 +153,7 @@
 	}
 }
 
-// Guards against streams that don't go on after all routers were killed, because some servers of the
-// only version have started recently.
+// Guards against streams that do not go on after a start of all routers.
 func TestSettledBuild(t *testing.T) {
 	const life = 15 * time.Second
 	c := qt.New(t)
--- a/routing/reach/reach_test.go
+++ b/routing/reach/reach_test.go
@@ -86,8 +86,7 @@
 	}
 }
 
-// Guards against a path that counts as lost too late or after its end, and against a failure of
-// servers that counts as one of the path.
+// Guards against a lost path that is noticed late, and failures of servers taken for one.
 func TestPath(t *testing.T) {
 	const cutAt, cutEnd, length = 2 * time.Second, 7 * time.Second, 12 * time.Second
 	isCut := func(at time.Duration) bool { return at >= cutAt && at < cutEnd }
@@ -148,8 +147,7 @@
 	c.Assert(n.dials <= 5*4*3, qt.IsTrue, qt.Commentf("%d probes in 5 s", n.dials))
 }
 
-// Guards against one peer that relays the requests of all routers, and against peers in other
-// availability zones that relay most of them.
+// Guards against peers that get more than their share of relayed requests.
 func TestChoosePeer(t *testing.T) {
 	c := qt.New(t)
 	_, found := ChoosePeer(nil, "z1", 0.5)
