feat(gateway): logs and metrics tell which rejections come from servers that a router knew to be brittle

Change: `brittle`, `load`, `mean` and `reports_age` in the line `attempt failed`; a counter of rejections by whether the server counted as brittle.

Result: no decision changes.

--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -320,8 +320,12 @@
 	c.mayHaveRun = c.mayHaveRun || a.mayHaveRun
 	c.mu.Unlock()
 	c.server.Metrics.countFailedAttempt(outcome.String())
+	if outcome == balance.Refused {
+		c.server.Metrics.countRejection(a.choice.IsBrittle)
+	}
 	c.server.Log.Info("attempt failed", zap.String("id", c.metadata.Attempt), zap.Int("try", a.number), zap.String("server", a.choice.Server.ID),
-		zap.String("version", a.version()), zap.String("resumes", c.metadata.Resumes), zap.Stringer("ending", outcome), zap.String("reason", string(a.choice.Reason)), zap.Bool("may_have_run", result == attemptMayHaveRun),
+		zap.String("version", a.version()), zap.String("resumes", c.metadata.Resumes), zap.Stringer("ending", outcome), zap.String("reason", string(a.choice.Reason)), zap.Bool("brittle", a.choice.IsBrittle), zap.Int("load", a.choice.Load),
+		zap.Float64("mean", a.choice.Mean), zap.Duration("reports_age", a.choice.reportsAge), zap.Bool("may_have_run", result == attemptMayHaveRun),
 		zap.Bool("standby", a.isStandby), zap.Bool("given_up", errors.Is(context.Cause(a.ctx), errReplaced)), zap.Int("events", a.events),
 		zap.Duration("silent", now.Sub(a.lastData)), zap.Duration("took", now.Sub(a.startedAt)), zap.Error(a.err))
 }
--- a/hornbeamd/gateway/report.go
+++ b/hornbeamd/gateway/report.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,6 +14,7 @@
 	failedAttempts *prometheus.CounterVec
 	standbys       *prometheus.CounterVec
 	permits        *prometheus.CounterVec
+	rejections     *prometheus.CounterVec
 	resumed        *prometheus.CounterVec
 	durations      *prometheus.HistogramVec
 	firstEvents    prometheus.Histogram
@@ -34,6 +36,9 @@
 		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hornbeam_gateway_permits_total", Help: "Questions for permits for backend servers that state a rate limit, by outcome.",
 		}, []string{"outcome"}),
+		rejections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hornbeam_gateway_rejections_total", Help: "Requests that backend servers rejected, by whether the server counted as brittle.",
+		}, []string{"brittle"}),
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hornbeam_gateway_resumed_streams_total", Help: "Streams that clients resume, by how the version that began them is known.",
 		}, []string{"origin"}),
@@ -46,7 +51,7 @@
 			Buckets: buckets,
 		}),
 	}
-	r.MustRegister(m.requests, m.failedAttempts, m.standbys, m.permits, m.resumed, m.durations, m.firstEvents)
+	r.MustRegister(m.requests, m.failedAttempts, m.standbys, m.permits, m.rejections, m.resumed, m.durations, m.firstEvents)
 	return m
 }
 
@@ -59,6 +64,11 @@
 // countPermit counts a question for a permit by its outcome.
 func (m *Metrics) countPermit(outcome string) { m.permits.WithLabelValues(outcome).Inc() }
 
+// countRejection counts a request that a backend server rejected.
+func (m *Metrics) countRejection(brittle bool) {
+	m.rejections.WithLabelValues(strconv.FormatBool(brittle)).Inc()
+}
+
 // countResumed counts a stream that a client resumes, by the name of its origin.Source.
 func (m *Metrics) countResumed(source string) { m.resumed.WithLabelValues(source).Inc() }
 
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -161,6 +161,8 @@
 	// the time until the first server wants requests again. If Reason is Limited, it is the time
 	// until the first server may take a request.
 	Wait time.Duration
+	// IsBrittle is true if the router takes the chosen server for brittle.
+	IsBrittle bool
 	// IsLimited is true if the chosen server states a rate limit, so that the request needs a
 	// permit.
 	IsLimited bool
@@ -384,7 +386,7 @@
 	}
 	c.Load = e.load()
 	c.Wait = p.expectedWait(e, req.Slots)
-	c.IsLimited = b.isLimited(e)
+	c.IsLimited, c.IsBrittle = b.isLimited(e), p.brittle.holds(now)
 	shed := b.shouldShed(now, p, req, c.Mean, c.Wait)
 	switch {
 	case c.IsLimited && c.Wait == 0:
