test(balance): brittle servers of a large fleet, listed as red

Cause: TestBrittleServers has nine engines, even demand, no prompt in common and no burst, and its 60 routers before three plain servers only at one load.

Change: TestBrittleServersOfLargeFleet: 60 routers before three plain servers and before 112 engines, with a burst, a hot prompt, requests at a tenth of the routers, and servers that withstand no rejection. The bounds are the users': of n servers 2 + n/10 may fail. Three quarters of what the servers can answer has to be answered, so that rejecting everything is no way out.

--- a/routing/balance/brittle_test.go
+++ b/routing/balance/brittle_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -75,3 +76,70 @@
 		})
 	}
 }
+
+// Guards against brittle servers that fail because the routers of a large fleet each decide alone what
+// they send; of n servers, 2 + n/10 may. Three quarters of what the servers can answer must be answered.
+func TestBrittleServersOfLargeFleet(t *testing.T) {
+	skipKnownRed(t)
+	for name, test := range map[string]struct {
+		newSimulation func(rate float64) *simulation
+		// normalRate is the rate of requests before burstAt, and rate that after it. capacity is what the
+		// servers can answer per second.
+		normalRate, rate, capacity float64
+		burstAt                    time.Duration
+		maxRejections              int
+	}{
+		"plain service":                          {shortRequests, 335, 335, 600, 3 * time.Second, 5},
+		"plain service, no rejection withstood":  {shortRequests, 335, 335, 600, 3 * time.Second, 0},
+		"plain service, burst":                   {shortRequests, 335, 900, 600, 8 * time.Second, 5},
+		"plain service, burst, few withstood":    {shortRequests, 335, 1700, 600, 8 * time.Second, 2},
+		"plain service, requests at few routers": {fewRouters(shortRequests), 335, 900, 600, 8 * time.Second, 5},
+		"engines, hot prompt":                    {enginePool(0.3), 956, 956, 4480, 3 * time.Second, 3},
+		"engines, burst":                         {enginePool(0), 956, 4000, 4480, 8 * time.Second, 3},
+		"engines, overload and a hot prompt":     {enginePool(0.1), 956, 6000, 4480, 8 * time.Second, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sim := test.newSimulation(test.rate)
+			sim.warmUpRate, sim.warmUp = test.normalRate, test.burstAt
+			sim.brittleFrom, sim.maxRejections = 5*time.Second, test.maxRejections
+			const d = 15 * time.Second
+			o := sim.run(d)
+			t.Logf("%v, failures %d at %v", o, o.failures, o.failedAt)
+			allowed := 2 + len(sim.servers)/10
+			c.Check(o.failures <= allowed, qt.IsTrue, qt.Commentf("%d servers failed, %d allowed", o.failures, allowed))
+			possible := min(test.normalRate, test.capacity)*test.burstAt.Seconds() + min(test.rate, test.capacity)*(d-test.burstAt).Seconds()
+			c.Check(float64(o.inTime[0]) >= 0.75*possible, qt.IsTrue, qt.Commentf("%d of %.0f possible in time", o.inTime[0], possible))
+		})
+	}
+}
+
+// enginePool is a pool of 112 engines with 16 slots each and 60 routers. hotShare is the share of the
+// requests that have one prompt.
+func enginePool(hotShare float64) func(rate float64) *simulation {
+	return func(rate float64) *simulation {
+		return &simulation{
+			routers: 60, servers: zonedServers(112, 16), queue: 48, rate: rate, duration: 400 * time.Millisecond,
+			reportInterval: 400 * time.Millisecond, reportAge: 600 * time.Millisecond, stale: true,
+			request: func(router int, draw float64) balance.Request {
+				prompt := "hot"
+				if draw >= hotShare {
+					prompt = fmt.Sprint("doc", int(draw*1e6)%800)
+				}
+				return balance.Request{
+					Service: "pool", Zone: fmt.Sprint("z", router%3), Draw: draw, TimeLeft: 12 * time.Second, LatencyTarget: 600 * time.Millisecond,
+					PrefixHashes: balance.PrefixHashes("m", []string{prompt, "own"}),
+				}
+			},
+		}
+	}
+}
+
+// fewRouters lets only a tenth of the routers get requests.
+func fewRouters(newSimulation func(rate float64) *simulation) func(rate float64) *simulation {
+	return func(rate float64) *simulation {
+		sim := newSimulation(rate)
+		sim.receiving = sim.routers / 10
+		return sim
+	}
+}
--- a/routing/balance/simulation_test.go
+++ b/routing/balance/simulation_test.go
@@ -19,8 +19,9 @@
 // of one millisecond. Each server runs as many requests in parallel as it has slots and queues some
 // more.
 type simulation struct {
-	routers int
-	servers []roster.Server
+	// receiving is the number of the routers that get requests; 0 for all.
+	routers, receiving int
+	servers            []roster.Server
 	// queue is the maximum number of requests that wait on one server; it refuses more.
 	queue int
 	// brittleFrom is the time since the start from which servers state that they are brittle; 0 for
@@ -111,7 +112,7 @@
 			if random.Float64() >= arrivals {
 				continue
 			}
-			i := random.IntN(sim.routers)
+			i := random.IntN(cmp.Or(sim.receiving, sim.routers))
 			sim.send(now, i, sim.request(i, random.Float64()), &o)
 		}
 	}
