--- a/coord/presence/permit.go
+++ b/coord/presence/permit.go
@@ -31,6 +31,14 @@
 	PerSecond float64
 	// Cold is true if the sender takes the server for cold. It is set in a question only.
 	Cold bool
+	// NeedsSlot is true if the request needs a slot of the server, and MaxHold how long it may hold it at
+	// most, in milliseconds; 0 if unknown. Both are set in a question only.
+	NeedsSlot bool
+	MaxHold   int64
+	// Releases is the number of the question for the slot that a request no longer holds, and Ending how
+	// the request has ended, as permit.Ending. The question asks for nothing then. 0 otherwise.
+	Releases uint32
+	Ending   uint8
 	// Granted and Wait, which is in milliseconds, are those of permit.Answer.
 	Granted bool
 	Wait    int64
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -39,6 +39,8 @@
 	Servers roster.Revision
 	// Overloads holds the services that the router takes for overloaded.
 	Overloads []Overload
+	// Brittle holds the services whose servers fail if they have to reject too many requests.
+	Brittle []BrittleService
 	// Evacuated holds the evacuated availability zones that the router has last heard of.
 	Evacuated Evacuated
 	// StoreContactAge is the time since the platform's store last responded to this router, in
@@ -80,6 +82,15 @@
 	Age int64
 }
 
+// BrittleService is a service whose backend servers state that they are brittle.
+type BrittleService struct {
+	Service ServiceKey
+	// MaxRejections is the number of rejections per second above which a server fails.
+	MaxRejections int
+	// Age is the time since the latest response that stated it, in milliseconds.
+	Age int64
+}
+
 // ServerKey is a hash that replaces the ID of a backend server in messages. If two servers had the
 // same key, the load of each would also be counted for the other. The probability of such a
 // collision in a deployment of 1,000 servers is below 1 in 1,000.
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -137,6 +137,7 @@
 		c.log.Warn("backend server sends no data; trying its streams on other servers", zap.String("server", id))
 	}
 	c.updatePaths(ctx, now)
+	c.gateway.Permits.Tick(now)
 	c.updateWatching(now)
 	if now.Sub(c.lastHeartbeat) >= c.presence.Interval() {
 		c.sendHeartbeat(now)
@@ -163,6 +164,9 @@
 	leaving := c.upstreams.SetPeerReports(now, gateway.PeerReports{
 		Load: loadsByServerID(c.roster.Servers(), reports.Loads), Down: reports.Down, Leaving: reports.Leaving,
 	}, c.presence.FleetSize(), c.presence.Interval())
+	if c.gateway.Permits.HasBrittle(now) {
+		c.gateway.Permits.SetLoads(now, c.upstreams.Loads())
+	}
 	if len(leaving) > 0 {
 		c.log.Info("other routers report leaving backend servers", zap.Strings("servers", leaving))
 	}
@@ -172,6 +176,9 @@
 // they are old enough when they arrive.
 func (c *controlLoop) applyPeerLoads(now time.Time) {
 	c.upstreams.UpdatePeerLoads(loadsByServerID(c.roster.Servers(), c.presence.OtherReports(now, c.self).Loads))
+	if c.gateway.Permits.HasBrittle(now) {
+		c.gateway.Permits.SetLoads(now, c.upstreams.Loads())
+	}
 }
 
 // storeFailureExpiry is the time after which a failed call to the store is disregarded. A router
@@ -232,6 +239,7 @@
 	report := c.upstreams.LocalReport(now)
 	r.Loads, r.Down, r.Leaving = loadsByKey(report.Load), c.withoutUnreached(report.Down), report.Leaving
 	r.Overloads = overloads(c.gateway.Permits.Overloads(now))
+	r.Brittle = brittleServices(c.gateway.Permits.BrittleServices(now))
 	r.Limits = serverLimits(now, c.gateway.Permits.Outgoing(now, c.presence.ForwardsReports(now, c.self)))
 	r.Crashes = crashRecords(now, c.gateway.Crashes.Outgoing(now, c.presence.ForwardsReports(now, c.self)))
 	r.Parts = partRecords(c.gateway.Crashes.OutgoingParts(now, c.presence.ForwardsReports(now, c.self)))
@@ -301,6 +309,7 @@
 		c.mergeLimits(now, m.From, r.Limits)
 		c.mergeEvacuations(m.From, r.Evacuated)
 		c.mergeOverloads(now, m.From, r)
+		c.mergeBrittle(now, m.From, r)
 		c.gateway.Crashes.Merge(now, crashEntries(now, r.Crashes))
 		c.gateway.Crashes.MergeParts(now, partReports(r.Parts))
 	}
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -30,6 +30,7 @@
 	"hornbeamstep.example/platform/registry"
 	"hornbeamstep.example/routing/balance"
 	"hornbeamstep.example/routing/evacuation"
+	"hornbeamstep.example/routing/permit"
 	"hornbeamstep.example/routing/roster"
 	"hornbeamstep.example/routing/routes"
 )
@@ -150,6 +151,9 @@
 	permits.Send = func(address string, q gateway.PermitQuestion) {
 		e.mesh.Send(permitRequest(time.Now(), s.Name, address, q))
 	}
+	permits.Reply = func(address, server string, number uint32, answer permit.Answer) {
+		e.mesh.Send(permitAnswer(s.Name, address, server, number, answer))
+	}
 	e.gateway.Origins.Transport = originTransport{s.Name, e.mesh}
 	e.store = metastore.New(s.Store, storeTimeout, watchMargin)
 	e.store.Count = e.storeCounter()
--- a/hornbeamd/edge/handlers.go
+++ b/hornbeamd/edge/handlers.go
@@ -100,7 +100,7 @@
 	}, func() float64 { return float64(e.mesh.Dropped.Load()) }))
 }
 
-// registerConditionMetrics registers metrics of evacuated zones, cold servers and overloaded services.
+// registerConditionMetrics registers metrics of evacuated zones, cold and brittle servers, and overloaded services.
 func (e *Router) registerConditionMetrics() {
 	e.registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -112,6 +112,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "hornbeam_overloaded_services", Help: "Services whose servers get only what they have room for.",
 		}, func() float64 { return float64(len(e.gateway.Permits.Overloads(time.Now()))) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hornbeam_brittle_services", Help: "Services whose servers get no more requests than they have slots.",
+		}, func() float64 { return float64(len(e.gateway.Permits.BrittleServices(time.Now()))) }),
 	)
 }
 
--- a/hornbeamd/edge/permits.go
+++ b/hornbeamd/edge/permits.go
@@ -65,7 +65,25 @@
 // permitRequest returns the message with a question for a permit.
 func permitRequest(now time.Time, from, address string, q gateway.PermitQuestion) presence.OutgoingMessage {
 	return presence.OutgoingMessage{To: []string{address}, Message: presence.Message{Kind: presence.PermitRequest, From: from, Permit: &presence.Permit{
-		Number: q.Number, Priority: max(0, q.Priority), MaxDelay: q.MaxDelay.Milliseconds(), Limit: serverLimit(now, q.Server, q.Limit), Cold: q.IsCold, PerSecond: q.PerSecond,
+		Number: q.Number, Priority: max(0, q.Priority), MaxDelay: q.MaxDelay.Milliseconds(), Limit: serverLimit(now, q.Server, q.Limit), Cold: q.IsCold, PerSecond: q.PerSecond, Releases: q.Releases, Ending: uint8(q.Ending),
+		NeedsSlot: q.Slot != nil, MaxHold: maxHold(q.Slot),
+	}}}
+}
+
+// maxHold returns how long a request may hold its slot, in milliseconds.
+func maxHold(slot *permit.SlotAsk) int64 {
+	if slot == nil {
+		return 0
+	}
+	return slot.MaxHold.Milliseconds()
+}
+
+// permitAnswer returns the message with the answer to a question for a permit.
+func permitAnswer(from, address, server string, number uint32, answer permit.Answer) presence.OutgoingMessage {
+	// Rounding down could make the other router ask again at once.
+	wait := (answer.Wait + time.Millisecond - 1).Milliseconds()
+	return presence.OutgoingMessage{To: []string{address}, Message: presence.Message{Kind: presence.PermitAnswer, From: from, Permit: &presence.Permit{
+		Number: number, Limit: presence.ServerLimit{Server: presence.ServerKeyOf(server)}, Granted: answer.Granted, Wait: wait,
 	}}}
 }
 
@@ -91,14 +109,54 @@
 	if !known {
 		return
 	}
+	if p.Releases > 0 {
+		c.gateway.Permits.ReleaseSlot(now, server, permit.Holder{Router: from, Number: p.Releases}, permit.Ending(p.Ending))
+		c.send(permitAnswer(c.self.ID, source, server, p.Number, permit.Answer{Granted: true}))
+		return
+	}
 	c.mergeLimits(now, from, []presence.ServerLimit{p.Limit})
 	ask := permit.Ask{Server: server, Priority: p.Priority, MaxDelay: time.Duration(p.MaxDelay) * time.Millisecond, IsCold: p.Cold, PerSecond: p.PerSecond}
-	answer := c.gateway.Permits.AnswerQuestion(now, ask)
-	// Rounding down could make the other router ask again at once.
-	wait := (answer.Wait + time.Millisecond - 1).Milliseconds()
-	c.send(presence.OutgoingMessage{To: []string{source}, Message: presence.Message{Kind: presence.PermitAnswer, From: c.self.ID, Permit: &presence.Permit{
-		Number: p.Number, Limit: presence.ServerLimit{Server: p.Limit.Server}, Granted: answer.Granted, Wait: wait,
-	}}})
+	if p.NeedsSlot {
+		ask.Slot = &permit.SlotAsk{
+			Holder: permit.Holder{Router: from, Number: p.Number}, ReplyTo: source, MaxHold: time.Duration(p.MaxHold) * time.Millisecond,
+		}
+	}
+	if answer, answered := c.gateway.Permits.AnswerQuestion(now, ask); answered {
+		c.send(permitAnswer(c.self.ID, source, server, p.Number, answer))
+	}
+}
+
+// brittleServices returns the message form of the services with brittle servers.
+func brittleServices(services []permit.BrittleService) []presence.BrittleService {
+	var out []presence.BrittleService
+	for _, s := range services {
+		out = append(out, presence.BrittleService{Service: presence.ServiceKeyOf(s.Service), MaxRejections: s.MaxRejections, Age: s.Age.Milliseconds()})
+	}
+	return out
+}
+
+// mergeBrittle records which services have brittle servers, as another router says.
+func (c *controlLoop) mergeBrittle(now time.Time, from string, r presence.AgedRecord) {
+	if len(r.Brittle) == 0 {
+		return
+	}
+	names := c.serviceNames()
+	for _, b := range r.Brittle {
+		name, known := names[b.Service]
+		s := permit.BrittleService{Service: name, MaxRejections: b.MaxRejections, Age: time.Duration(b.Age+r.Age) * time.Millisecond}
+		if known && c.gateway.Permits.MergeBrittle(now, s) {
+			c.log.Info("another router reports brittle backend servers", zap.String("service", name), zap.Int("max_rejections", b.MaxRejections), zap.String("from", from))
+		}
+	}
+}
+
+// serviceNames returns the names of the services that have servers, by the keys that messages carry.
+func (c *controlLoop) serviceNames() map[presence.ServiceKey]string {
+	names := map[presence.ServiceKey]string{}
+	for _, s := range c.roster.Servers() {
+		names[presence.ServiceKeyOf(s.Service)] = s.Service
+	}
+	return names
 }
 
 // overloads returns the message form of the services that are overloaded, and how long ago the last sign
@@ -116,10 +174,7 @@
 	if len(r.Overloads) == 0 {
 		return
 	}
-	names := map[presence.ServiceKey]string{}
-	for _, s := range c.roster.Servers() {
-		names[presence.ServiceKeyOf(s.Service)] = s.Service
-	}
+	names := c.serviceNames()
 	for _, o := range r.Overloads {
 		name, known := names[o.Service]
 		if known && c.gateway.Permits.MergeOverload(now, name, time.Duration(o.Age+r.Age)*time.Millisecond) {
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -28,6 +28,8 @@
 	number int
 	// choice is the chosen server; its ID is empty if no server could take the request.
 	choice serverChoice
+	// slot is the slot that the attempt holds if its server is brittle; nil otherwise.
+	slot *heldSlot
 	// query is the input for the choice of the server, with the priority that resulted from it.
 	query     balance.Request
 	startedAt time.Time
@@ -171,7 +173,7 @@
 	}
 	// The budget is used last, so that only a retry that is sent uses it. A peer uses its own.
 	if now := time.Now(); c.hasSent(inProgress) && !a.viaPeer && !c.server.Upstreams.takeRetry(now, c.service.Name) {
-		c.server.Upstreams.recordEnd(now, a.choice.Server.ID, balance.Abandoned, 0)
+		a.recordEnd(now, balance.Abandoned, 0)
 		return nil, deniedRetryBudget
 	}
 	c.mu.Lock()
@@ -289,7 +291,7 @@
 // end records the end of the attempt.
 func (a *attempt) end(outcome balance.Outcome, result attemptResult) {
 	c, now := a.request, time.Now()
-	c.server.Upstreams.recordEnd(now, a.choice.Server.ID, outcome, now.Sub(a.startedAt))
+	a.recordEnd(now, outcome, now.Sub(a.startedAt))
 	a.recordCapacity(now, outcome)
 	a.suspectCold(now, outcome)
 	switch {
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -333,7 +333,7 @@
 		}
 		c.recordResult(response.Status, "broken")
 		// abort panics, so tryServer does not record the end of the attempt.
-		c.server.Upstreams.recordEnd(time.Now(), a.choice.Server.ID, outcome, 0)
+		a.recordEnd(time.Now(), outcome, 0)
 		c.abort()
 	}
 	c.recordResult(response.Status, responseOutcome(response.Status))
--- a/hornbeamd/gateway/limits.go
+++ b/hornbeamd/gateway/limits.go
@@ -28,9 +28,9 @@
 	maxDelay time.Duration
 }
 
-// choosePermitted chooses a server for an attempt. If the server states a rate limit, the attempt
-// needs a permit, and if it gets none, another server is chosen. Only if no server takes the request
-// at once, it waits for a permit for up to effort.maxDelay.
+// choosePermitted chooses a server for an attempt. If the server states a rate limit or is brittle, the
+// attempt needs a permit, and if it gets none, another server is chosen. Only if no server takes the
+// request at once, it waits for a permit for up to effort.maxDelay.
 func (a *attempt) choosePermitted(effort permitEffort) {
 	c := a.request
 	for questions := 0; ; {
@@ -49,14 +49,19 @@
 		}
 		asked := time.Now()
 		ask := permit.Ask{Server: a.choice.Server.ID, Priority: a.query.Priority, MaxDelay: a.query.MaxLimitWait}
-		outcome := c.server.Permits.acquire(c.ctx, ask)
+		if questions == effort.maxQuestions-1 {
+			// The last server may let the request wait for a slot.
+			ask.MaxDelay = effort.maxDelay
+		}
+		outcome, slot := c.server.Permits.acquire(c.ctx, ask)
 		c.server.Metrics.countPermit(outcome)
 		now := time.Now()
 		c.recordPermit(outcome, now.Sub(asked))
 		if outcome == permitGranted {
+			a.slot = slot
+			c.server.Upstreams.start(now, a.choice.Server.ID)
 			return
 		}
-		c.server.Upstreams.recordEnd(now, a.choice.Server.ID, balance.Abandoned, 0)
 		questions++
 		a.query.AvoidLimited = questions >= effort.maxQuestions
 	}
@@ -98,10 +103,10 @@
 // requests. It logs that once while it lasts.
 func (a *attempt) applyBrittleness(response *backend.Response) {
 	c := a.request
-	if response.Misdirected || !c.server.Upstreams.recordBrittle(time.Now(), a.choice.Server, response.Brittle) {
+	if response.Misdirected || !response.Brittle.Stated || !c.server.Permits.observeBrittle(time.Now(), a.choice.Server.ID, response.Brittle.MaxRejections) {
 		return
 	}
-	c.server.Log.Warn("backend servers are brittle; sending no requests that would wait", zap.String("id", c.metadata.Attempt),
+	c.server.Log.Warn("backend servers are brittle; they get no more requests than they have slots", zap.String("id", c.metadata.Attempt),
 		zap.String("service", c.service.Name), zap.String("server", a.choice.Server.ID), zap.Int("max_rejections", response.Brittle.MaxRejections))
 }
 
--- a/hornbeamd/gateway/permits.go
+++ b/hornbeamd/gateway/permits.go
@@ -36,6 +36,10 @@
 	permit.Ask
 	// Limit is the limit of the server that the sender knows.
 	Limit permit.Limit
+	// Releases is the number of the question for the slot that a request no longer holds, and Ending how
+	// it ended; 0 if the question asks for a permit.
+	Releases uint32
+	Ending   permit.Ending
 }
 
 // Fleet is the routers that share the rate limits, as this router sees them.
@@ -50,24 +54,30 @@
 }
 
 // Permits keeps the requests to servers that state a rate limit within that limit, together with
-// the other routers. It is safe for concurrent use. Self and Send must be set before first use.
+// the other routers. It is safe for concurrent use. Self, Send and Reply must be set before first use.
 type Permits struct {
 	// Self is the ID of this router.
 	Self string
-	// Send sends a question to the router with the given heartbeat address. It must not block.
-	Send func(address string, q PermitQuestion)
+	// Send sends a question to the router with the given heartbeat address, and Reply the answer to a
+	// question that had to wait. They must not block.
+	Send  func(address string, q PermitQuestion)
+	Reply func(address, server string, number uint32, answer permit.Answer)
 
 	// anyLimited is false if no server states a limit.
 	anyLimited atomic.Bool
 	mu         sync.Mutex
 	fleet      Fleet
 	// issuers holds the IDs of fleet.Issuers.
-	issuers []string
+	issuers permit.Issuers
 	ledger  *permit.Ledger
 	issuer  *permit.Issuer
 	denials *permit.Denials
 	pacer   *permit.Pacer
 	cold    *permit.Cold
+	// brittle knows the services with brittle servers, and slots holds the slots of those that this
+	// router is the issuer of.
+	brittle *permit.Brittle
+	slots   *permit.Slots
 	// capacity bounds the requests to overloaded services.
 	capacity *permit.Capacity
 	// pending holds the questions that have not been answered, by their number.
@@ -85,7 +95,8 @@
 // NewPermits returns a Permits that knows no limits and no other routers.
 func NewPermits() *Permits {
 	return &Permits{
-		ledger: permit.NewLedger(), issuer: permit.NewIssuer(), denials: permit.NewDenials(), pacer: permit.NewPacer(), cold: permit.NewCold(), capacity: permit.NewCapacity(), pending: map[uint32]pendingQuestion{},
+		ledger: permit.NewLedger(), issuer: permit.NewIssuer(), denials: permit.NewDenials(), pacer: permit.NewPacer(), cold: permit.NewCold(),
+		brittle: permit.NewBrittle(), slots: permit.NewSlots(), capacity: permit.NewCapacity(), pending: map[uint32]pendingQuestion{},
 	}
 }
 
@@ -100,6 +111,8 @@
 	p.ledger.SetServers(born)
 	p.cold.SetServers(servers)
 	p.capacity.SetServers(servers)
+	p.brittle.SetServers(servers)
+	p.slots.SetServers(servers)
 	p.denials.Retain(born)
 	p.updateAnyLimited()
 }
@@ -144,7 +157,8 @@
 func (p *Permits) SetFleet(f Fleet) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.fleet, p.issuers = f, slices.Sorted(maps.Keys(f.Issuers))
+	p.fleet = f
+	p.issuers.Set(time.Now(), slices.Sorted(maps.Keys(f.Issuers)))
 }
 
 // Limit implements balance.RateLimits.
@@ -161,7 +175,12 @@
 // it is cold, and what it has room for while its service is overloaded.
 func (p *Permits) limitOf(server string) (perSecond float64, limited bool) {
 	perSecond, limited = p.statedLimit(server)
-	if rate, overloaded := p.capacity.Rate(time.Now(), server); overloaded && (!limited || rate < perSecond) {
+	now := time.Now()
+	if _, brittle := p.brittle.MaxRejections(now, server); brittle {
+		// Its slots are known exactly.
+		return perSecond, limited
+	}
+	if rate, overloaded := p.capacity.Rate(now, server); overloaded && (!limited || rate < perSecond) {
 		return rate, true
 	}
 	return perSecond, limited
@@ -245,14 +264,15 @@
 
 // issuerOf returns this router before the first SetFleet.
 func (p *Permits) issuerOf(server string) string {
-	if issuer := permit.IssuerOf(server, p.issuers); issuer != "" {
+	if issuer := p.issuers.Of(server); issuer != "" {
 		return issuer
 	}
 	return p.Self
 }
 
 func (p *Permits) updateAnyLimited() {
-	p.anyLimited.Store(p.ledger.HasLimits() || !p.cold.IsEmpty() || p.capacity.HasOverload(time.Now()))
+	now := time.Now()
+	p.anyLimited.Store(p.ledger.HasLimits() || !p.cold.IsEmpty() || p.capacity.HasOverload(now) || p.brittle.Any(now))
 }
 
 // observe records the limit that a server states in a response, and reports whether it has changed.
@@ -284,24 +304,52 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cold.Sweep(now)
+	if !p.brittle.Any(now) {
+		p.slots.Clear()
+	}
 	reports := p.ledger.Outgoing(now, forward, maxLimitsPerHeartbeat)
 	p.updateAnyLimited()
 	return reports
 }
 
 // AnswerQuestion answers the question of another router. A router that is not the issuer issues
-// nothing: the other one soon learns which router is.
-func (p *Permits) AnswerQuestion(now time.Time, ask permit.Ask) permit.Answer {
+// nothing: the other one soon learns which router is. If answered is false, the other router gets its
+// answer once a slot is free.
+func (p *Permits) AnswerQuestion(now time.Time, ask permit.Ask) (answer permit.Answer, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.issuerOf(ask.Server) != p.Self {
-		return permit.Answer{Wait: unansweredWait}
+		return permit.Answer{Wait: unansweredWait}, true
 	}
 	return p.issue(now, ask)
 }
 
-// issue issues a permit as the issuer of a server.
-func (p *Permits) issue(now time.Time, ask permit.Ask) permit.Answer {
+// issue issues a permit as the issuer of a server, and a slot if the server is brittle. If decided is
+// false, the request waits for a slot.
+func (p *Permits) issue(now time.Time, ask permit.Ask) (answer permit.Answer, decided bool) {
+	if ask.Slot == nil {
+		return p.issueRate(now, ask), true
+	}
+	if !p.issuers.IsSettled(now, ask.Server, p.Self) {
+		return permit.Answer{Wait: p.issuers.SettleTime(now)}, true
+	}
+	if _, limited := p.statedLimit(ask.Server); !limited && !ask.IsCold {
+		return p.slots.Acquire(now, ask, p.part())
+	}
+	// The request can't wait for a slot and for a permit.
+	withoutDelay := ask
+	withoutDelay.MaxDelay = 0
+	if answer, _ = p.slots.Acquire(now, withoutDelay, p.part()); !answer.Granted {
+		return answer, true
+	}
+	if answer = p.issueRate(now, ask); !answer.Granted {
+		p.releaseAsIssuer(now, ask.Server, ask.Slot.Holder, permit.Done)
+	}
+	return answer, true
+}
+
+// issueRate issues a permit for the rate of requests to a server.
+func (p *Permits) issueRate(now time.Time, ask permit.Ask) permit.Answer {
 	perSecond, limited := p.statedLimit(ask.Server)
 	if rate, known := p.cold.RateIfCold(ask.Server); ask.IsCold && known && (!limited || rate < perSecond) {
 		// The other router has seen what this one has not.
@@ -316,7 +364,7 @@
 	if !limited {
 		return permit.Answer{Granted: true}
 	}
-	return p.issuer.Issue(now, ask, permit.PartOf(perSecond, len(p.issuers), p.fleet.Lost))
+	return p.issuer.Issue(now, ask, permit.PartOf(perSecond, p.issuers.Count(), p.fleet.Lost))
 }
 
 // HandleAnswer passes the answer of a router to the request that waits for it. An answer that
@@ -342,17 +390,20 @@
 
 // acquire obtains a permit for one request to a limited server, and waits until the request may be
 // sent. It returns the outcome; the request must be sent only if that is permitGranted.
-func (p *Permits) acquire(ctx context.Context, ask permit.Ask) (outcome string) {
+// slot is set if the request holds a slot then, and must be released.
+func (p *Permits) acquire(ctx context.Context, ask permit.Ask) (outcome string, slot *heldSlot) {
 	asked := time.Now()
-	answer, answered := p.ask(ctx, ask)
+	answer, slot, answered := p.ask(ctx, ask)
 	now := time.Now()
 	switch {
 	case !answered:
 		p.recordDenial(now, ask.Server, 0, unansweredWait)
-		return permitUnanswered
+		// It may be granted late.
+		p.release(slot, permit.Done)
+		return permitUnanswered, nil
 	case !answer.Granted:
 		p.recordDenial(now, ask.Server, ask.Priority, answer.Wait)
-		return permitDenied
+		return permitDenied, nil
 	}
 	if answer.Wait > 0 {
 		select {
@@ -360,10 +411,11 @@
 		case <-time.After(answer.Wait):
 		}
 	}
-	if answer.IsExpired(asked, time.Now()) {
-		return permitExpired
+	if answer.IsExpired(asked.Add(queueTime(ask, slot)), time.Now()) {
+		p.release(slot, permit.Done)
+		return permitExpired, nil
 	}
-	return permitGranted
+	return permitGranted, slot
 }
 
 func (p *Permits) recordDenial(now time.Time, server string, priority int, wait time.Duration) {
@@ -373,29 +425,66 @@
 	p.capacity.RecordDenial(now, server)
 }
 
-// ask returns the issuer's answer, or false if there is none.
-func (p *Permits) ask(ctx context.Context, ask permit.Ask) (answer permit.Answer, answered bool) {
+// ask returns the issuer's answer, or false if there is none. slot is nil if the server needs none.
+func (p *Permits) ask(ctx context.Context, ask permit.Ask) (answer permit.Answer, slot *heldSlot, answered bool) {
 	p.mu.Lock()
-	ask.PerSecond, _ = p.capacity.Rate(time.Now(), ask.Server)
-	issuer := p.issuerOf(ask.Server)
+	issuer, number := p.issuerOf(ask.Server), p.nextNumber()
+	if _, brittle := p.brittle.MaxRejections(time.Now(), ask.Server); brittle {
+		slot = &heldSlot{ask.Server, issuer, number}
+		ask.Slot = &permit.SlotAsk{Holder: permit.Holder{Router: p.Self, Number: number}, MaxHold: timeUntilDeadline(ctx)}
+	} else {
+		ask.PerSecond, _ = p.capacity.Rate(time.Now(), ask.Server)
+	}
+	reply := p.expectAnswer(issuer, number)
 	if issuer == p.Self {
-		defer p.mu.Unlock()
-		return p.issue(time.Now(), ask), true
+		if answer, decided := p.issue(time.Now(), ask); decided {
+			delete(p.pending, number)
+			p.mu.Unlock()
+			return answer, slot, true
+		}
+		p.mu.Unlock()
+	} else {
+		q := PermitQuestion{Number: number, Ask: ask}
+		var known bool
+		if q.Limit, known = p.ledger.Get(ask.Server); !known {
+			// The question must not tell the issuer of a limit that nobody has stated.
+			q.Limit = permit.Limit{Ended: true, At: time.Now().Add(-unknownLimitAge)}
+		}
+		_, q.IsCold = p.cold.Rate(ask.Server)
+		address := p.fleet.Issuers[issuer]
+		p.mu.Unlock()
+		p.Send(address, q)
+	}
+	answer, answered = p.awaitAnswer(ctx, number, reply, permitTimeout+queueTime(ask, slot))
+	return answer, slot, answered
+}
+
+// queueTime returns how long the issuer may let a request wait for a slot before it answers.
+func queueTime(ask permit.Ask, slot *heldSlot) time.Duration {
+	if slot == nil {
+		return 0
 	}
-	p.lastNumber++
-	q := PermitQuestion{Number: p.lastNumber, Ask: ask}
-	var known bool
-	if q.Limit, known = p.ledger.Get(ask.Server); !known {
-		// The question must not tell the issuer of a limit that nobody has stated.
-		q.Limit = permit.Limit{Ended: true, At: time.Now().Add(-unknownLimitAge)}
+	return ask.MaxDelay
+}
+
+// nextNumber returns the number of a new question, which is not 0.
+func (p *Permits) nextNumber() uint32 {
+	if p.lastNumber++; p.lastNumber == 0 {
+		p.lastNumber = 1
 	}
-	_, q.IsCold = p.cold.Rate(ask.Server)
+	return p.lastNumber
+}
+
+// expectAnswer returns the channel for the answer to a question.
+func (p *Permits) expectAnswer(issuer string, number uint32) chan permit.Answer {
 	reply := make(chan permit.Answer, 1)
-	p.pending[q.Number] = pendingQuestion{issuer, reply}
-	address := p.fleet.Issuers[issuer]
-	p.mu.Unlock()
-	p.Send(address, q)
-	timeout := time.NewTimer(permitTimeout)
+	p.pending[number] = pendingQuestion{issuer, reply}
+	return reply
+}
+
+// awaitAnswer waits for the answer to a question.
+func (p *Permits) awaitAnswer(ctx context.Context, number uint32, reply chan permit.Answer, limit time.Duration) (answer permit.Answer, answered bool) {
+	timeout := time.NewTimer(limit)
 	defer timeout.Stop()
 	select {
 	case answer = <-reply:
@@ -405,7 +494,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.pending, q.Number)
+	delete(p.pending, number)
 	return permit.Answer{}, false
 }
 
--- a/hornbeamd/gateway/permits_test.go
+++ b/hornbeamd/gateway/permits_test.go
@@ -38,7 +38,7 @@
 	granted := 0
 	for i := range 1000 {
 		at := now.Add(time.Duration(i) * time.Millisecond)
-		if issuer.AnswerQuestion(at, permit.Ask{Server: "a", PerSecond: rate}).Granted {
+		if answer, _ := issuer.AnswerQuestion(at, permit.Ask{Server: "a", PerSecond: rate}); answer.Granted {
 			granted++
 		}
 	}
@@ -58,10 +58,11 @@
 	p.SetServers([]roster.Server{{ID: "a", Service: "pool", Slots: 32}})
 	p.SetColdRates([]routes.Service{{Name: "pool", ColdRate: 10}})
 	now := time.Now()
-	c.Assert(p.AnswerQuestion(now, permit.Ask{Server: "a"}).Granted, qt.IsTrue)
+	answer, _ := p.AnswerQuestion(now, permit.Ask{Server: "a"})
+	c.Assert(answer.Granted, qt.IsTrue)
 	granted := 0
 	for i := range 100 {
-		if p.AnswerQuestion(now.Add(time.Duration(i)*10*time.Millisecond), permit.Ask{Server: "a", IsCold: true}).Granted {
+		if answer, _ := p.AnswerQuestion(now.Add(time.Duration(i)*10*time.Millisecond), permit.Ask{Server: "a", IsCold: true}); answer.Granted {
 			granted++
 		}
 	}
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"hornbeamstep.example/routing/balance"
-	"hornbeamstep.example/routing/metadata"
 	"hornbeamstep.example/routing/retry"
 	"hornbeamstep.example/routing/roster"
 )
@@ -119,14 +118,6 @@
 	return u.Balancer.RecordNotice(now, s.ID, s.Born, n)
 }
 
-// recordBrittle applies what a server states about the rejections that it withstands, and reports
-// whether its service was not known to be brittle.
-func (u *Upstreams) recordBrittle(now time.Time, s roster.Server, stated metadata.Brittleness) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.Balancer.RecordBrittle(now, s.ID, stated)
-}
-
 // isPaused reports whether the latest requests to a server got no response.
 func (u *Upstreams) isPaused(now time.Time, id string) bool {
 	u.mu.Lock()
@@ -201,7 +192,8 @@
 	reportsAge      time.Duration
 }
 
-// chooseServer chooses a server and counts the request as in progress there.
+// chooseServer chooses a server and counts the request as in progress there, unless it needs a permit
+// first; see start.
 func (u *Upstreams) chooseServer(now time.Time, query balance.Request) serverChoice {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -209,12 +201,26 @@
 	if !u.reportsReceived.IsZero() {
 		choice.reportsAge = now.Sub(u.reportsReceived)
 	}
-	if choice.Server.ID != "" {
+	if choice.Server.ID != "" && !choice.IsLimited {
 		u.Balancer.Start(now, choice.Server.ID)
 	}
 	return choice
 }
 
+// start counts a request as in progress at a server.
+func (u *Upstreams) start(now time.Time, id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.Balancer.Start(now, id)
+}
+
+// Loads returns the requests in progress from all routers by server ID.
+func (u *Upstreams) Loads() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.Balancer.Loads()
+}
+
 // recordResponseStart records the time from sending a request to the start of its response.
 func (u *Upstreams) recordResponseStart(query balance.Request, took time.Duration) {
 	u.mu.Lock()
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -35,7 +35,7 @@
 }
 
 // formatVersion is the first element of each datagram. A router drops datagrams of other versions.
-const formatVersion = 22
+const formatVersion = 23
 
 // Sizes in bytes: the largest encoded record without and with an identity, not counting its loads
 // and crashes, the load of one server, a prompt part and one of its crashes, the rate limit of one
@@ -50,6 +50,7 @@
 	partCrashSize      = 11
 	serverLimitSize    = 17
 	overloadSize       = 8
+	brittleSize        = 13
 	textHeaderSize     = 2
 	livenessHeaderSize = 80
 	packetPayloadSize  = 1300
@@ -69,7 +70,7 @@
 		for _, p := range r.Parts {
 			size += partSize + partCrashSize*len(p.Crashes)
 		}
-		size += serverLimitSize*len(r.Limits) + overloadSize*len(r.Overloads)
+		size += serverLimitSize*len(r.Limits) + overloadSize*len(r.Overloads) + brittleSize*len(r.Brittle)
 		for _, zone := range r.Evacuated.Zones {
 			size += len(zone) + textHeaderSize
 		}
@@ -134,12 +135,14 @@
 // Numbers of fields in the wire format.
 const (
 	messageFields  = 9
-	recordFields   = 20
+	recordFields   = 21
 	identityFields = 6
 	crashFields    = 3
 	partFields     = 3
 	// overloadFields is the number of elements that each overloaded service adds to a list.
 	overloadFields = 2
+	// brittleFields is the number of elements that each service with brittle servers adds to a list.
+	brittleFields = 3
 	// evacuatedFields is the number of fields of the evacuated zones.
 	evacuatedFields = 3
 	// partCrashFields is the number of elements that each crash of a prompt part adds to a list.
@@ -148,7 +151,7 @@
 	livenessFields  = 9
 	// serverLimitFields is the number of elements that each rate limit adds to a list.
 	serverLimitFields = 3
-	permitFields      = 10
+	permitFields      = 14
 	originFields      = 7
 )
 
@@ -201,6 +204,12 @@
 		w.integer(int64(o.Service))
 		w.integer(o.Age)
 	}
+	w.list(brittleFields * len(r.Brittle))
+	for _, b := range r.Brittle {
+		w.integer(int64(b.Service))
+		w.integer(int64(b.MaxRejections))
+		w.integer(b.Age)
+	}
 	w.integer(r.StoreContactAge)
 	w.flag(r.StoreLost)
 	// A relayed record has no loads, which is not the same as a router without load.
@@ -294,6 +303,10 @@
 	w.integer(p.Wait)
 	w.flag(p.Cold)
 	w.integer(int64(math.Round(p.PerSecond * 1000)))
+	w.flag(p.NeedsSlot)
+	w.integer(p.MaxHold)
+	w.integer(int64(p.Releases))
+	w.integer(int64(p.Ending))
 }
 
 func (w *datagramWriter) origin(o *presence.StreamOrigin) {
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -20,7 +20,7 @@
 	Kind: presence.HubUpdate, From: "a",
 	Records: []presence.AgedRecord{{Age: 5, Record: presence.Record{
 		ID: "a", Zone: "z", Region: "r", Boot: 1, Sequence: 2, Peer: "p", Control: "c", Front: "f", Ready: true, Capacity: 0.192,
-		Config: 3, Servers: roster.Revision{Era: 2, Number: 4}, Evacuated: presence.Evacuated{Revision: roster.Revision{Era: 2, Number: 3}, Zones: []string{"z"}}, Overloads: []presence.Overload{{Service: 1 << 31, Age: 40}, {Service: 2}}, StoreContactAge: -1, StoreLost: true, Loads: map[presence.ServerKey]int{7: 1}, Down: []string{"d"}, Unreached: []presence.ServiceKey{math.MaxUint32, 5},
+		Config: 3, Servers: roster.Revision{Era: 2, Number: 4}, Evacuated: presence.Evacuated{Revision: roster.Revision{Era: 2, Number: 3}, Zones: []string{"z"}}, Overloads: []presence.Overload{{Service: 1 << 31, Age: 40}, {Service: 2}}, Brittle: []presence.BrittleService{{Service: math.MaxUint32, MaxRejections: 12, Age: 90}}, StoreContactAge: -1, StoreLost: true, Loads: map[presence.ServerKey]int{7: 1}, Down: []string{"d"}, Unreached: []presence.ServiceKey{math.MaxUint32, 5},
 		Leaving: []string{"l/9"},
 		Crashes: []presence.Crash{{Fingerprint: "f", Servers: []string{"s/1"}, Age: 1500}},
 		Limits:  []presence.ServerLimit{{Server: 9, PerSecond: 4.75, Age: 30}, {Server: 1 << 31, Ended: true}},
@@ -35,7 +35,7 @@
 	},
 	Wanted: []presence.MemberKey{1 << 31, 2},
 	Permit: &presence.Permit{
-		Number: math.MaxUint32, Priority: 9, MaxDelay: 75, Limit: presence.ServerLimit{Server: 3, PerSecond: 0.125, Age: 10}, Granted: true, Wait: 20, Cold: true, PerSecond: 98.5,
+		Number: math.MaxUint32, Priority: 9, MaxDelay: 75, Limit: presence.ServerLimit{Server: 3, PerSecond: 0.125, Age: 10}, Granted: true, Wait: 20, Cold: true, PerSecond: 98.5, NeedsSlot: true, MaxHold: 12000, Releases: math.MaxUint32, Ending: 2,
 	},
 	Origin: &presence.StreamOrigin{Number: math.MaxUint32, Stream: math.MaxUint64, Recorded: 1 << 63, Sole: 7, Service: math.MaxUint32, Within: 15000, Several: true},
 }
--- a/hornbeamd/mesh/decode.go
+++ b/hornbeamd/mesh/decode.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"hornbeamstep.example/coord/presence"
+	"hornbeamstep.example/routing/permit"
 	"hornbeamstep.example/routing/roster"
 )
 
@@ -27,6 +28,8 @@
 	// maxRateLimit is the highest rate limit of a backend server, in thousandths of a request per
 	// second.
 	maxRateLimit = 1_000_000_000
+	// maxRejections is the highest number of rejections per second that a backend server withstands.
+	maxRejections = 1 << 20
 	// maxPriority is the least urgent priority of a request.
 	maxPriority = 1 << 20
 	// maxCapacity is the highest capacity of a machine, in cores.
@@ -219,8 +222,8 @@
 	return roster.Revision{Era: r.number(), Number: r.number()}
 }
 
-// record reads [age, ID, boot, sequence, ready, config, era, revision, store contact age, store
-// lost, loads or nil, down, unreached, leaving, crashes, prompt parts, limits, identity or nil].
+// record reads [age, ID, boot, sequence, ready, config, era, revision, evacuated, overloads, brittle
+// services, store contact age, store lost, loads or nil, down, unreached, leaving, crashes, prompt parts, limits, identity or nil].
 func (r *datagramReader) record() presence.AgedRecord {
 	var a presence.AgedRecord
 	r.fields(recordFields)
@@ -235,6 +238,11 @@
 	for range r.list(1) / overloadFields {
 		a.Overloads = append(a.Overloads, presence.Overload{Service: presence.ServiceKey(r.integer(0, math.MaxUint32)), Age: r.integer(0, maxAgeMillis)})
 	}
+	for range r.list(1) / brittleFields {
+		a.Brittle = append(a.Brittle, presence.BrittleService{
+			Service: presence.ServiceKey(r.integer(0, math.MaxUint32)), MaxRejections: int(r.integer(0, maxRejections)), Age: r.integer(0, maxAgeMillis),
+		})
+	}
 	a.StoreContactAge = r.integer(-1, math.MaxInt64/int64(1e6))
 	a.StoreLost = r.flag()
 	if !r.isNil() {
@@ -284,13 +292,14 @@
 }
 
 // permit reads [number, priority, maximum delay, server, rate, age, granted, wait, cold, rate in
-// thousandths].
+// thousandths, needs slot, maximum hold, released question, ending].
 func (r *datagramReader) permit() *presence.Permit {
 	r.fields(permitFields)
 	return &presence.Permit{
 		Number: uint32(r.integer(0, math.MaxUint32)), Priority: int(r.integer(0, maxPriority)), MaxDelay: r.integer(0, maxAgeMillis),
 		Limit: r.serverLimit(), Granted: r.flag(), Wait: r.integer(0, maxAgeMillis), Cold: r.flag(),
-		PerSecond: float64(r.integer(0, maxRateLimit)) / 1000,
+		PerSecond: float64(r.integer(0, maxRateLimit)) / 1000, NeedsSlot: r.flag(), MaxHold: r.integer(0, maxStreamMillis),
+		Releases: uint32(r.integer(0, math.MaxUint32)), Ending: uint8(r.integer(0, int64(permit.LastEnding))),
 	}
 }
 
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -38,7 +38,7 @@
 	// respond before the deadline.
 	Full Reason = "full"
 	// Limited means that the servers which could take the request are at the rate limits that they
-	// state.
+	// state, or are brittle and have no free slot.
 	Limited Reason = "limited"
 )
 
@@ -50,7 +50,9 @@
 	// IsCold reports whether the limit of a server is what it withstands while it is cold. Most cold
 	// servers get fewer requests than that.
 	IsCold(server string) bool
-	// Wait returns the time after which a limited server may take a request of a priority.
+	// NeedsSlot reports whether a server is brittle, so that a request needs one of its slots.
+	NeedsSlot(server string) bool
+	// Wait returns the time after which a limited or brittle server may take a request of a priority.
 	Wait(now time.Time, server string, priority int) time.Duration
 }
 
@@ -63,6 +65,9 @@
 // IsCold implements RateLimits.
 func (noRateLimits) IsCold(string) bool { return false }
 
+// NeedsSlot implements RateLimits.
+func (noRateLimits) NeedsSlot(string) bool { return false }
+
 // Wait implements RateLimits.
 func (noRateLimits) Wait(time.Time, string, int) time.Duration { return 0 }
 
@@ -163,8 +168,8 @@
 	Wait time.Duration
 	// IsBrittle is true if the router takes the chosen server for brittle.
 	IsBrittle bool
-	// IsLimited is true if the chosen server states a rate limit, so that the request needs a
-	// permit.
+	// IsLimited is true if the chosen server states a rate limit or is brittle, so that the request
+	// needs a permit.
 	IsLimited bool
 	// LimitSum is the sum of the rate limits of the servers of the service, in requests per second.
 	// It is set if Reason is Limited.
@@ -232,9 +237,8 @@
 	delays map[int]*delayStats
 	// busy is true while most slots are in use.
 	busy bool
-	// demand and brittle are kept when the list of servers changes.
-	demand  *demand
-	brittle *brittleness
+	// demand is kept when the list of servers changes.
+	demand *demand
 }
 
 // Balancer chooses servers. It is not safe for concurrent use.
@@ -283,9 +287,9 @@
 		next[s.ID] = e
 		p := pools[s.Service]
 		if p == nil {
-			p = &pool{delays: map[int]*delayStats{}, demand: &demand{}, brittle: &brittleness{}}
+			p = &pool{delays: map[int]*delayStats{}, demand: &demand{}}
 			if old := b.pools[s.Service]; old != nil {
-				p.meanDuration, p.delays, p.demand, p.brittle = old.meanDuration, old.delays, old.demand, old.brittle
+				p.meanDuration, p.delays, p.demand = old.meanDuration, old.delays, old.demand
 			}
 			pools[s.Service] = p
 		}
@@ -332,6 +336,15 @@
 	}
 }
 
+// Loads returns the requests in progress from all routers by server ID.
+func (b *Balancer) Loads() map[string]int {
+	loads := make(map[string]int, len(b.servers))
+	for id, e := range b.servers {
+		loads[id] = e.load()
+	}
+	return loads
+}
+
 // OwnLoads returns this router's requests in progress by server ID. Servers without requests are
 // left out.
 func (b *Balancer) OwnLoads() map[string]int {
@@ -353,9 +366,6 @@
 	if len(req.Avoid) == 0 && !req.IsRepeated {
 		p.demand.count(now, req)
 	}
-	if !p.brittle.admits(now, deriveDraw(req.Draw, b.salt)) {
-		return Choice{Reason: Full, Wait: backoffInterval}
-	}
 	usable := b.usable(now, p, req)
 	if len(usable) == 0 {
 		return b.noneUsable(now, p, req)
@@ -367,14 +377,6 @@
 	c.Priority = req.Priority
 	var e *entry
 	switch {
-	case p.brittle.holds(now):
-		if e, c.Reason = b.chooseByRoom(now, p, usable, req); e == nil {
-			c.Wait = backoffInterval
-			return c
-		}
-		if holder := b.findHolder(now, p, req, e); holder != nil {
-			c.Holder = holder.Server
-		}
 	case len(req.PrefixHashes) > 0:
 		var holder *entry
 		e, holder, c.Reason = b.chooseByAffinity(now, p, usable, req, c.Mean)
@@ -386,11 +388,11 @@
 	}
 	c.Load = e.load()
 	c.Wait = p.expectedWait(e, req.Slots)
-	c.IsLimited, c.IsBrittle = b.isLimited(e), p.brittle.holds(now)
+	c.IsLimited, c.IsBrittle = b.isLimited(e), b.RateLimits.NeedsSlot(e.ID)
 	shed := b.shouldShed(now, p, req, c.Mean, c.Wait)
 	switch {
 	case c.IsLimited && c.Wait == 0:
-		// Its rate limit keeps the server from overload, whatever the load of the others.
+		// Its rate limit or its slots keep the server from overload, whatever the load of the others.
 		shed = false
 	case b.hasLimited(p):
 		// The delays at limited servers hide the queues of the others from shouldShed.
@@ -442,13 +444,16 @@
 
 // hasLimited reports whether a server of a service states a rate limit, apart from cold servers.
 func (b *Balancer) hasLimited(p *pool) bool {
-	return slices.ContainsFunc(p.entries, func(e *entry) bool { return b.isLimited(e) && !b.RateLimits.IsCold(e.ID) })
+	return slices.ContainsFunc(p.entries, func(e *entry) bool {
+		_, limited := b.RateLimits.Limit(e.ID)
+		return limited && !b.RateLimits.IsCold(e.ID)
+	})
 }
 
-// isLimited reports whether a server states a rate limit or is cold.
+// isLimited reports whether a server states a rate limit, is cold or is brittle.
 func (b *Balancer) isLimited(e *entry) bool {
 	_, limited := b.RateLimits.Limit(e.ID)
-	return limited
+	return limited || b.RateLimits.NeedsSlot(e.ID)
 }
 
 // expectedWait returns the expected time until a server starts one more request.
--- a/routing/balance/candidates.go
+++ b/routing/balance/candidates.go
@@ -61,15 +61,12 @@
 
 func (r Request) allowsZone(zone string) bool { return r.AllowsZone == nil || r.AllowsZone(zone) }
 
-// takes reports whether a server wants requests from this router, is not at its rate limit, has room
-// if it is brittle, and may be chosen for the request.
+// takes reports whether a server wants requests from this router, is not at its rate limit or without a
+// free slot if it is brittle, and may be chosen for the request.
 func (b *Balancer) takes(now time.Time, e *entry, req Request) bool {
 	if now.Before(e.refusedUntil) || !req.allows(e) {
 		return false
 	}
-	if !b.hasRoom(now, e, req) {
-		return false
-	}
 	return !b.isLimited(e) || !req.AvoidLimited && b.RateLimits.Wait(now, e.ID, req.Priority) <= req.MaxLimitWait
 }
 
@@ -117,15 +114,12 @@
 func (b *Balancer) noneUsable(now time.Time, p *pool, req Request) Choice {
 	c := Choice{Reason: NoServer}
 	for _, e := range p.entries {
-		perSecond, limited := b.RateLimits.Limit(e.ID)
-		c.LimitSum += perSecond
+		limited := b.isLimited(e)
+		c.LimitSum += b.taken(p, e, req)
 		wait := e.refusedUntil.Sub(now)
 		if limited {
 			wait = max(wait, b.RateLimits.Wait(now, e.ID, req.Priority))
 		}
-		if !b.hasRoom(now, e, req) {
-			wait = max(wait, p.meanDuration/time.Duration(max(1, req.Slots, e.Slots)))
-		}
 		if wait <= 0 && !limited || !req.allows(e) {
 			continue
 		}
@@ -140,3 +134,13 @@
 	}
 	return c
 }
+
+// taken returns the requests per second that a limited server takes: its rate limit, or what its slots
+// allow if it is brittle.
+func (b *Balancer) taken(p *pool, e *entry, req Request) float64 {
+	perSecond, limited := b.RateLimits.Limit(e.ID)
+	if bySlots := float64(max(1, req.Slots, e.Slots)) / max(p.meanDuration, time.Millisecond).Seconds(); b.RateLimits.NeedsSlot(e.ID) && (!limited || bySlots < perSecond) {
+		return bySlots
+	}
+	return perSecond
+}
--- a/routing/balance/health.go
+++ b/routing/balance/health.go
@@ -46,9 +46,6 @@
 		b.observeDuration(e.Service, took)
 	}
 	b.recordOutcome(now, e, outcome)
-	if outcome == Refused {
-		b.pauseAfterRejection(now, e)
-	}
 }
 
 // observeDuration updates the moving average of the duration of a service's requests.
--- a/routing/balance/limits_test.go
+++ b/routing/balance/limits_test.go
@@ -25,6 +25,9 @@
 // IsCold implements balance.RateLimits.
 func (f fakeLimits) IsCold(string) bool { return false }
 
+// NeedsSlot implements balance.RateLimits.
+func (f fakeLimits) NeedsSlot(string) bool { return false }
+
 // Wait implements balance.RateLimits.
 func (f fakeLimits) Wait(_ time.Time, server string, _ int) time.Duration { return f.waits[server] }
 
--- a/routing/balance/simulation_test.go
+++ b/routing/balance/simulation_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hornbeamstep.example/routing/balance"
+	"hornbeamstep.example/routing/permit"
 	"hornbeamstep.example/routing/roster"
 )
 
@@ -44,6 +45,7 @@
 	request func(router int, draw float64) balance.Request
 
 	balancers   []*balance.Balancer
+	fleet       slotFleet
 	queues      map[string][]*simulatedRequest
 	lastReports []map[string]int
 	// refusedAt holds the times of refusals, and downUntil the end of a failure, by server.
@@ -55,6 +57,7 @@
 type simulatedRequest struct {
 	router  int
 	request balance.Request
+	slot    simulatedSlot
 	arrived time.Time
 	// finishAt is when it finishes; zero while it waits for a slot.
 	finishAt time.Time
@@ -90,6 +93,7 @@
 	sim.queues, sim.lastReports = map[string][]*simulatedRequest{}, make([]map[string]int, sim.routers)
 	for i := range sim.routers {
 		b := balance.New(balance.DefaultSettings(), fmt.Sprint("r", i))
+		b.RateLimits = sim.fleet.join(i, sim.servers)
 		b.SetServers(start, sim.servers)
 		sim.balancers = append(sim.balancers, b)
 	}
@@ -98,6 +102,9 @@
 	const drainTime = 5 * time.Second
 	for ms := range int((d + drainTime).Milliseconds()) {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for _, i := range sim.fleet.tick(now) {
+			sim.reset(now, i)
+		}
 		for _, s := range sim.servers {
 			sim.serve(now, s, &o)
 		}
@@ -113,12 +120,26 @@
 				continue
 			}
 			i := random.IntN(cmp.Or(sim.receiving, sim.routers))
+			if sim.fleet.routers[i].isDown {
+				continue
+			}
 			sim.send(now, i, sim.request(i, random.Float64()), &o)
 		}
 	}
 	return o
 }
 
+// reset makes a router lose its requests and what it knows.
+func (sim *simulation) reset(now time.Time, router int) {
+	for server, queue := range sim.queues {
+		sim.queues[server] = slices.DeleteFunc(queue, func(r *simulatedRequest) bool { return r.router == router })
+	}
+	b := balance.New(balance.DefaultSettings(), fmt.Sprint("r", router))
+	b.RateLimits = routerLimits{&sim.fleet, router}
+	b.SetServers(now, sim.servers)
+	sim.balancers[router] = b
+}
+
 // serve finishes and starts requests on a server, the most urgent first, and counts those that
 // started in time.
 func (sim *simulation) serve(now time.Time, s roster.Server, o *result) {
@@ -136,7 +157,8 @@
 	for _, r := range sim.queues[s.ID] {
 		if !r.finishAt.IsZero() && !r.finishAt.After(now) {
 			sim.balancers[r.router].Finish(now, s.ID, balance.Answered, now.Sub(r.arrived))
-			sim.balancers[r.router].RecordBrittle(now, s.ID, sim.brittleness(now))
+			sim.observe(now, r.router, s.ID)
+			sim.fleet.release(r.slot, permit.Done)
 			o.latencies[r.request.Account] = append(o.latencies[r.request.Account], int(now.Sub(r.arrived).Milliseconds()))
 			if now.Sub(r.arrived)-sim.duration <= r.request.LatencyTarget {
 				o.inTime[min(r.request.Priority, 1)]++
@@ -171,20 +193,23 @@
 		}
 		if report != nil {
 			b.SetOtherLoads(now, report, sim.routers, sim.reportAge)
+			sim.fleet.routers[i].slots.Report(now, b.Loads())
 		}
 		sim.lastReports[i] = current
 	}
+	sim.fleet.heartbeat(now)
 }
 
-// send lets a router choose a server for a request and queues the request there.
+// send lets a router choose a server for a request and sends it there, once it has a slot if it needs
+// one.
 func (sim *simulation) send(now time.Time, router int, req balance.Request, o *result) {
 	o.sent++
-	choice := sim.balancers[router].Choose(now, req)
+	sim.try(now, router, req, 0, o)
+}
+
+// arrive queues a request at a server.
+func (sim *simulation) arrive(now time.Time, router int, choice balance.Choice, req balance.Request, slot simulatedSlot, o *result) {
 	s := choice.Server
-	if s.ID == "" {
-		o.rejected++
-		return
-	}
 	total := 0
 	for _, q := range sim.queues {
 		total += len(q)
@@ -193,9 +218,9 @@
 		o.overLimit++
 	}
 	req.Priority = choice.Priority
-	sim.balancers[router].Start(now, s.ID)
 	if now.Before(sim.downUntil[s.ID]) {
 		sim.balancers[router].Finish(now, s.ID, balance.Unreachable, 0)
+		sim.fleet.release(slot, permit.Done)
 		return
 	}
 	queue := sim.queue
@@ -204,12 +229,13 @@
 	}
 	if len(sim.queues[s.ID]) >= s.Slots+queue {
 		o.refused++
-		sim.balancers[router].RecordBrittle(now, s.ID, sim.brittleness(now))
+		sim.observe(now, router, s.ID)
 		sim.balancers[router].Finish(now, s.ID, balance.Refused, 0)
+		sim.fleet.release(slot, permit.Rejected)
 		sim.recordRefusal(now, s.ID, o)
 		return
 	}
-	sim.queues[s.ID] = append(sim.queues[s.ID], &simulatedRequest{router: router, request: req, arrived: now})
+	sim.queues[s.ID] = append(sim.queues[s.ID], &simulatedRequest{router: router, request: req, slot: slot, arrived: now})
 }
 
 // Guards against an engine above the load limit of 2 times the mean plus 3 when all requests share
--- a/routing/balance/state.go
+++ b/routing/balance/state.go
@@ -25,6 +25,8 @@
 	Refusing Condition = "refusing"
 	// RateLimited servers get as many requests as the rate limit that they state allows.
 	RateLimited Condition = "limited"
+	// Brittle servers get as many requests as they have slots.
+	Brittle Condition = "brittle"
 	// Cold servers get as many requests as they withstand until they are warm.
 	Cold Condition = "cold"
 	// Paused servers get no requests, because they could not be reached or did not answer this
@@ -74,6 +76,8 @@
 		return OnTrial
 	case b.RateLimits.IsCold(e.ID):
 		return Cold
+	case b.RateLimits.NeedsSlot(e.ID):
+		return Brittle
 	case b.isLimited(e):
 		return RateLimited
 	case b.pools[e.Service] != nil && excessFailureRate(b.pools[e.Service].entries, e) > 0:
--- a/routing/permit/issuer.go
+++ b/routing/permit/issuer.go
@@ -33,6 +33,9 @@
 	MaxBurst float64
 	// IsCold is true if the router that asks takes the server for cold; see Cold.
 	IsCold bool
+	// Slot is set if the router that asks takes the server for brittle, so that the request needs one of
+	// its slots; see Slots.
+	Slot *SlotAsk
 }
 
 // Issuer issues the permits for the servers of which a router is the issuer. Each server has a
