fix(backend): a copy of an earlier rejection doesn't show that a request has not run

What operators of similar systems saw: a faulty server wrote an earlier rejection once more on a kept connection, and clients were told "not run, try again" for requests that ran, or the request ran at a second server.

Cause: it can happen here if the copy names no request. Copies that name another one were skipped already (cases "of a named request", "written twice more" and "written again and again" of the new test pass before). Without the attempt ID, a rejection or a 421 counted as that of the request in progress.

Evidence: TestCopiedRejection failed before for a rejection without an ID.

Change: on a connection that has served a request, a rejection or 421 without the request's ID is a response of unknown origin: the request may have run. On a new connection there is none that it could be a copy of, and it is believed (TestUnnamedRejectionOnNewConnection).

--- a/hornbeamd/backend/backend.go
+++ b/hornbeamd/backend/backend.go
@@ -168,7 +168,7 @@
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	bytesBefore := c.bytesWritten.Load()
 	write := c.writeRequest(r)
-	response, cause := c.readResponse(p.Codec, r)
+	response, cause := c.readResponse(p.Codec, r, reused)
 	if cause == nil {
 		response.pool, response.request, response.stopAbort, response.write = p, r, stopAbort, write
 		return response, nil
@@ -279,8 +279,9 @@
 }
 
 // readResponse returns the response to a request. It skips responses with the attempt ID of another
-// request, which are late responses to earlier requests on the connection.
-func (c *conn) readResponse(codec Codec, r *Request) (*Response, error) {
+// request, which are late responses to earlier requests on the connection. A rejection without an ID may
+// be one too if there were earlier requests, and does not show that this one has not run.
+func (c *conn) readResponse(codec Codec, r *Request, reused bool) (*Response, error) {
 	for range maxSkippedResponses + 1 {
 		httpResponse, err := c.readFinalResponse(r) //nolint:bodyclose // the body reads from the connection, which Response.Close handles
 		if err != nil {
@@ -297,6 +298,9 @@
 			}
 			continue
 		}
+		if answer.Attempt == "" && reused && (answer.NotRun || answer.Misdirected) {
+			return nil, errMismatchedResponse
+		}
 		framed := httpResponse.ContentLength >= 0 || len(httpResponse.TransferEncoding) > 0
 		response := &Response{
 			Status: httpResponse.StatusCode, Header: httpResponse.Header, Answer: answer, ContentLength: httpResponse.ContentLength, Framed: framed,
--- a/hornbeamd/backend/backend_test.go
+++ b/hornbeamd/backend/backend_test.go
@@ -19,7 +19,7 @@
 type testCodec struct{}
 
 func (testCodec) ParseResponse(_ int, h http.Header) metadata.Answer {
-	return metadata.Answer{Attempt: h.Get("Id"), NotRun: h.Get("Refused") != ""}
+	return metadata.Answer{Attempt: h.Get("Id"), NotRun: h.Get("Refused") != "", Misdirected: h.Get("Misdirected") != ""}
 }
 
 const okResponse = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -114,6 +114,62 @@
 	}
 }
 
+// Guards against a rejection that a server writes once more on a connection that is in use again, and that
+// is taken for the rejection of a request which the server runs.
+func TestCopiedRejection(t *testing.T) {
+	const (
+		otherRejected = "HTTP/1.1 503 Service Unavailable\r\nId: 0\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+		unnamed       = "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+		misdirected   = "HTTP/1.1 421 Misdirected Request\r\nMisdirected: 1\r\nContent-Length: 0\r\n\r\n"
+	)
+	for name, test := range map[string]struct {
+		second string
+		// answered is true if the answer to the second request can be told from the copy.
+		answered bool
+	}{
+		"of a named request":      {otherRejected + okResponse, true},
+		"written twice more":      {otherRejected + otherRejected + okResponse, true},
+		"written again and again": {strings.Repeat(otherRejected, 5) + okResponse, false},
+		"without a name":          {unnamed + okResponse, false},
+		"misdirected, no name":    {misdirected + okResponse, false},
+		"only the copy":           {unnamed, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			opened := 0
+			p := newPool(&opened)
+			address := startServer(c, okResponse, test.second)
+			_, err := sendRequest(c, p, address)
+			c.Assert(err == nil, qt.IsTrue)
+			response, err := p.Do(context.Background(), &backend.Request{
+				Address: address, Method: "POST", Target: "/a/", Host: "h", Header: http.Header{}, Attempt: "1", HasBody: true,
+			})
+			c.Assert(opened, qt.Equals, 1)
+			if !test.answered {
+				c.Assert(err, qt.IsNotNil)
+				c.Assert(err.Kind, qt.Equals, backend.Mismatched)
+				c.Assert(err.Sent, qt.IsTrue)
+				return
+			}
+			c.Assert(err == nil, qt.IsTrue)
+			defer response.Close()
+			c.Assert(response.Status, qt.Equals, http.StatusOK)
+		})
+	}
+}
+
+// Guards against a rejection without the ID of a request that is not believed on a new connection, where
+// it can't be that of an earlier one.
+func TestUnnamedRejectionOnNewConnection(t *testing.T) {
+	c := qt.New(t)
+	opened := 0
+	address := startServer(c, "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n")
+	response, err := newPool(&opened).Do(context.Background(), &backend.Request{Address: address, Method: "GET", Target: "/", Host: "h", Header: http.Header{}, Attempt: "1"})
+	c.Assert(err == nil, qt.IsTrue)
+	defer response.Close()
+	c.Assert(response.NotRun, qt.IsTrue)
+}
+
 // Guards against a server whose response headers take the memory of the router, and against headers
 // of usual size that are rejected.
 func TestResponseHeaderLimit(t *testing.T) {
