fix(gateway): a stream goes on only with a response of the same media type

What operators of similar systems saw: a stream had begun and broke off, the next server answered with an error, and clients found its text or its whole head in the middle of their stream, or a stream that looked complete.

Cause: an error status can't end up in a stream here: of the 30 cases of TestFailureAfterBrokenStream, 26 passed before (statuses from 302 to 503 with and without events, unsigned successes, bytes that are no HTTP, in both framings of the first response). But a signed 200 that is no stream was taken for its continuation: its text went into the stream, and the stream ended as complete.

Evidence: four cases of the test failed before, "200 without events" and "200 without a body" in both framings.

Change: the media type of the response that continues a stream has to be that of the response which began it; anything else counts as a failed attempt.

--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"slices"
 	"strconv"
@@ -237,7 +238,7 @@
 	switch {
 	case a.peerOutcome != "" && !c.responseStarted:
 		return c.relayRejection(a)
-	case a.isStream():
+	case a.isStream() && (!c.responseStarted || a.mediaType() == c.mediaType):
 		return c.relayStream(a)
 	case c.responseStarted:
 		// Only a stream can continue the client's stream.
@@ -251,6 +252,15 @@
 	return a.response.Status/100 == 2 && a.request.route.Kind == routes.Streaming
 }
 
+// mediaType returns the media type of the response; empty if it states none that is valid.
+func (a *attempt) mediaType() string {
+	mediaType, _, err := mime.ParseMediaType(a.response.Header.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return mediaType
+}
+
 // open sends the request and waits for the header of the response. It sets a.response if the
 // response can be relayed, and returns how the attempt ended otherwise.
 func (a *attempt) open() (balance.Outcome, attemptResult) {
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -49,6 +49,8 @@
 	standby standby
 	// responseStarted is true if a part of a response was sent to the client.
 	responseStarted bool
+	// mediaType is that of the response that was started.
+	mediaType string
 	// mu guards the fields below, which a standby uses too.
 	mu sync.Mutex
 	// attempts is the number of attempts, including those in progress.
--- a/hornbeamd/gateway/stream.go
+++ b/hornbeamd/gateway/stream.go
@@ -137,7 +137,7 @@
 	if c.responseStarted {
 		return
 	}
-	c.responseStarted = true
+	c.responseStarted, c.mediaType = true, a.mediaType()
 	c.server.Upstreams.recordResponseStart(a.query, time.Since(a.startedAt))
 	c.server.Codec.CopyResponseHeader(c.w.Header(), a.response.Header)
 	c.w.WriteHeader(a.response.Status)
