fix(permit): slots of brittle engines whose entry states none are those of the configuration

Cause: placement takes the configuration's number of slots for engines that register fewer (balance.Request.Slots), but the issuer of a brittle engine went by the entry alone, so that one without slots got one request at a time.

Change: the issuer knows the configuration's slots too. TestSlotsOfConfiguration.

--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -379,7 +379,7 @@
 		return
 	}
 	if c.gateway.SetTable(table) {
-		c.gateway.Permits.SetColdRates(config.Services)
+		c.gateway.Permits.SetServices(config.Services)
 		c.configAppliedAt, c.configSource = time.Now(), from
 		c.log.Info("configuration applied", zap.Int64("config", config.Version), zap.Int("routes", table.RouteCount()), zap.String("from", from))
 		c.updateReadiness()
--- a/hornbeamd/gateway/permits.go
+++ b/hornbeamd/gateway/permits.go
@@ -117,17 +117,19 @@
 	p.updateAnyLimited()
 }
 
-// SetColdRates replaces the requests per second that cold servers of each service withstand.
-func (p *Permits) SetColdRates(services []routes.Service) {
-	rates := map[string]float64{}
+// SetServices replaces what the configuration says of the servers of each service.
+func (p *Permits) SetServices(services []routes.Service) {
+	rates, slots := map[string]float64{}, map[string]int{}
 	for _, s := range services {
 		if s.ColdRate > 0 {
 			rates[s.Name] = s.ColdRate
 		}
+		slots[s.Name] = s.Slots
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cold.SetRates(rates)
+	p.slots.SetDefaults(slots)
 	p.updateAnyLimited()
 }
 
--- a/hornbeamd/gateway/permits_test.go
+++ b/hornbeamd/gateway/permits_test.go
@@ -56,7 +56,7 @@
 	p := NewPermits()
 	p.Self = "r"
 	p.SetServers([]roster.Server{{ID: "a", Service: "pool", Slots: 32}})
-	p.SetColdRates([]routes.Service{{Name: "pool", ColdRate: 10}})
+	p.SetServices([]routes.Service{{Name: "pool", ColdRate: 10}})
 	now := time.Now()
 	answer, _ := p.AnswerQuestion(now, permit.Ask{Server: "a"})
 	c.Assert(answer.Granted, qt.IsTrue)
@@ -77,7 +77,7 @@
 	c := qt.New(t)
 	p := NewPermits()
 	p.SetServers([]roster.Server{{ID: "a", Service: "pool", Slots: 32, Born: 7}})
-	p.SetColdRates([]routes.Service{{Name: "pool", ColdRate: 10}})
+	p.SetServices([]routes.Service{{Name: "pool", ColdRate: 10}})
 	crashes := NewCrashTracker()
 	crashes.OnCrash = p.SuspectCrashed
 	now := time.Now()
--- a/hornbeamd/gateway/slots_test.go
+++ b/hornbeamd/gateway/slots_test.go
@@ -11,6 +11,7 @@
 
 	"hornbeamstep.example/routing/permit"
 	"hornbeamstep.example/routing/roster"
+	"hornbeamstep.example/routing/routes"
 )
 
 // connectedPermits returns the permits of routers that reach each other, which take the servers of a
@@ -112,3 +113,19 @@
 	held, _ := p.slots.InUse("a")
 	c.Check(held, qt.Equals, 0)
 }
+
+// Guards against an engine whose entry states no slots and that gets one request at a time.
+func TestSlotsOfConfiguration(t *testing.T) {
+	c := qt.New(t)
+	p := connectedPermits(1)[0]
+	p.SetServers([]roster.Server{{ID: "e", Service: "pool"}})
+	p.SetServices([]routes.Service{{Name: "pool", Engine: true, Slots: 16}})
+	p.MergeBrittle(time.Now(), permit.BrittleService{Service: "pool"})
+	granted := 0
+	for range 20 {
+		if outcome, _ := p.acquire(context.Background(), permit.Ask{Server: "e"}); outcome == permitGranted {
+			granted++
+		}
+	}
+	c.Assert(granted, qt.Equals, 14)
+}
--- a/routing/permit/slots.go
+++ b/routing/permit/slots.go
@@ -80,8 +80,10 @@
 // which an earlier issuer has permitted, are found by the load reports. It is not safe for concurrent
 // use.
 type Slots struct {
-	known   map[string]roster.Server
-	servers map[string]*slotServer
+	known map[string]roster.Server
+	// defaults holds the number of slots of the servers of each service that register fewer.
+	defaults map[string]int
+	servers  map[string]*slotServer
 	// loads holds the requests in progress at each server as reported.
 	loads map[string]int
 }
@@ -139,6 +141,15 @@
 	s.known = known
 }
 
+// SetDefaults replaces the number of slots of servers that register fewer, by service.
+func (s *Slots) SetDefaults(slots map[string]int) { s.defaults = slots }
+
+// slotsOf returns the number of slots of a server.
+func (s *Slots) slotsOf(id string) int {
+	server := s.known[id]
+	return max(1, server.Slots, s.defaults[server.Service])
+}
+
 // Report records the requests in progress from all routers, by server. They are as old as the load
 // reports.
 func (s *Slots) Report(now time.Time, loads map[string]int) {
@@ -183,7 +194,6 @@
 
 // usableSlots returns the number of a server's slots that requests may use.
 func usableSlots(slots int) float64 {
-	slots = max(1, slots)
 	return max(1, float64(slots)-max(1, math.Floor(spareShare*float64(slots))))
 }
 
@@ -193,7 +203,7 @@
 func (s *Slots) Acquire(now time.Time, ask Ask, part float64) (answer Answer, decided bool) {
 	state := s.server(now, ask.Server)
 	state.expire(now)
-	state.grow(now, s.known[ask.Server].Slots)
+	state.grow(now, s.slotsOf(ask.Server))
 	if state.hasRoom(now, part) && len(state.queue) == 0 {
 		state.hold(now, ask.Slot.Holder, ask.Slot.MaxHold)
 		return Answer{Granted: true}, true
@@ -243,7 +253,7 @@
 func (s *Slots) grantQueued(now time.Time, server string, part float64) []Grant {
 	state := s.servers[server]
 	state.expire(now)
-	state.grow(now, s.known[server].Slots)
+	state.grow(now, s.slotsOf(server))
 	var grants []Grant
 	for len(state.queue) > 0 && state.hasRoom(now, part) {
 		next := state.queue[0]
