test(soak): brittle servers beside more callers than they have slots for

Change: an event makes the servers of a service brittle for 9 to 12 s and lets 60 more callers come; the check counts a failure for more than 4 rejections by a server in a second, if most of them came from routers that were not disrupted, and allows 2 + n/10 for n servers, as the users' rule does. The postmortem has cause, class and what was looked for elsewhere.

--- a/hornbeambench/soak/checks.go
+++ b/hornbeambench/soak/checks.go
@@ -56,7 +56,7 @@
 	for _, check := range []func() []violation{
 		o.checkResponses, o.checkRuns, o.checkNonRetryable, o.checkRejections, o.checkAPIKeys, o.checkDrains, o.checkUnanswered,
 		o.checkAttempts, o.checkRetryBudget, o.checkCanceled, o.checkTimeouts, o.checkRecovery, o.checkExits, o.checkLeavingNotices, o.checkRejectionTimes,
-		o.checkLimits, o.checkVersions, o.checkEvacuations, o.checkColdServers,
+		o.checkLimits, o.checkVersions, o.checkEvacuations, o.checkColdServers, o.checkBrittleServers,
 	} {
 		found = append(found, check()...)
 	}
--- a/hornbeambench/soak/child.go
+++ b/hornbeambench/soak/child.go
@@ -108,6 +108,10 @@
 	// and the headers of rejections then stay as they are.
 	ChangesLimit bool
 	Limit        string
+	// ChangesBrittle is true if a backend server becomes brittle, with BrittleSlots slots from a contact
+	// time later on, or no longer is if that is 0. The rest stays as it is.
+	ChangesBrittle bool
+	BrittleSlots   int
 	// Silence is the time for which a backend server sends no data. If it is set, the fault and the
 	// headers of the server stay as they are.
 	Silence time.Duration
@@ -127,6 +131,8 @@
 	Began, Ended *standin.Run
 	// Rejected is the attempt ID of a request that a backend server has rejected with a retry delay.
 	Rejected string
+	// TurnedAway is the attempt ID of a request that a brittle backend server has rejected.
+	TurnedAway string
 	Complete bool `json:"Whole"`
 	// At is when the line was written.
 	At time.Time
@@ -184,7 +190,7 @@
 // Run runs the command until its standard input is closed.
 func (c *ServerCommand) Run(context.Context) error {
 	s := standin.NewServer(c.ID, c.Service)
-	s.Pause, s.EndsWithConnection = c.EventDelay, c.NoLength
+	s.Pause, s.EndsWithConnection, s.SurvivesRejections = c.EventDelay, c.NoLength, true
 	var mu sync.Mutex
 	stdout := json.NewEncoder(os.Stdout)
 	notify := func(n notification) {
@@ -200,6 +206,8 @@
 	s.OnReject = func(attempt, retryAfter string) {
 		if retryAfter != "" {
 			notify(notification{Rejected: attempt})
+		} else {
+			notify(notification{TurnedAway: attempt})
 		}
 	}
 	notify(notification{Address: s.Listener.Addr().String()})
@@ -208,6 +216,12 @@
 			s.SetSilence(i.Silence)
 			return nil
 		}
+		if i.ChangesBrittle {
+			if s.StopBrittle(); i.BrittleSlots > 0 {
+				s.SetBrittle(i.BrittleSlots, maxBrittleRejections, brittleContactTime)
+			}
+			return nil
+		}
 		if i.ChangesLimit {
 			s.SetLimit(i.Limit)
 			return nil
--- a/hornbeambench/soak/events.go
+++ b/hornbeambench/soak/events.go
@@ -52,6 +52,8 @@
 	// evacuateZone evacuates an availability zone, and returnCold restarts a server that is cold then.
 	evacuateZone eventKind = "zone evacuated"
 	returnCold   eventKind = "server back and cold"
+	// makeBrittle makes the backend servers of a service brittle, beside more callers.
+	makeBrittle eventKind = "servers brittle"
 	// changeTimeouts changes the timeouts in the configuration. It only occurs beside a silence.
 	changeTimeouts eventKind = "change timeouts"
 )
@@ -70,7 +72,8 @@
 var laterKinds = []eventKind{restoreStore, announceLeaving, rejectForTime}
 
 // maxLaterEvents is the maximum number of events of laterKinds in a run. A run has 1 to maxSilences
-// events of silenceServer, and one of limitOdds runs has an event of limitServers.
+// events of silenceServer. One of limitOdds runs has an event of limitServers, and one an event of
+// makeBrittle.
 const (
 	maxLaterEvents = 3
 	maxSilences    = 3
@@ -148,6 +151,10 @@
 	if zones.IntN(zoneOdds) == 0 {
 		events = append(events, event{Kind: returnCold, At: randomDuration(zones, window), Duration: randomDuration(zones, time.Second), Target: zones.IntN(1 << 16)})
 	}
+	brittle := rand.New(rand.NewPCG(seed, 5))
+	if brittle.IntN(limitOdds) == 0 {
+		events = append(events, event{Kind: makeBrittle, At: randomDuration(brittle, window/2), Duration: minBrittleTime + randomDuration(brittle, brittleTimeRange), Target: brittle.IntN(1 << 16)})
+	}
 	slices.SortFunc(events, func(a, b event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
--- a/hornbeambench/soak/inject.go
+++ b/hornbeambench/soak/inject.go
@@ -70,6 +70,8 @@
 		return tb.silenceServers(ctx, e)
 	case limitServers:
 		return tb.limitServers(ctx, e)
+	case makeBrittle:
+		return tb.makeBrittle(ctx, e)
 	case evacuateZone:
 		return tb.evacuateZone(ctx, e)
 	case returnCold:
--- a/hornbeambench/soak/observations.go
+++ b/hornbeambench/soak/observations.go
@@ -28,6 +28,10 @@
 	coldPeriods []coldPeriod
 	// rejections holds the requests that backend servers rejected with a retry delay.
 	rejections []rejection
+	// turnedAway holds the requests that brittle backend servers rejected, and brittle the periods in which
+	// servers were brittle.
+	turnedAway []rejection
+	brittle    []brittlePeriod
 	// exits holds the IDs of the routers that exited unexpectedly.
 	exits []string
 	// eventsEnd is the time at which the last injected event ended.
--- a/hornbeambench/soak/testbed.go
+++ b/hornbeambench/soak/testbed.go
@@ -234,6 +234,8 @@
 			tb.observations.addRun(run{Run: *n.Began, Server: s.id, Service: s.service, Zone: s.zone, Version: s.version})
 		case n.Ended != nil:
 			tb.observations.endRun(s.id, *n.Ended, n.At, n.Complete)
+		case n.TurnedAway != "":
+			tb.observations.addTurnedAway(rejection{Attempt: n.TurnedAway, Server: s.id, At: n.At})
 		case n.Rejected != "":
 			tb.observations.addRejection(rejection{Attempt: n.Rejected, Server: s.id, At: n.At})
 		}
