feat(mesh): routers of several releases form one fleet

Cause: a router dropped the datagrams of each other format, and the format changes at nearly every landing (23 with the slots of brittle servers).

Change: a router reads formats 21, 22 and 23 and writes to each address the format in which it hears from there, or all in use if it has not heard from it. Records carry the format of their router. Slots of brittle servers are handed out by routers of format 23 only; a question for a slot has no form in an earlier format, as an earlier issuer would grant it. A log line when the fleet becomes mixed and when it no longer is; the format in hornbeamctl inspect.

Evidence: TestReleasedFormats reads and writes datagrams that were recorded from, and will fail when a released format changes; the datagram of format 23 was recorded from this commit. TestSlotsNeedFormat, TestPeerFormats; FuzzDecode begins with all three.

Formats 17 and 19, counters by reason, the long mixed soaks and entries in the store are not done; see docs/design/upgrades.md.

--- a/coord/presence/message.go
+++ b/coord/presence/message.go
@@ -40,6 +40,8 @@
 	Kind Kind
 	// From is the ID of the sender.
 	From string
+	// Format is the format in which the message has arrived; 0 in messages to be sent.
+	Format int
 	// Records holds the sender's record and, in introductions and hub updates, the records of other
 	// routers.
 	Records []AgedRecord
@@ -142,7 +144,13 @@
 		if !known || old.Boot != r.Boot {
 			return false
 		}
+		format := r.Format
 		r = r.withIdentity(old.Record)
+		r.Format = max(format, r.Format)
+	}
+	if known && old.Boot == r.Boot {
+		// Routers of earlier releases relay records without the format.
+		r.Format = max(r.Format, old.Format)
 	}
 	// Records of other routers are relayed without their loads; see newsOf.
 	if r.Loads == nil && known && r.Boot == old.Boot {
--- a/coord/presence/permit.go
+++ b/coord/presence/permit.go
@@ -44,6 +44,32 @@
 	Wait    int64
 }
 
+// Formats returns the number of live routers by the newest format that they understand, this one
+// included.
+func (s *State) Formats(now time.Time) map[int]int {
+	counts := map[int]int{s.self.Format: 1}
+	for _, m := range s.members {
+		if s.live(now, m) {
+			counts[m.Format]++
+		}
+	}
+	return counts
+}
+
+// WithoutSlots returns the live routers that hand out no slots, because their release has none.
+func (s *State) WithoutSlots(now time.Time) map[string]bool {
+	var out map[string]bool
+	for _, m := range s.members {
+		if m.Format < SlotsFormat && s.live(now, m) {
+			if out == nil {
+				out = map[string]bool{}
+			}
+			out[m.ID] = true
+		}
+	}
+	return out
+}
+
 // PermitIssuers returns the IDs and heartbeat addresses of the routers that may issue permits:
 // those that take callers, or else all that are live. selfReady says whether this router takes
 // callers. lost is the number of routers that took callers when they were last heard of.
--- a/coord/presence/presence.go
+++ b/coord/presence/presence.go
@@ -29,6 +29,9 @@
 	// Peer is the address for heartbeats, Control the address for calls between routers and Front
 	// the address for callers, all as ip:port.
 	Peer, Control, Front string
+	// Format is the newest format of messages that the router reads and writes, and thus what its release
+	// understands; 0 if unknown, which counts as older than all.
+	Format int
 	// Ready is true if the router accepts callers.
 	Ready bool
 	// Capacity is the capacity of the machine, as the function Capacity returns it.
@@ -105,6 +108,9 @@
 // ServiceKeyOf returns the key of the service with the given name.
 func ServiceKeyOf(name string) ServiceKey { return ServiceKey(xxhash.Sum64String(name)) }
 
+// SlotsFormat is the first format whose routers hand out slots of brittle servers.
+const SlotsFormat = 23
+
 // identityEvery is the interval, in heartbeats, at which a heartbeat carries the fields that do not
 // change while the process runs. The others omit them.
 const identityEvery = 5
@@ -121,7 +127,7 @@
 
 // withIdentity returns the record with the unchanging fields of another record of the same process.
 func (r Record) withIdentity(o Record) Record {
-	r.Zone, r.Region, r.Peer, r.Control, r.Front, r.Capacity = o.Zone, o.Region, o.Peer, o.Control, o.Front, o.Capacity
+	r.Zone, r.Region, r.Peer, r.Control, r.Front, r.Capacity, r.Format = o.Zone, o.Region, o.Peer, o.Control, o.Front, o.Capacity, o.Format
 	return r
 }
 
--- a/hornbeamctl/inspect/inspect.go
+++ b/hornbeamctl/inspect/inspect.go
@@ -41,9 +41,9 @@
 	}
 	rows.Row(storeState, r.Store.Watching, formatMillis(r.Store.ContactAge), formatMillis(r.Store.FleetContactAge), r.Store.ServersRevision, r.Store.RetainedServers)
 	rows.BlankLine()
-	rows.Row("PEER", "ZONE", "READY", "HEARD", "CONFIG", "SERVERS")
+	rows.Row("PEER", "ZONE", "READY", "HEARD", "CONFIG", "SERVERS", "FORMAT")
 	for _, p := range r.Routers {
-		rows.Row(p.ID, p.Zone, p.Ready, formatMillis(p.HeartbeatAge), p.ConfigVersion, p.ServersRevision)
+		rows.Row(p.ID, p.Zone, p.Ready, formatMillis(p.HeartbeatAge), p.ConfigVersion, p.ServersRevision, p.Format)
 	}
 	rows.BlankLine()
 	rows.Row("SERVER", "SERVICE", "ZONE", "ADDRESS", "STATE", "OWN", "OTHERS", "SLOTS", "FAILING", "LIMIT", "ISSUER")
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -66,6 +66,8 @@
 	// foreignLoggedAt is when the count was last logged.
 	foreignMessages int
 	foreignLoggedAt time.Time
+	// isMixed is true while routers of several releases are in the fleet.
+	isMixed bool
 
 	// Other goroutines may read the fields below. serverSnapshot holds the list of backend servers
 	// that other routers can fetch; nil before the first one.
@@ -156,7 +158,8 @@
 func (c *controlLoop) applyPeerReports(now time.Time) {
 	reports := c.presence.OtherReports(now, c.self)
 	issuers, lost := c.presence.PermitIssuers(now, c.isReady())
-	c.gateway.Permits.SetFleet(gateway.Fleet{Issuers: issuers, Lost: lost, Size: c.presence.FleetSize()})
+	c.gateway.Permits.SetFleet(gateway.Fleet{Issuers: issuers, Lost: lost, Size: c.presence.FleetSize(), WithoutSlots: c.presence.WithoutSlots(now)})
+	c.noteFormats(now)
 	peers := c.presence.Peers(now)
 	c.gateway.Origins.SetRouters(originRouters(peers), c.isOutdated(now))
 	c.gateway.Origins.SetArchivist(c.archivist(now))
@@ -172,6 +175,21 @@
 	}
 }
 
+// noteFormats logs when the fleet begins to have routers of several releases, and when it no longer does.
+func (c *controlLoop) noteFormats(now time.Time) {
+	formats := c.presence.Formats(now)
+	isMixed := len(formats) > 1
+	if isMixed == c.isMixed {
+		return
+	}
+	c.isMixed = isMixed
+	message := "all routers have releases with the same message format"
+	if isMixed {
+		message = "routers of several releases are in the fleet"
+	}
+	c.log.Info(message, zap.Any("routers_by_format", formats))
+}
+
 // applyPeerLoads passes the loads that other routers have just reported to the gateway, because
 // they are old enough when they arrive.
 func (c *controlLoop) applyPeerLoads(now time.Time) {
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -135,7 +135,7 @@
 	e.gateway.Init()
 	peerPort := strconv.Itoa(s.FirstPort)
 	self := presence.Record{
-		ID: s.Name, Zone: s.Zone, Region: s.Region, Boot: time.Now().UnixMilli(), Capacity: presence.Capacity(s.Cores, s.LinkMbps),
+		ID: s.Name, Zone: s.Zone, Region: s.Region, Boot: time.Now().UnixMilli(), Format: mesh.Format, Capacity: presence.Capacity(s.Cores, s.LinkMbps),
 		Peer: net.JoinHostPort(s.IP, peerPort), Control: s.Control, Front: s.Front,
 	}
 	e.control = &controlLoop{
--- a/hornbeamd/edge/inspect.go
+++ b/hornbeamd/edge/inspect.go
@@ -50,7 +50,7 @@
 	}
 	for _, m := range c.presence.Members(now) {
 		r.Routers = append(r.Routers, inspect.Peer{
-			ID: m.ID, Zone: m.Zone, Ready: m.Ready, HeartbeatAge: now.Sub(m.SentAt).Milliseconds(), ConfigVersion: m.Config, ServersRevision: m.Servers.Number,
+			ID: m.ID, Zone: m.Zone, Ready: m.Ready, HeartbeatAge: now.Sub(m.SentAt).Milliseconds(), ConfigVersion: m.Config, ServersRevision: m.Servers.Number, Format: m.Format,
 		})
 	}
 	for _, s := range c.upstreams.States(now) {
--- a/hornbeamd/gateway/permits.go
+++ b/hornbeamd/gateway/permits.go
@@ -51,6 +51,8 @@
 	Lost int
 	// Size is the number of routers that share the servers. At least 1.
 	Size int
+	// WithoutSlots holds the issuers that hand out no slots, because their release has none.
+	WithoutSlots map[string]bool
 }
 
 // Permits keeps the requests to servers that state a rate limit within that limit, together with
@@ -67,13 +69,13 @@
 	anyLimited atomic.Bool
 	mu         sync.Mutex
 	fleet      Fleet
-	// issuers holds the IDs of fleet.Issuers.
-	issuers permit.Issuers
-	ledger  *permit.Ledger
-	issuer  *permit.Issuer
-	denials *permit.Denials
-	pacer   *permit.Pacer
-	cold    *permit.Cold
+	// issuers holds the IDs of fleet.Issuers, and slotIssuers those that hand out slots.
+	issuers, slotIssuers permit.Issuers
+	ledger               *permit.Ledger
+	issuer               *permit.Issuer
+	denials              *permit.Denials
+	pacer                *permit.Pacer
+	cold                 *permit.Cold
 	// brittle knows the services with brittle servers, and slots holds the slots of those that this
 	// router is the issuer of.
 	brittle *permit.Brittle
@@ -160,7 +162,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fleet = f
-	p.issuers.Set(time.Now(), slices.Sorted(maps.Keys(f.Issuers)))
+	now, ids := time.Now(), slices.Sorted(maps.Keys(f.Issuers))
+	p.issuers.Set(now, ids)
+	p.slotIssuers.Set(now, slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return f.WithoutSlots[id] }))
 }
 
 // Limit implements balance.RateLimits.
@@ -320,7 +324,11 @@
 func (p *Permits) AnswerQuestion(now time.Time, ask permit.Ask) (answer permit.Answer, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.issuerOf(ask.Server) != p.Self {
+	issuer := p.issuerOf(ask.Server)
+	if ask.Slot != nil {
+		issuer = p.slotIssuerOf(ask.Server)
+	}
+	if issuer != p.Self {
 		return permit.Answer{Wait: unansweredWait}, true
 	}
 	return p.issue(now, ask)
@@ -332,8 +340,8 @@
 	if ask.Slot == nil {
 		return p.issueRate(now, ask), true
 	}
-	if !p.issuers.IsSettled(now, ask.Server, p.Self) {
-		return permit.Answer{Wait: p.issuers.SettleTime(now)}, true
+	if !p.slotIssuers.IsSettled(now, ask.Server, p.Self) {
+		return permit.Answer{Wait: p.slotIssuers.SettleTime(now)}, true
 	}
 	if _, limited := p.statedLimit(ask.Server); !limited && !ask.IsCold {
 		return p.slots.Acquire(now, ask, p.part())
@@ -431,7 +439,8 @@
 func (p *Permits) ask(ctx context.Context, ask permit.Ask) (answer permit.Answer, slot *heldSlot, answered bool) {
 	p.mu.Lock()
 	issuer, number := p.issuerOf(ask.Server), p.nextNumber()
-	if _, brittle := p.brittle.MaxRejections(time.Now(), ask.Server); brittle {
+	if p.needsSlot(time.Now(), ask.Server) {
+		issuer = p.slotIssuerOf(ask.Server)
 		slot = &heldSlot{ask.Server, issuer, number}
 		ask.Slot = &permit.SlotAsk{Holder: permit.Holder{Router: p.Self, Number: number}, MaxHold: timeUntilDeadline(ctx)}
 	} else {
--- a/hornbeamd/gateway/slots.go
+++ b/hornbeamd/gateway/slots.go
@@ -19,7 +19,27 @@
 }
 
 // part returns the part of the slots that this router may hand out as their issuer.
-func (p *Permits) part() float64 { return permit.PartOf(1, p.issuers.Count(), p.fleet.Lost) }
+func (p *Permits) part() float64 { return permit.PartOf(1, p.slotIssuers.Count(), p.fleet.Lost) }
+
+// slotIssuerOf returns the router that hands out the slots of a server: the issuer of its permits, unless
+// the release of that one has no slots.
+func (p *Permits) slotIssuerOf(server string) string {
+	if issuer := p.slotIssuers.Of(server); issuer != "" {
+		return issuer
+	}
+	return p.Self
+}
+
+// needsSlot reports whether a server is brittle, so that a request needs one of its slots. While routers
+// without slots are in the fleet, one that is also limited is left to its issuer, which may be such a
+// router: the limit is kept by all.
+func (p *Permits) needsSlot(now time.Time, server string) bool {
+	if _, brittle := p.brittle.MaxRejections(now, server); !brittle {
+		return false
+	}
+	_, limited := p.statedLimit(server)
+	return !limited || len(p.fleet.WithoutSlots) == 0
+}
 
 // NeedsSlot implements balance.RateLimits.
 func (p *Permits) NeedsSlot(server string) bool {
@@ -28,8 +48,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, brittle := p.brittle.MaxRejections(time.Now(), server)
-	return brittle
+	return p.needsSlot(time.Now(), server)
 }
 
 // observeBrittle records that a server states that it is brittle, and reports whether the servers of its
--- a/hornbeamd/inspect/inspect.go
+++ b/hornbeamd/inspect/inspect.go
@@ -84,6 +84,8 @@
 	HeartbeatAge    int64 `json:"heard_ms"`
 	ConfigVersion   int64 `json:"config"`
 	ServersRevision int64 `json:"servers_revision"`
+	// Format is the newest message format that it understands; 0 if unknown.
+	Format int `json:"format"`
 }
 
 // BackendServer is a backend server and how this router uses it.
--- a/hornbeamd/mesh/codec.go
+++ b/hornbeamd/mesh/codec.go
@@ -34,8 +34,22 @@
 	return parts
 }
 
-// formatVersion is the first element of each datagram. A router drops datagrams of other versions.
-const formatVersion = 23
+// Formats of datagrams. The format is the first element of each datagram. Fleets run several releases
+// while they are upgraded, so that a router reads all of them and writes to each router what it reads.
+// The fields of released formats never change.
+const (
+	// oldestFormat has the fields that are in all formats.
+	oldestFormat = 21
+	// demandsFormat adds evacuated zones, overloaded services, permits of cold servers and of overloaded
+	// services, and whether a service has several builds.
+	demandsFormat = 22
+	// slotsFormat adds brittle services, slots of their servers, and the format of relayed records.
+	slotsFormat  = presence.SlotsFormat
+	newestFormat = slotsFormat
+)
+
+// Format is the newest format that this release reads and writes.
+const Format = newestFormat
 
 // Sizes in bytes: the largest encoded record without and with an identity, not counting its loads
 // and crashes, the load of one server, a prompt part and one of its crashes, the rate limit of one
@@ -106,12 +120,17 @@
 
 // encode returns the wire format of a message: nested arrays without field names, which would
 // double the size. decode documents the order of the fields.
-func encode(m presence.Message) ([]byte, error) {
+//
+// The receiver reads the given format. Fields that it lacks are left out.
+func encode(m presence.Message, format int) ([]byte, error) {
+	if p := m.Permit; p != nil && (p.NeedsSlot || p.Releases > 0) && format < slotsFormat {
+		return nil, errNotInFormat
+	}
 	var data bytes.Buffer
-	w := datagramWriter{encoder: msgpack.NewEncoder(&data)}
+	w := datagramWriter{encoder: msgpack.NewEncoder(&data), format: format}
 	w.encoder.UseCompactInts(true)
 	w.list(messageFields)
-	w.integer(formatVersion)
+	w.integer(int64(format))
 	w.integer(int64(m.Kind))
 	w.text(m.From)
 	w.list(len(m.Records))
@@ -135,7 +154,7 @@
 // Numbers of fields in the wire format.
 const (
 	messageFields  = 9
-	recordFields   = 21
+	recordFields   = 18
 	identityFields = 6
 	crashFields    = 3
 	partFields     = 3
@@ -151,13 +170,36 @@
 	livenessFields  = 9
 	// serverLimitFields is the number of elements that each rate limit adds to a list.
 	serverLimitFields = 3
-	permitFields      = 14
-	originFields      = 7
+	permitFields      = 8
+	originFields      = 6
+)
+
+// Numbers of fields that formats add.
+const (
+	demandsRecordFields = 2
+	demandsPermitFields = 2
+	demandsOriginFields = 1
+	slotsRecordFields   = 1
+	slotsIdentityFields = 1
+	slotsPermitFields   = 4
 )
 
+// fieldsIn returns the number of fields in a format, of which demands and slots are those that these
+// formats add.
+func fieldsIn(format, fields, demands, slots int) int {
+	if format >= demandsFormat {
+		fields += demands
+	}
+	if format >= slotsFormat {
+		fields += slots
+	}
+	return fields
+}
+
 // datagramWriter encodes the fields of a datagram. err is the first error.
 type datagramWriter struct {
 	encoder *msgpack.Encoder
+	format  int
 	err     error
 }
 
@@ -189,7 +231,7 @@
 }
 
 func (w *datagramWriter) record(r presence.AgedRecord) {
-	w.list(recordFields)
+	w.list(fieldsIn(w.format, recordFields, demandsRecordFields, slotsRecordFields))
 	w.integer(r.Age)
 	w.text(r.ID)
 	w.integer(r.Boot)
@@ -198,18 +240,7 @@
 	w.integer(r.Config)
 	w.integer(r.Servers.Era)
 	w.integer(r.Servers.Number)
-	w.evacuated(r.Evacuated)
-	w.list(overloadFields * len(r.Overloads))
-	for _, o := range r.Overloads {
-		w.integer(int64(o.Service))
-		w.integer(o.Age)
-	}
-	w.list(brittleFields * len(r.Brittle))
-	for _, b := range r.Brittle {
-		w.integer(int64(b.Service))
-		w.integer(int64(b.MaxRejections))
-		w.integer(b.Age)
-	}
+	w.conditions(r)
 	w.integer(r.StoreContactAge)
 	w.flag(r.StoreLost)
 	// A relayed record has no loads, which is not the same as a router without load.
@@ -243,11 +274,36 @@
 		w.keep(w.encoder.EncodeNil())
 		return
 	}
-	w.list(identityFields)
+	w.list(fieldsIn(w.format, identityFields, 0, slotsIdentityFields))
 	for _, s := range []string{r.Zone, r.Region, r.Peer, r.Control, r.Front} {
 		w.text(s)
 	}
 	w.keep(w.encoder.EncodeFloat64(r.Capacity))
+	if w.format >= slotsFormat {
+		w.integer(int64(r.Format))
+	}
+}
+
+// conditions writes the evacuated zones, and the overloaded and brittle services.
+func (w *datagramWriter) conditions(r presence.AgedRecord) {
+	if w.format < demandsFormat {
+		return
+	}
+	w.evacuated(r.Evacuated)
+	w.list(overloadFields * len(r.Overloads))
+	for _, o := range r.Overloads {
+		w.integer(int64(o.Service))
+		w.integer(o.Age)
+	}
+	if w.format < slotsFormat {
+		return
+	}
+	w.list(brittleFields * len(r.Brittle))
+	for _, b := range r.Brittle {
+		w.integer(int64(b.Service))
+		w.integer(int64(b.MaxRejections))
+		w.integer(b.Age)
+	}
 }
 
 // evacuated writes nil before the first news, and a list of era, revision and zones after it.
@@ -294,15 +350,21 @@
 		w.keep(w.encoder.EncodeNil())
 		return
 	}
-	w.list(permitFields)
+	w.list(fieldsIn(w.format, permitFields, demandsPermitFields, slotsPermitFields))
 	w.integer(int64(p.Number))
 	w.integer(int64(p.Priority))
 	w.integer(p.MaxDelay)
 	w.serverLimit(p.Limit)
 	w.flag(p.Granted)
 	w.integer(p.Wait)
+	if w.format < demandsFormat {
+		return
+	}
 	w.flag(p.Cold)
 	w.integer(int64(math.Round(p.PerSecond * 1000)))
+	if w.format < slotsFormat {
+		return
+	}
 	w.flag(p.NeedsSlot)
 	w.integer(p.MaxHold)
 	w.integer(int64(p.Releases))
@@ -314,14 +376,16 @@
 		w.keep(w.encoder.EncodeNil())
 		return
 	}
-	w.list(originFields)
+	w.list(fieldsIn(w.format, originFields, demandsOriginFields, 0))
 	w.integer(int64(o.Number))
 	w.keep(w.encoder.EncodeUint(o.Stream))
 	w.keep(w.encoder.EncodeUint(o.Recorded))
 	w.keep(w.encoder.EncodeUint(o.Sole))
 	w.integer(int64(o.Service))
 	w.integer(o.Within)
-	w.flag(o.Several)
+	if w.format >= demandsFormat {
+		w.flag(o.Several)
+	}
 }
 
 func (w *datagramWriter) zoneLoad(z presence.ZoneLoad) {
--- a/hornbeamd/mesh/codec_test.go
+++ b/hornbeamd/mesh/codec_test.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"fmt"
 	"math"
+	"os"
 	"runtime"
 	"slices"
 	"strings"
@@ -19,7 +21,7 @@
 var fullMessage = presence.Message{
 	Kind: presence.HubUpdate, From: "a",
 	Records: []presence.AgedRecord{{Age: 5, Record: presence.Record{
-		ID: "a", Zone: "z", Region: "r", Boot: 1, Sequence: 2, Peer: "p", Control: "c", Front: "f", Ready: true, Capacity: 0.192,
+		ID: "a", Zone: "z", Region: "r", Boot: 1, Sequence: 2, Peer: "p", Control: "c", Front: "f", Ready: true, Capacity: 0.192, Format: newestFormat,
 		Config: 3, Servers: roster.Revision{Era: 2, Number: 4}, Evacuated: presence.Evacuated{Revision: roster.Revision{Era: 2, Number: 3}, Zones: []string{"z"}}, Overloads: []presence.Overload{{Service: 1 << 31, Age: 40}, {Service: 2}}, Brittle: []presence.BrittleService{{Service: math.MaxUint32, MaxRejections: 12, Age: 90}}, StoreContactAge: -1, StoreLost: true, Loads: map[presence.ServerKey]int{7: 1}, Down: []string{"d"}, Unreached: []presence.ServiceKey{math.MaxUint32, 5},
 		Leaving: []string{"l/9"},
 		Crashes: []presence.Crash{{Fingerprint: "f", Servers: []string{"s/1"}, Age: 1500}},
@@ -45,11 +47,13 @@
 // different hubs for an availability zone, and none of them would act as its hub.
 func TestMessageRoundTrip(t *testing.T) {
 	c := qt.New(t)
-	data, err := encode(fullMessage)
+	data, err := encode(fullMessage, newestFormat)
 	c.Assert(err, qt.IsNil)
 	got, err := decode(data)
 	c.Assert(err, qt.IsNil)
-	c.Assert(got, qt.DeepEquals, fullMessage)
+	want := fullMessage
+	want.Format = newestFormat
+	c.Assert(got, qt.DeepEquals, want)
 }
 
 // Guards against a hub whose message is fragmented because of the prompt parts that it announces.
@@ -66,7 +70,7 @@
 	}
 	m := presence.Message{Kind: presence.HubUpdate, From: "a", Records: slices.Repeat([]presence.AgedRecord{full}, 5)}
 	for _, part := range split(m) {
-		data, err := encode(part)
+		data, err := encode(part, newestFormat)
 		c.Assert(err, qt.IsNil)
 		c.Assert(len(data) <= packetPayloadSize, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
 	}
@@ -92,7 +96,7 @@
 	}
 	records, routers := 0, 0
 	for _, part := range split(m) {
-		data, err := encode(part)
+		data, err := encode(part, newestFormat)
 		c.Assert(err, qt.IsNil)
 		c.Assert(len(data) <= maxPayloadBytes, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
 		records += len(part.Records)
@@ -156,7 +160,7 @@
 	list := []byte{0xdd, 0x00, 0x01, 0x86, 0xa0}
 	text := []byte{0xdb, 0x7f, 0xff, 0xff, 0xff}
 	// start is the beginning of a message: version, kind and sender.
-	start := []byte{0x90 | messageFields, formatVersion, 0x00, 0xa1, 'a'}
+	start := []byte{0x90 | messageFields, newestFormat, 0x00, 0xa1, 'a'}
 	// record is the beginning of a record, up to its loads.
 	record := append([]byte{0x91, 0xdc, 0x00, recordFields, 0x00, 0xa1, 'a'}, 0x01, 0x01, 0xc3, 0x01, 0x01, 0x01, 0xc0, 0x90, 0x00, 0xc2)
 	for name, data := range map[string][]byte{
@@ -207,7 +211,7 @@
 			liveness := *m.Liveness
 			m.Liveness = &liveness
 			change(&m)
-			data, err := encode(m)
+			data, err := encode(m, newestFormat)
 			c.Assert(err, qt.IsNil)
 			_, err = decode(data)
 			c.Assert(err, qt.IsNotNil)
@@ -217,15 +221,22 @@
 
 // Guards against a datagram from another program that crashes the router.
 func FuzzDecode(f *testing.F) {
-	data, err := encode(fullMessage)
+	data, err := encode(fullMessage, newestFormat)
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(data)
 	// A message that states a list of 344 million records.
-	f.Add([]byte{0x90 | messageFields, formatVersion, 0x00, 0xa1, 'a', 0xdd, 0x14, 0x8d, 0x30, 0x30})
+	f.Add([]byte{0x90 | messageFields, newestFormat, 0x00, 0xa1, 'a', 0xdd, 0x14, 0x8d, 0x30, 0x30})
 	// The header of an array of four elements, without the elements.
 	f.Add([]byte{0x94})
+	for format := oldestFormat; format <= newestFormat; format++ {
+		released, err := os.ReadFile(fmt.Sprintf("testdata/formats/%d.datagram", format))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(released)
+	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		_, _ = decode(data)
 	})
@@ -235,7 +246,7 @@
 func TestOriginRecordSize(t *testing.T) {
 	const maxBytes = 72
 	c := qt.New(t)
-	data, err := encode(presence.Message{Kind: presence.OriginRecord, From: "edge-greytown-hall-11", Origin: &presence.StreamOrigin{Stream: math.MaxUint64, Recorded: math.MaxUint64}})
+	data, err := encode(presence.Message{Kind: presence.OriginRecord, From: "edge-greytown-hall-11", Origin: &presence.StreamOrigin{Stream: math.MaxUint64, Recorded: math.MaxUint64}}, newestFormat)
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(data) <= maxBytes, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
 	t.Logf("%d bytes", len(data))
--- a/hornbeamd/mesh/decode.go
+++ b/hornbeamd/mesh/decode.go
@@ -37,25 +37,32 @@
 )
 
 var (
-	errFormatVersion = eris.New("heartbeat message has another format version; upgrade all routers to the same release")
+	errUnknownFormat = eris.New("heartbeat message has a format that this release does not read; see docs/operators/upgrades.md")
+	errNotInFormat   = eris.New("the format that the receiver reads has no such message")
 	errInvalidField  = eris.New("heartbeat message has an invalid field")
 )
 
 // decode parses the wire format of a message. The data is untrusted, because any program can send
-// datagrams to the router. A message is [version, kind, from, records, zone loads, liveness or nil,
+// datagrams to the router. A message is [format, kind, from, records, zone loads, liveness or nil,
 // wanted keys, permit or nil, origin or nil].
 func decode(data []byte) (presence.Message, error) {
 	remaining := bytes.NewReader(data)
 	r := datagramReader{data: remaining, decoder: msgpack.NewDecoder(remaining)}
 	var m presence.Message
 	r.fields(messageFields)
-	if r.integer(0, math.MaxInt64) != formatVersion && r.err == nil {
-		return presence.Message{}, errFormatVersion
+	r.format = int(r.integer(0, math.MaxInt32))
+	if r.err == nil && (r.format < oldestFormat || r.format > newestFormat) {
+		return presence.Message{}, errUnknownFormat
 	}
+	m.Format = r.format
 	m.Kind = presence.Kind(r.integer(0, int64(presence.LastKind)))
 	m.From = r.text()
 	for range r.list(recordFields) {
-		m.Records = append(m.Records, r.record())
+		record := r.record()
+		if record.ID == m.From {
+			record.Format = r.format
+		}
+		m.Records = append(m.Records, record)
 	}
 	for range r.list(zoneLoadFields) {
 		m.ZoneLoads = append(m.ZoneLoads, r.zoneLoad())
@@ -87,6 +94,7 @@
 type datagramReader struct {
 	data    *bytes.Reader
 	decoder *msgpack.Decoder
+	format  int
 	err     error
 }
 
@@ -226,7 +234,7 @@
 // services, store contact age, store lost, loads or nil, down, unreached, leaving, crashes, prompt parts, limits, identity or nil].
 func (r *datagramReader) record() presence.AgedRecord {
 	var a presence.AgedRecord
-	r.fields(recordFields)
+	r.fields(fieldsIn(r.format, recordFields, demandsRecordFields, slotsRecordFields))
 	a.Age = r.integer(0, maxAgeMillis)
 	a.ID = r.text()
 	a.Boot = r.number()
@@ -234,15 +242,7 @@
 	a.Ready = r.flag()
 	a.Config = r.number()
 	a.Servers = r.revision()
-	a.Evacuated = r.evacuated()
-	for range r.list(1) / overloadFields {
-		a.Overloads = append(a.Overloads, presence.Overload{Service: presence.ServiceKey(r.integer(0, math.MaxUint32)), Age: r.integer(0, maxAgeMillis)})
-	}
-	for range r.list(1) / brittleFields {
-		a.Brittle = append(a.Brittle, presence.BrittleService{
-			Service: presence.ServiceKey(r.integer(0, math.MaxUint32)), MaxRejections: int(r.integer(0, maxRejections)), Age: r.integer(0, maxAgeMillis),
-		})
-	}
+	r.conditions(&a)
 	a.StoreContactAge = r.integer(-1, math.MaxInt64/int64(1e6))
 	a.StoreLost = r.flag()
 	if !r.isNil() {
@@ -269,6 +269,25 @@
 	return a
 }
 
+// conditions reads the evacuated zones, and the overloaded and brittle services.
+func (r *datagramReader) conditions(into *presence.AgedRecord) {
+	if r.format < demandsFormat {
+		return
+	}
+	into.Evacuated = r.evacuated()
+	for range r.list(1) / overloadFields {
+		into.Overloads = append(into.Overloads, presence.Overload{Service: presence.ServiceKey(r.integer(0, math.MaxUint32)), Age: r.integer(0, maxAgeMillis)})
+	}
+	if r.format < slotsFormat {
+		return
+	}
+	for range r.list(1) / brittleFields {
+		into.Brittle = append(into.Brittle, presence.BrittleService{
+			Service: presence.ServiceKey(r.integer(0, math.MaxUint32)), MaxRejections: int(r.integer(0, maxRejections)), Age: r.integer(0, maxAgeMillis),
+		})
+	}
+}
+
 // evacuated reads nil or [era, revision, zones].
 func (r *datagramReader) evacuated() presence.Evacuated {
 	if r.isNil() {
@@ -294,22 +313,32 @@
 // permit reads [number, priority, maximum delay, server, rate, age, granted, wait, cold, rate in
 // thousandths, needs slot, maximum hold, released question, ending].
 func (r *datagramReader) permit() *presence.Permit {
-	r.fields(permitFields)
-	return &presence.Permit{
+	r.fields(fieldsIn(r.format, permitFields, demandsPermitFields, slotsPermitFields))
+	p := &presence.Permit{
 		Number: uint32(r.integer(0, math.MaxUint32)), Priority: int(r.integer(0, maxPriority)), MaxDelay: r.integer(0, maxAgeMillis),
-		Limit: r.serverLimit(), Granted: r.flag(), Wait: r.integer(0, maxAgeMillis), Cold: r.flag(),
-		PerSecond: float64(r.integer(0, maxRateLimit)) / 1000, NeedsSlot: r.flag(), MaxHold: r.integer(0, maxStreamMillis),
-		Releases: uint32(r.integer(0, math.MaxUint32)), Ending: uint8(r.integer(0, int64(permit.LastEnding))),
+		Limit: r.serverLimit(), Granted: r.flag(), Wait: r.integer(0, maxAgeMillis),
 	}
+	if r.format >= demandsFormat {
+		p.Cold, p.PerSecond = r.flag(), float64(r.integer(0, maxRateLimit))/1000
+	}
+	if r.format >= slotsFormat {
+		p.NeedsSlot, p.MaxHold = r.flag(), r.integer(0, maxStreamMillis)
+		p.Releases, p.Ending = uint32(r.integer(0, math.MaxUint32)), uint8(r.integer(0, int64(permit.LastEnding)))
+	}
+	return p
 }
 
 // origin reads [number, stream, recorded build, sole build, service, duration, several builds].
 func (r *datagramReader) origin() *presence.StreamOrigin {
-	r.fields(originFields)
-	return &presence.StreamOrigin{
+	r.fields(fieldsIn(r.format, originFields, demandsOriginFields, 0))
+	o := &presence.StreamOrigin{
 		Number: uint32(r.integer(0, math.MaxUint32)), Stream: r.unsigned(), Recorded: r.unsigned(), Sole: r.unsigned(),
-		Service: uint32(r.integer(0, math.MaxUint32)), Within: r.integer(0, maxStreamMillis), Several: r.flag(),
+		Service: uint32(r.integer(0, math.MaxUint32)), Within: r.integer(0, maxStreamMillis),
 	}
+	if r.format >= demandsFormat {
+		o.Several = r.flag()
+	}
+	return o
 }
 
 // part reads [key, confirmed, crashes]. Each crash consists of three elements of a list: its key,
@@ -325,7 +354,7 @@
 
 // identity reads [zone, region, peer, control, front, capacity].
 func (r *datagramReader) identity(into *presence.Record) {
-	r.fields(identityFields)
+	r.fields(fieldsIn(r.format, identityFields, 0, slotsIdentityFields))
 	for _, s := range []*string{&into.Zone, &into.Region, &into.Peer, &into.Control, &into.Front} {
 		*s = r.text()
 	}
@@ -343,6 +372,9 @@
 		return
 	}
 	into.Capacity = capacity
+	if r.format >= slotsFormat {
+		into.Format = int(r.integer(0, math.MaxInt32))
+	}
 }
 
 // zoneLoad reads [zone, loads, down, leaving, age].
--- a/hornbeamd/mesh/mesh.go
+++ b/hornbeamd/mesh/mesh.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -63,6 +64,10 @@
 	// fetch the same version at the same time.
 	packedConfig  responseCache[int64]
 	packedServers responseCache[roster.Revision]
+	// formats holds the formats that the other routers read.
+	formats peerFormats
+	// unknownFormatAt is when a datagram in an unknown format was last logged.
+	unknownFormatAt time.Time
 	// Dropped counts the datagrams that could not be sent, received or decoded, and the messages
 	// dropped because the queue was full.
 	Dropped atomic.Int64
@@ -152,9 +157,12 @@
 		m, err := decode(buffer[:size])
 		if err != nil {
 			n.Dropped.Add(1)
+			n.logUnknownFormat(err, source)
 			continue
 		}
-		n.OnMessage(m, netip.AddrPortFrom(source.Addr().Unmap(), source.Port()).String())
+		address := netip.AddrPortFrom(source.Addr().Unmap(), source.Port()).String()
+		n.formats.record(time.Now(), address, m.Format)
+		n.OnMessage(m, address)
 	}
 }
 
@@ -174,13 +182,60 @@
 
 // SendNow sends a short message at once, ahead of the queue. It is safe for concurrent use.
 func (n *Node) SendNow(s presence.OutgoingMessage) {
-	data, err := encode(s.Message)
+	encoded := encodings{message: s.Message}
+	for _, address := range s.To {
+		for _, format := range n.formats.of(time.Now(), address) {
+			data, err := encoded.in(format)
+			if err != nil {
+				n.dropUnencoded(err, len(data))
+				continue
+			}
+			n.sendDatagram(data, address)
+		}
+	}
+}
+
+// encodings holds a message in the formats of its receivers.
+type encodings struct {
+	message presence.Message
+	data    map[int][]byte
+}
+
+// in returns the message in a format.
+func (e *encodings) in(format int) ([]byte, error) {
+	if data := e.data[format]; data != nil {
+		return data, nil
+	}
+	data, err := encode(e.message, format)
+	if err == nil && len(data) > maxDatagramBytes {
+		err = errTooLarge
+	}
 	if err != nil {
-		n.Log.Error("message to other routers can't be encoded", zap.Error(err))
-		return
+		return data, err
 	}
-	for _, address := range s.To {
-		n.sendDatagram(data, address)
+	if e.data == nil {
+		e.data = map[int][]byte{}
+	}
+	e.data[format] = data
+	return data, nil
+}
+
+// dropUnencoded counts a message that can't be sent. One that the format of its receiver lacks is no error.
+func (n *Node) dropUnencoded(err error, size int) {
+	n.Dropped.Add(1)
+	if !errors.Is(err, errNotInFormat) {
+		n.Log.Error("message to other routers can't be encoded or is too large", zap.Error(err), zap.Int("bytes", size))
+	}
+}
+
+// unknownFormatInterval is the time between two log lines on datagrams in a format that is not known.
+const unknownFormatInterval = time.Minute
+
+// logUnknownFormat logs that a datagram of another release was dropped, once in a while.
+func (n *Node) logUnknownFormat(err error, source netip.AddrPort) {
+	if now := time.Now(); errors.Is(err, errUnknownFormat) && now.Sub(n.unknownFormatAt) >= unknownFormatInterval {
+		n.unknownFormatAt = now
+		n.Log.Warn("dropped a message of another release", zap.Error(err), zap.String("source", source.String()))
 	}
 }
 
@@ -200,14 +255,18 @@
 func (n *Node) sendMessage(ctx context.Context, s presence.OutgoingMessage) {
 	sent := 0
 	for _, part := range split(s.Message) {
-		data, err := encode(part)
-		if err != nil || len(data) > maxDatagramBytes {
-			n.Log.Error("message to other routers can't be encoded or is too large", zap.Error(err), zap.Int("bytes", len(data)))
-			return
-		}
+		encoded := encodings{message: part}
 		for _, address := range s.To {
-			n.sendDatagram(data, address)
-			if sent += len(data); sent < burstBytes {
+			for _, format := range n.formats.of(time.Now(), address) {
+				data, err := encoded.in(format)
+				if err != nil {
+					n.dropUnencoded(err, len(data))
+					continue
+				}
+				n.sendDatagram(data, address)
+				sent += len(data)
+			}
+			if sent < burstBytes {
 				continue
 			}
 			sent = 0
