--- a/hornbeambench/soak/child.go
+++ b/hornbeambench/soak/child.go
@@ -133,7 +133,7 @@
 	Rejected string
 	// TurnedAway is the attempt ID of a request that a brittle backend server has rejected.
 	TurnedAway string
-	Complete bool `json:"Whole"`
+	Complete   bool `json:"Whole"`
 	// At is when the line was written.
 	At time.Time
 }
--- a/hornbeambench/soak/soak.go
+++ b/hornbeambench/soak/soak.go
@@ -32,9 +32,11 @@
 
 // RunCommand runs a soak for each of several seeds.
 type RunCommand struct {
-	Daemon string   `help:"Path of the router program." type:"existingfile" default:"out/bin/hornbeamd"`
-	Seed   uint64   `help:"First seed; 0 uses the current time."`
-	Seeds  []uint64 `help:"Seeds to run; replaces --seed and --count." placeholder:"N"`
+	Daemon   string `help:"Path of the router program." type:"existingfile" default:"out/bin/hornbeamd"`
+	Previous string `help:"Path of an earlier release of the router program. Every second router starts with it, and each restart of a router switches between both." type:"existingfile" optional:""`
+
+	Seed  uint64   `help:"First seed; 0 uses the current time."`
+	Seeds []uint64 `help:"Seeds to run; replaces --seed and --count." placeholder:"N"`
 
 	Regressions bool `help:"Run the seeds that have violated a guarantee before, and those of --seeds."`
 
@@ -155,7 +157,7 @@
 // folder of the seed if there is no violation or error.
 func (c *RunCommand) runSeed(ctx context.Context, benchProgram string, seed uint64, subnet int) ([]violation, string, error) {
 	outputFolder := filepath.Join(c.Out, fmt.Sprint(seed))
-	tb, err := newTestbed(c.Daemon, benchProgram, outputFolder, subnet, c.Routers)
+	tb, err := newTestbed(routerPrograms{c.Daemon, c.Previous}, benchProgram, outputFolder, subnet, c.Routers)
 	if tb != nil {
 		defer tb.close()
 	}
--- a/hornbeambench/soak/testbed.go
+++ b/hornbeambench/soak/testbed.go
@@ -20,11 +20,12 @@
 // a process of its own. Proxies for fault injection are between callers and routers, routers and
 // the store, and routers and backend servers.
 type testbed struct {
-	// routerProgram and benchProgram are the paths of the router's program and of this program.
-	routerProgram, benchProgram string
-	outputFolder                string
-	observations                *observations
-	routers                     []*router
+	routerPrograms routerPrograms
+	// benchProgram is the path of this program.
+	benchProgram string
+	outputFolder string
+	observations *observations
+	routers      []*router
 	// routerByAddress holds the routers by the address on which they listen for callers.
 	routerByAddress map[string]*router
 	// ports holds the ports for callers, readiness checks, control calls of other routers, service
@@ -55,7 +56,23 @@
 // connection. At the start, each service has one of these.
 const noLengthRatio = 3
 
+// routerPrograms holds the paths of the router's program and of an earlier release of it, which is empty
+// unless routers switch between both.
+type routerPrograms struct{ current, previous string }
+
+// of returns the program for a start of a router. Every second router starts with the previous one, and
+// each start switches between both.
+func (p routerPrograms) of(r *router) string {
+	if p.previous != "" && (r.number+r.starts)%2 == 0 {
+		return p.previous
+	}
+	return p.current
+}
+
 type router struct {
+	// number is the position of the router in testbed.routers, and starts the number of times that its
+	// process was started.
+	number, starts int
 	// discoveryAddress is the address of the router's service discovery endpoint.
 	id, ip, discoveryAddress string
 	settingsFile             string
@@ -88,9 +105,9 @@
 
 // newTestbed starts a testbed with the given number of routers. subnet is the second byte of the
 // routers' IP addresses; no other testbed may use it at the same time.
-func newTestbed(routerProgram, benchProgram, outputFolder string, subnet, routerCount int) (*testbed, error) {
+func newTestbed(programs routerPrograms, benchProgram, outputFolder string, subnet, routerCount int) (*testbed, error) {
 	tb := &testbed{
-		routerProgram: routerProgram, benchProgram: benchProgram, outputFolder: outputFolder,
+		routerPrograms: programs, benchProgram: benchProgram, outputFolder: outputFolder,
 		observations: &observations{runs: map[string][]run{}}, routerByAddress: map[string]*router{},
 		acks: make(chan notification, 1), apiKeys: []string{permanentKey, toggledKey},
 	}
@@ -292,7 +309,7 @@
 // through a proxy.
 func (tb *testbed) addRouter(id, ip, storeAddress string) error {
 	r := &router{
-		id: id, ip: ip, discoveryAddress: fmt.Sprintf("%s:%d", ip, tb.ports[3]), settingsFile: filepath.Join(tb.outputFolder, id+".conf"),
+		id: id, ip: ip, number: len(tb.routers), discoveryAddress: fmt.Sprintf("%s:%d", ip, tb.ports[3]), settingsFile: filepath.Join(tb.outputFolder, id+".conf"),
 	}
 	var err error
 	if r.logFile, err = os.Create(filepath.Join(tb.outputFolder, id+".log")); err != nil {
@@ -333,12 +350,13 @@
 		// Write errors are ignored: the log only helps to explain violations and is not checked
 		// itself.
 		_, _ = r.logFile.Write(append(line, '\n'))
-	}, tb.routerProgram, "edge", "--metrics", fmt.Sprint(tb.metricsPort))
+	}, tb.routerPrograms.of(r), "edge", "--metrics", fmt.Sprint(tb.metricsPort))
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	r.process = process
+	r.starts++
 	r.mu.Unlock()
 	go func() {
 		<-process.exited
