fix(gateway): what has arrived of a large response is delivered before it is broken off

What callers saw: the last bytes of a large response whose server broke off were missing, although the router had them.

Cause: bytes that fill no buffer of the HTTP server wait there for the next ones, and the abort of the connection discards them. The router was at fault, not the test, whose server waits 50 ms before the reset.

Change: the response is flushed before the connection is aborted.

--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -333,6 +333,8 @@
 			// The client, not the server, broke the connection.
 			outcome = balance.Abandoned
 		}
+		// What has arrived is delivered; an error means that the client has left. The abort discards it otherwise.
+		_ = http.NewResponseController(c.w).Flush()
 		c.recordResult(response.Status, "broken")
 		// abort panics, so tryServer does not record the end of the attempt.
 		a.recordEnd(time.Now(), outcome, 0)
