fix(permit): routers without slots have their share of a brittle server's slots taken off

Cause: while routers of an earlier release are in the fleet, they send to brittle servers what they take for theirs, and load reports show that too late for short requests. The others handed out all slots.

Change: the issuers hand out the part of the slots that belongs to the routers which ask for them. TestSlotsBesideRoutersWithoutThem; the signature in TestFailureAfterBrokenStream comes from the stand-in.

--- a/hornbeamd/gateway/broken_stream_test.go
+++ b/hornbeamd/gateway/broken_stream_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/platform/standin"
 )
 
 // Guards against the failure of a second server that ends up in a stream which a first one has begun, and
@@ -20,7 +22,12 @@
 	withBody := func(status, headers, body string) string {
 		return fmt.Sprintf("HTTP/1.1 %s\r\nAttempt-Id: a1\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
 	}
-	const signed = "Response-Signature: signed\r\n"
+	signature := http.Header{}
+	standin.Sign(signature, "s1", "a1")
+	var header strings.Builder
+	c := qt.New(t)
+	c.Assert(signature.Write(&header), qt.IsNil)
+	signed := header.String()
 	for name, second := range map[string]string{
 		"500":                      withBody("500 Internal Server Error", signed, "secret failure"),
 		"500 with events":          withBody("500 Internal Server Error", signed+"Content-Type: text/event-stream\r\n", "id: 3\ndata: secret\n\n"),
--- a/hornbeamd/gateway/slots.go
+++ b/hornbeamd/gateway/slots.go
@@ -18,8 +18,11 @@
 	number uint32
 }
 
-// part returns the part of the slots that this router may hand out as their issuer.
-func (p *Permits) part() float64 { return permit.PartOf(1, p.slotIssuers.Count(), p.fleet.Lost) }
+// part returns the part of the slots that this router may hand out as their issuer. Routers without
+// slots send what they think is theirs.
+func (p *Permits) part() float64 {
+	return permit.PartOf(1, p.slotIssuers.Count(), p.fleet.Lost+len(p.fleet.WithoutSlots))
+}
 
 // slotIssuerOf returns the router that hands out the slots of a server: the issuer of its permits, unless
 // the release of that one has no slots.
--- a/hornbeamd/gateway/slots_test.go
+++ b/hornbeamd/gateway/slots_test.go
@@ -129,3 +129,22 @@
 	}
 	c.Assert(granted, qt.Equals, 14)
 }
+
+// Guards against routers of an earlier release, which send without slots, beside which the slots are all
+// handed out.
+func TestSlotsBesideRoutersWithoutThem(t *testing.T) {
+	c := qt.New(t)
+	p := connectedPermits(2, "a")[0]
+	p.SetFleet(Fleet{Issuers: map[string]string{"r0": "", "r1": "address of r1"}, Size: 2, WithoutSlots: map[string]bool{"r1": true}})
+	time.Sleep(700 * time.Millisecond)
+	granted := 0
+	for range 8 {
+		if outcome, _ := p.acquire(context.Background(), permit.Ask{Server: "a"}); outcome == permitGranted {
+			granted++
+		}
+	}
+	c.Assert(granted, qt.Equals, 2)
+
+	p.observe(time.Now(), "a", permit.Limit{PerSecond: 4, At: time.Now()})
+	c.Assert(p.NeedsSlot("a"), qt.IsFalse, qt.Commentf("the limit is kept by all routers"))
+}
