fix(permit): servers whose issuer stays get slots while other routers restart

Cause: found on rereading. A router that becomes the issuer of a brittle server hands out nothing for 0.6 s. Each change of the list of routers started that time anew for all servers whose issuer had changed since the first change, so that a fleet in which a router restarts every half second would have left a growing part of the servers without requests.

Change: the lists of the last 0.6 s are kept one by one; a server waits for as long as the latest one with another issuer is recent.

--- a/hornbeamd/gateway/broken_stream_test.go
+++ b/hornbeamd/gateway/broken_stream_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -28,11 +29,16 @@
 	c := qt.New(t)
 	c.Assert(signature.Write(&header), qt.IsNil)
 	signed := header.String()
+	header.Reset()
+	rejection := httptest.NewRecorder()
+	standin.Reject(rejection)
+	c.Assert(rejection.Header().Write(&header), qt.IsNil)
+	notRun := header.String()
 	for name, second := range map[string]string{
 		"500":                      withBody("500 Internal Server Error", signed, "secret failure"),
 		"500 with events":          withBody("500 Internal Server Error", signed+"Content-Type: text/event-stream\r\n", "id: 3\ndata: secret\n\n"),
 		"500 ends with connection": "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\n" + signed + "\r\nsecret failure",
-		"503 not run":              withBody("503 Service Unavailable", "Not-Executed: 1\r\n", "secret rejection"),
+		"503 not run":              withBody("503 Service Unavailable", notRun, "secret rejection"),
 		"503 without a promise":    withBody("503 Service Unavailable", signed, "secret rejection"),
 		"429":                      withBody("429 Too Many Requests", signed, "secret rejection"),
 		"421":                      withBody("421 Misdirected Request", "", "secret rejection"),
--- a/hornbeamd/gateway/permits.go
+++ b/hornbeamd/gateway/permits.go
@@ -340,8 +340,8 @@
 	if ask.Slot == nil {
 		return p.issueRate(now, ask), true
 	}
-	if !p.slotIssuers.IsSettled(now, ask.Server, p.Self) {
-		return permit.Answer{Wait: p.slotIssuers.SettleTime(now)}, true
+	if wait := p.slotIssuers.SettleTime(now, ask.Server, p.Self); wait > 0 {
+		return permit.Answer{Wait: wait}, true
 	}
 	if _, limited := p.statedLimit(ask.Server); !limited && !ask.IsCold {
 		return p.slots.Acquire(now, ask, p.part())
--- a/routing/balance/brittle_test.go
+++ b/routing/balance/brittle_test.go
@@ -161,8 +161,8 @@
 	switch {
 	case r.issuers.Of(ask.Server) != r.name:
 		return permit.Answer{Wait: 100 * time.Millisecond}, true
-	case !r.issuers.IsSettled(now, ask.Server, r.name):
-		return permit.Answer{Wait: r.issuers.SettleTime(now)}, true
+	case r.issuers.SettleTime(now, ask.Server, r.name) > 0:
+		return permit.Answer{Wait: r.issuers.SettleTime(now, ask.Server, r.name)}, true
 	}
 	return r.slots.Acquire(now, ask, r.part())
 }
--- a/routing/permit/issuers.go
+++ b/routing/permit/issuers.go
@@ -13,21 +13,23 @@
 // empty. It is not safe for concurrent use.
 type Issuers struct {
 	ids []string
-	// former is the list before the first change within slotSettleTime, and changedAt the time of the
-	// latest change.
-	former    []string
-	changedAt time.Time
+	// former holds the lists before, as far as they were in effect within slotSettleTime, the latest last.
+	former []formerIssuers
+}
+
+// formerIssuers is a list that was in effect until a time.
+type formerIssuers struct {
+	ids   []string
+	until time.Time
 }
 
 // Set replaces the list, which must be sorted.
 func (i *Issuers) Set(now time.Time, ids []string) {
-	if slices.Equal(ids, i.ids) {
-		return
-	}
-	if now.Sub(i.changedAt) >= slotSettleTime {
-		i.former = i.ids
+	i.former = slices.DeleteFunc(i.former, func(f formerIssuers) bool { return now.Sub(f.until) >= slotSettleTime })
+	if !slices.Equal(ids, i.ids) {
+		i.former = append(i.former, formerIssuers{i.ids, now})
+		i.ids = ids
 	}
-	i.ids, i.changedAt = ids, now
 }
 
 // Of returns the issuer of a server, or an empty string if the list is empty.
@@ -36,14 +38,13 @@
 // Count returns the number of routers in the list.
 func (i *Issuers) Count() int { return len(i.ids) }
 
-// IsSettled reports whether a router has been the issuer of a server for so long that it knows the
-// requests which are in progress there.
-func (i *Issuers) IsSettled(now time.Time, server, router string) bool {
-	return now.Sub(i.changedAt) >= slotSettleTime || IssuerOf(server, i.former) == router
-}
-
-// SettleTime returns the time after which a router that has just become the issuer of a server hands out
-// its slots.
-func (i *Issuers) SettleTime(now time.Time) time.Duration {
-	return max(0, slotSettleTime-now.Sub(i.changedAt))
+// SettleTime returns the time after which a router, which is the issuer of a server now, knows the requests
+// that others have permitted before.
+func (i *Issuers) SettleTime(now time.Time, server, router string) time.Duration {
+	for _, f := range slices.Backward(i.former) {
+		if left := slotSettleTime - now.Sub(f.until); left > 0 && IssuerOf(server, f.ids) != router {
+			return left
+		}
+	}
+	return 0
 }
--- a/routing/permit/slots.go
+++ b/routing/permit/slots.go
@@ -17,11 +17,10 @@
 	// spareShare is the share of a server's slots, at least one, that no request gets. New connections
 	// may take a slot for a moment, and a server learns late that a caller has left.
 	spareShare = 0.125
-	// rejectionWindow is also the time for which a server that has rejected too many requests gets none.
-	// After a rejection, slotGrowth slots per second are used again.
+	// slotGrowth is the number of slots per second that are used again after a rejection.
 	slotGrowth = 1.0
 	// usedRejectionShare is the share of the rejections which a server withstands that may occur before it
-	// gets no more requests for a while.
+	// gets no more requests for rejectionWindow.
 	usedRejectionShare = 0.5
 	// excessInterval is the time over which the lowest number of requests without a slot is taken, and
 	// heldDecayTime that over which the number of slots in use is averaged. Both cover the age of the
