test(soak): brittle servers fit into the longest event, and their check is checked

Change: it lasts 8 to 11 s. TestCheck has three cases for the new guarantee: three failures break it, two don't, and neither do three beside a router that has restarted.

Result: the tests of hornbeambench/soak pass.

--- a/hornbeambench/soak/brittle.go
+++ b/hornbeambench/soak/brittle.go
@@ -15,7 +15,7 @@
 	brittleSlots         = 8
 	maxBrittleRejections = 4
 	brittleContactTime   = 3 * time.Second
-	minBrittleTime       = 9 * time.Second
+	minBrittleTime       = 8 * time.Second
 	brittleTimeRange     = 3 * time.Second
 	// brittleDownTime is how long a server counts as down after it has failed.
 	brittleDownTime = 2 * time.Second
--- a/hornbeambench/soak/checks_test.go
+++ b/hornbeambench/soak/checks_test.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// failBrittle makes a brittle server reject so many requests that it fails the given number of times.
+func (o *observations) failBrittle(failures int) {
+	o.brittle = []brittlePeriod{{Servers: []string{"plain-2"}, From: at(1), To: at(20)}}
+	for i := range failures {
+		for n := range maxBrittleRejections + 1 {
+			o.turnedAway = append(o.turnedAway, rejection{Attempt: "a", Server: "plain-2", At: at(6 + 3*float64(i) + 0.1*float64(n))})
+		}
+	}
+}
+
 // Guards against a soak that does not detect a violation, and against one that reports a violation
 // although a disruption explains it.
 func TestCheck(t *testing.T) {
@@ -116,6 +126,12 @@
 			o.changeRequest("late", func(r *request) { r.Status = 503 })
 			delete(o.runs, "late")
 		}, "service returns"},
+		"brittle server fails three times": {func(o *observations) { o.failBrittle(3) }, "brittle servers do not fail under rejections"},
+		"brittle server fails twice":       {func(o *observations) { o.failBrittle(2) }, ""},
+		"brittle server fails beside a restart": {func(o *observations) {
+			o.failBrittle(3)
+			o.disruptions = append(o.disruptions, disruption{Kind: stopRouter, Router: o.requests[0].Router, Planned: true, From: at(5), To: at(6)})
+		}, ""},
 		"limit exceeded": {func(o *observations) { o.exceedLimit() }, "servers get no more requests than the limit that they state"},
 		"limit exceeded, router restarted": {func(o *observations) {
 			o.exceedLimit()
