--- a/hornbeamd/edge/version_test.go
+++ b/hornbeamd/edge/version_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hornbeamstep.example/hornbeamd/mesh"
 	"hornbeamstep.example/platform/standin"
 )
 
@@ -110,3 +111,19 @@
 		resumed++
 	}
 }
+
+// Guards against routers of one release that keep to an earlier message format after a restart, and so lose
+// what it lacks.
+func TestFormatAfterRestart(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlatform(c, 3)
+	for range 3 {
+		p.restart(0)
+		time.Sleep(time.Second)
+		for i := range 3 {
+			for _, r := range p.inspect(i).Routers {
+				c.Assert(r.Format, qt.Equals, mesh.Format, qt.Commentf("%s at router %d", r.ID, i))
+			}
+		}
+	}
+}
