test(review): bytes after a response make orders run twice

Cause: a failure without an Attempt-Id that arrives late on a reused channel to a worker is taken for the answer to the next request, also if its status promises that the request has not run.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -13,8 +13,8 @@
 
 // sent is a request of a client and how it ended.
 type sent struct {
-	attempt, kind, router string
-	at, ended             time.Time
+	attempt, kind, router, order string
+	at, ended                    time.Time
 	// kept is true if the channel had carried an answer before.
 	kept bool
 	// status is 0 if no answer came; how says why.
@@ -74,8 +74,10 @@
 // request describes a request to send.
 type request struct {
 	kind, method, path, key string
-	budget                  time.Duration
-	body                    int
+	// order identifies what the client wants done, over its retries.
+	order  string
+	budget time.Duration
+	body   int
 	// upload is how long the client takes to send the body; 0 sends it at once.
 	upload time.Duration
 }
@@ -84,7 +86,7 @@
 
 // do sends a request and waits for its answer until the time budget has passed.
 func (c *channel) do(q request) sent {
-	s := sent{attempt: newAttempt(), kind: q.kind, router: c.address, at: time.Now()}
+	s := sent{attempt: newAttempt(), kind: q.kind, router: c.address, order: q.order, at: time.Now()}
 	defer func() {
 		s.ended = time.Now()
 		requests.add(s)
@@ -96,6 +98,9 @@
 	s.kept = c.answers > 0
 	_ = c.conn.SetDeadline(s.at.Add(q.budget))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: %s\r\n", q.method, q.path, host, s.attempt, q.budget.Milliseconds(), q.key)
+	if q.order != "" {
+		head += "Order: " + q.order + "\r\n"
+	}
 	if q.method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", q.body)
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -70,7 +70,7 @@
 		os.Exit(exitNotRun)
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(bool) bool{"memory": memoryCase, "timeout": timeoutCase}
+	cases := map[string]func(bool) bool{"memory": memoryCase, "timeout": timeoutCase, "stray": strayCase}
 	play, known := cases[os.Args[1]]
 	if !known {
 		cannotRun("unknown case %q", os.Args[1])
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -142,9 +142,9 @@
 
 // run is the work of a worker on a request.
 type run struct {
-	attempt, worker string
-	at              time.Time
-	bytes           int64
+	attempt, worker, order string
+	at                     time.Time
+	bytes                  int64
 	// budget is the Deadline-Ms that the worker got; empty for none.
 	budget, ended string
 }
