test(review): the cases stay inside their doses and clean up

Cause: on rereading, case 1 had two of three workers garbled (0.67, where the site file has a share of 0.6), drew the 3 in 100 at random and counted a request as run before it had a slot; case 2 began its extra uploads all at once, above 7.5 times the usual rate. The scripts used a fixed metrics port and addresses, and left their folder when they were interrupted. Change: one of three workers and one in 34 responses; uploads at 7.5 times a steady rate; free addresses and ports; the folder and the processes go when a script is interrupted.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -36,9 +38,7 @@
 
 func finish(code int) {
 	endAll()
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(tempFolder)
-	}
+	_ = os.RemoveAll(tempFolder)
 	os.Exit(code)
 }
 
@@ -69,6 +69,12 @@
 		fmt.Println(err)
 		os.Exit(exitNotRun)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		cannotRun("ended by a signal")
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	cases := map[string]func(bool) bool{"memory": memoryCase, "timeout": timeoutCase, "stray": strayCase}
 	play, known := cases[os.Args[1]]
--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -23,22 +23,23 @@
 	return map[string]any{
 		"version": version, "routes": routes,
 		"services": []any{map[string]any{"name": "desk", "health_check": "/healthz", "max_connections": 110}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBody, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBody, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": "hule930", "api_keys": []string{"key-hule"}}, map[string]any{"name": "gora361", "api_keys": []string{"key-gora"}}},
 	}
 }
 
-// memoryCase: one tenant uploads documents of the largest size that the configuration allows. Its usual
-// is usualUploads at a time; with the disruption it is hotTenant times as many, for 6.5 s. The platform
-// kills a process that exceeds memory_mb. The rule LOST counts the requests from kept channels that
-// were passed on to a sound worker and got no answer.
+// memoryCase: one tenant uploads documents of the largest size that the configuration allows, at a
+// steady rate. With the disruption the rate is hotTenant times as high for hotFor. The platform kills a
+// process that exceeds memory_mb. The rule LOST counts the requests from kept channels that were passed
+// on to a sound worker and got no answer.
 func memoryCase(trouble bool) bool {
 	const (
-		usualUploads = 16
-		hotTenant    = 7.5
-		hotFor       = 6500 * time.Millisecond
-		uploadTime   = 6 * time.Second
-		contact      = 3 * time.Second
+		// usualPause is the time between two uploads of the tenant as usual, 4.2 a second.
+		usualPause = 240 * time.Millisecond
+		hotTenant  = 7.5
+		hotFor     = 6500 * time.Millisecond
+		uploadTime = 6 * time.Second
+		contact    = 3 * time.Second
 	)
 	s := newStore()
 	s.put("config", "main", config(1,
@@ -104,25 +105,33 @@
 		go client(request{kind: "print", method: http.MethodPost, path: "/print/2f", key: "key-hule", budget: 1500 * time.Millisecond, body: 600}, time.Duration(20+i)*time.Millisecond, stop)
 	}
 	upload := request{kind: "letter", method: http.MethodPost, path: "/letters/7", key: "key-gora", budget: 15 * time.Second, body: maxBody, upload: uploadTime}
-	uploads := func(n int, until <-chan struct{}) {
-		for range n {
+	// The tenant's uploads begin at a steady rate, whatever becomes of those before. None is repeated.
+	started := 0
+	uploadsFor := func(period, pause time.Duration) {
+		end := time.Now().Add(period)
+		for next := time.Now(); next.Before(end); next = next.Add(pause) {
+			time.Sleep(time.Until(next))
+			started++
 			clients.Add(1)
-			go client(upload, 30*time.Millisecond, until)
+			go func() {
+				defer clients.Done()
+				c := &channel{address: routers[rand.IntN(len(routers))].front()}
+				defer c.close()
+				c.do(upload)
+			}()
 		}
 	}
-	uploads(usualUploads, stop)
-	time.Sleep(8 * time.Second)
+	uploadsFor(8*time.Second, usualPause)
 	if trouble {
 		note("hot_tenant: x %.1f for %s", hotTenant, hotFor)
-		hot := make(chan struct{})
-		uploads(int(usualUploads*hotTenant)-usualUploads, hot)
-		time.Sleep(hotFor)
-		close(hot)
-		note("hot_tenant ends")
+		before := started
+		uploadsFor(hotFor, time.Duration(float64(usualPause)/hotTenant))
+		note("hot_tenant ends: %d uploads in %s, as usual %.0f", started-before, hotFor, hotFor.Seconds()/usualPause.Seconds())
 	} else {
-		time.Sleep(hotFor)
+		uploadsFor(hotFor, usualPause)
 	}
-	time.Sleep(12 * time.Second)
+	uploadsFor(6*time.Second, usualPause)
+	time.Sleep(7 * time.Second)
 	close(stop)
 	clients.Wait()
 	byAttempt := runs.of()
--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -31,18 +32,33 @@
 // memoryMB and the other limits are those of the small installation (DEPLOY.md, mbp-dar).
 const memoryMB = 284
 
-func freePorts(ip string) ports {
-	var out [5]int
-	var open []net.Listener
-	for i := range out {
-		l := listen(ip + ":0")
-		open = append(open, l)
-		out[i] = l.Addr().(*net.TCPAddr).Port
-	}
-	for _, l := range open {
-		_ = l.Close()
+// metricsPort is where the program serves metrics if it is started with the command of the deploy file.
+const metricsPort = 9464
+
+// freeAddresses returns the first three bytes of addresses for n machines, and ports that are free on
+// all of them. The metrics port is free there too.
+func freeAddresses(n int) (prefix string, p ports) {
+	for range 50 {
+		prefix = fmt.Sprintf("127.%d.%d.", 32+rand.IntN(200), rand.IntN(250))
+		base := 20000 + 10*rand.IntN(1000)
+		p = ports{base, base + 1, base + 2, base + 3, base + 4}
+		free := true
+		for i := range n {
+			for _, port := range []int{p.front, p.readiness, p.control, p.directory, p.first, metricsPort} {
+				l, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", prefix, i+1, port))
+				if err != nil {
+					free = false
+					continue
+				}
+				_ = l.Close()
+			}
+		}
+		if free {
+			return prefix, p
+		}
 	}
-	return ports{out[0], out[1], out[2], out[3], out[4]}
+	cannotRun("found no free addresses")
+	return "", ports{}
 }
 
 func (p ports) at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
@@ -120,6 +136,8 @@
 var (
 	startedMu sync.Mutex
 	started   []*exec.Cmd
+	// ending is true once no further process may be started.
+	ending bool
 )
 
 // start starts the process.
@@ -132,16 +150,24 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "HORNBEAMSTEP_BOOT=" + r.settingsFile}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		cannotRun("start the router: %v", err)
+	startedMu.Lock()
+	if ending {
+		startedMu.Unlock()
+		_ = log.Close()
+		return
+	}
+	err = cmd.Start()
+	if err == nil {
+		started = append(started, cmd)
 	}
+	startedMu.Unlock()
 	_ = log.Close()
+	if err != nil {
+		cannotRun("start the router: %v", err)
+	}
 	r.mu.Lock()
 	r.cmd = cmd
 	r.mu.Unlock()
-	startedMu.Lock()
-	started = append(started, cmd)
-	startedMu.Unlock()
 }
 
 func (r *router) process() *exec.Cmd {
@@ -191,6 +217,7 @@
 func endAll() {
 	startedMu.Lock()
 	defer startedMu.Unlock()
+	ending = true
 	for _, cmd := range started {
 		if cmd.Process != nil {
 			_ = cmd.Process.Kill()
@@ -203,8 +230,8 @@
 
 // startRouters starts a deployment of n routers in the three zones and waits until all are ready.
 func startRouters(s *store, n int) []*router {
-	p := freePorts("127.0.0.1")
-	ip := func(i int) string { return fmt.Sprintf("127.21.0.%d", i+1) }
+	prefix, p := freeAddresses(n)
+	ip := func(i int) string { return fmt.Sprintf("%s%d", prefix, i+1) }
 	var seeds []string
 	for i := range min(n, 3) {
 		seeds = append(seeds, p.at(ip(i), p.control))
--- a/review/rig/stray.go
+++ b/review/rig/stray.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -21,9 +20,11 @@
 // responses, late: at the point where the next response on the channel is expected.
 type garblingWorker struct {
 	*worker
-	// share is the part of the responses that are followed by additional bytes, in thousandths.
-	share  atomic.Int64
-	strays *atomic.Int64
+	// every is the number of responses of which one is followed by additional bytes; 0 for none.
+	every atomic.Int64
+	// responses counts the responses since the fault began.
+	responses atomic.Int64
+	strays    *atomic.Int64
 }
 
 func startGarblingWorker(s *store, id, service, zone string, slots int, work time.Duration, strays *atomic.Int64) *garblingWorker {
@@ -68,16 +69,16 @@
 			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", attempt, g.id)
 			continue
 		}
+		g.place <- struct{}{}
 		runs.add(run{attempt: attempt, worker: g.id, at: time.Now(), budget: r.Header.Get("Deadline-Ms"), order: r.Header.Get("Order")})
-		if owesStray {
-			owesStray = false
+		sendStray := owesStray && g.every.Load() > 0
+		owesStray = false
+		if sendStray {
 			g.strays.Add(1)
 			note("worker %s sends additional bytes after the response before, while %s runs", g.id, attempt)
-			if _, err := io.WriteString(conn, strayBytes); err != nil {
-				return
-			}
+			// If this fails, so does the answer.
+			_, _ = io.WriteString(conn, strayBytes)
 		}
-		g.place <- struct{}{}
 		time.Sleep(g.work)
 		<-g.place
 		body := strings.Repeat("x", 800)
@@ -88,18 +89,20 @@
 			return
 		}
 		runs.end(attempt, "200")
-		owesStray = rand.Int64N(1000) < g.share.Load()
+		if every := g.every.Load(); every > 0 {
+			owesStray = g.responses.Add(1)%every == 0
+		}
 	}
 }
 
-// strayCase: clients send orders (non-idempotent) on kept channels. With the disruption, some workers
-// send additional bytes after some of their complete responses. An order that is answered 408, 421, 429
+// strayCase: clients send orders (non-idempotent) on kept channels. With the disruption, a worker
+// sends additional bytes after some of its complete responses. An order that is answered 408, 421, 429
 // or 503 is promised not to have run, so its client sends it once more as a new attempt.
 func strayCase(trouble bool) bool {
 	const (
 		workers    = 3
-		garbled    = 2    // share 0.6 of the workers
-		garbleX    = 0.03 // of their answers
+		garbled    = 1  // of the workers: 0.33, where the site file has a share of 0.6
+		every      = 34 // of their responses: 0.0294, where the site file has x = 0.03
 		garbleFor  = 5 * time.Second
 		contact    = 3 * time.Second
 		clientsFor = 12 * time.Second
@@ -138,14 +141,14 @@
 	}
 	time.Sleep(3 * time.Second)
 	if trouble {
-		note("garble (extra late): %d of %d workers, x %.2f, for %s", garbled, workers, garbleX, garbleFor)
+		note("garble (extra late): %d of %d workers, one in %d responses, for %s", garbled, workers, every, garbleFor)
 		for _, g := range list[:garbled] {
-			g.share.Store(1000 * garbleX)
+			g.every.Store(every)
 		}
 	}
 	time.Sleep(garbleFor)
 	for _, g := range list {
-		g.share.Store(0)
+		g.every.Store(0)
 	}
 	time.Sleep(clientsFor - garbleFor - 3*time.Second)
 	close(stop)
