--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -109,7 +109,7 @@
 	started := 0
 	uploadsFor := func(period, pause time.Duration) {
 		end := time.Now().Add(period)
-		for next := time.Now(); next.Before(end); next = next.Add(pause) {
+		for next := time.Now().Add(pause); next.Before(end); next = next.Add(pause) {
 			time.Sleep(time.Until(next))
 			started++
 			clients.Add(1)
