feat(gateway): logs and metrics tell how many routers have answered for the origin of a stream

'client resumes a stream' had the source of the version only, so that a router which asked nobody looked like one that was told that its service has a single version. It now has the number of routers asked and of their answers, and the metric tells streams without any answer apart. No decision changes.

--- a/hornbeamd/gateway/origins.go
+++ b/hornbeamd/gateway/origins.go
@@ -154,12 +154,12 @@
 	}
 }
 
-// find returns the build at which a stream may go on. It asks other routers unless this router has
-// a record. isNamed is false if the client does not say which stream it resumes, so that no router
-// can have a record.
-func (o *Origins) find(ctx context.Context, q origin.Question, isNamed bool) (origin.Build, origin.Source) {
+// find returns what is known of the build at which a stream may go on, and the number of routers that
+// were asked. It asks other routers unless this router has a record. isNamed is false if the client does
+// not say which stream it resumes, so that no router can have a record.
+func (o *Origins) find(ctx context.Context, q origin.Question, isNamed bool) (inquiry origin.Inquiry, asked int) {
 	o.mu.Lock()
-	inquiry := o.ledger.Inquire(time.Now(), q)
+	inquiry = o.ledger.Inquire(time.Now(), q)
 	if o.isOutdated {
 		inquiry = inquiry.WithOutdatedServers()
 	}
@@ -169,6 +169,7 @@
 		if len(to) == 0 || inquiry.HasRecord() || inquiry.HasResult() && (round > 0 || !isNamed) {
 			break
 		}
+		asked = len(to)
 		inquiry = o.ask(ctx, inquiry, to)
 	}
 	if isNamed && !inquiry.HasResult() && o.Archive != nil {
@@ -177,7 +178,7 @@
 		defer o.mu.Unlock()
 		inquiry = inquiry.WithArchived(o.ledger.Get(q.Stream))
 	}
-	return inquiry.Result()
+	return inquiry, asked
 }
 
 // readArchive records the origins that the store has, unless they were read a short time ago. It
@@ -304,13 +305,14 @@
 		life = defaultStreamTimeout
 	}
 	origins := c.server.Origins
-	build, source := origins.find(c.ctx, origin.Question{Stream: c.stream(), Service: origin.ServiceOf(c.service.Name), Within: life}, c.metadata.Resumes != "")
+	inquiry, asked := origins.find(c.ctx, origin.Question{Stream: c.stream(), Service: origin.ServiceOf(c.service.Name), Within: life}, c.metadata.Resumes != "")
+	build, source := inquiry.Result()
 	service, version, listed := origins.version(build)
 	listed = listed && c.hasService(service)
 	c.server.Log.Info("client resumes a stream", zap.String("id", c.metadata.Attempt), zap.String("resumes", c.metadata.Resumes),
 		zap.String("last_event", c.metadata.LastEventID), zap.String("origin", string(source)), zap.String("service", service),
-		zap.String("version", version), zap.Bool("listed", listed), zap.Duration("took", time.Since(c.receivedAt)))
-	c.server.Metrics.countResumed(string(source))
+		zap.String("version", version), zap.Bool("listed", listed), zap.Int("asked", asked), zap.Int("answers", inquiry.Answers()), zap.Duration("took", time.Since(c.receivedAt)))
+	c.server.Metrics.countResumed(string(source), inquiry.Answers() > 0)
 	switch {
 	case source == origin.Unknown:
 		// A router that did not answer may be reached by the next attempt.
--- a/hornbeamd/gateway/origins_test.go
+++ b/hornbeamd/gateway/origins_test.go
@@ -20,6 +20,7 @@
 	o.SetServers(time.Now(), []roster.Server{{ID: "s", Service: "pool", Version: "v1", Born: 1}}, &roster.History{
 		Settled: true, Versions: []roster.RecordedVersion{{ServiceVersion: version}},
 	})
-	_, source := o.find(context.Background(), origin.Question{Stream: 1, Service: origin.ServiceOf("pool"), Within: time.Second}, true)
+	inquiry, _ := o.find(context.Background(), origin.Question{Stream: 1, Service: origin.ServiceOf("pool"), Within: time.Second}, true)
+	_, source := inquiry.Result()
 	c.Assert(source, qt.Equals, origin.Single)
 }
--- a/hornbeamd/gateway/report.go
+++ b/hornbeamd/gateway/report.go
@@ -40,8 +40,8 @@
 			Name: "hornbeam_gateway_rejections_total", Help: "Requests that backend servers rejected, by whether the server counted as brittle.",
 		}, []string{"brittle"}),
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "hornbeam_gateway_resumed_streams_total", Help: "Streams that clients resume, by how the version that began them is known.",
-		}, []string{"origin"}),
+			Name: "hornbeam_gateway_resumed_streams_total", Help: "Streams that clients resume, by how the version that began them is known, and by whether another router has answered.",
+		}, []string{"origin", "answered"}),
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "hornbeam_gateway_request_seconds", Help: "Time from the head of a request to the end of its answer, in seconds.",
 			Buckets: buckets,
@@ -70,7 +70,9 @@
 }
 
 // countResumed counts a stream that a client resumes, by the name of its origin.Source.
-func (m *Metrics) countResumed(source string) { m.resumed.WithLabelValues(source).Inc() }
+func (m *Metrics) countResumed(source string, answered bool) {
+	m.resumed.WithLabelValues(source, strconv.FormatBool(answered)).Inc()
+}
 
 func (m *Metrics) observeFirstEvent(c *clientRequest) {
 	m.firstEvents.Observe(time.Since(c.receivedAt).Seconds())
--- a/routing/origin/inquiry.go
+++ b/routing/origin/inquiry.go
@@ -97,6 +97,9 @@
 	return i
 }
 
+// Answers returns the number of answers of other routers.
+func (i Inquiry) Answers() int { return i.answers }
+
 // HasRecord reports whether the build that began the stream is known. What a router knows of the
 // builds of a service is less certain, because it may learn of a new one later than others do.
 func (i Inquiry) HasRecord() bool { return i.own.Recorded != 0 }
