fix(origin): a stream goes on at the only version of its service only if the store confirms that

Callers got streams joined from two software versions when they took them up at a router that had not heard of the second one: because it was cut off, stood still, had just woken, or the news was lost. A router without a record of a stream concluded the only version that it and the routers that answered knew; nothing contradicted that while all others were out of reach, and for 3 s after the last news it counted as current.

The store has each version in its history before the first stream begins at it. So a router now reads the history after the request has arrived, and concludes a single version only from that. Requests share the calls, 50 ms apart; a stream with a record costs none. Without an answer of the store only records count. The time without contact after which a list counted as outdated is gone: no time is safe.

--- a/hornbeamd/edge/archive.go
+++ b/hornbeamd/edge/archive.go
@@ -12,6 +12,7 @@
 	"hornbeamstep.example/platform/metastore"
 	"hornbeamstep.example/platform/registry"
 	"hornbeamstep.example/routing/origin"
+	"hornbeamstep.example/routing/roster"
 )
 
 // archiveStore is the part of the metadata store's client that an archive uses.
@@ -89,6 +90,19 @@
 	return batches, nil
 }
 
+// History implements gateway.OriginArchive. A history of an earlier era counts as missing: the store was
+// restored from a copy since, which may lack versions.
+func (a *archive) History(ctx context.Context) (h roster.History, found bool, err error) {
+	o, era, found, err := a.store.Get(ctx, registry.HistoryKind, registry.HistoryName)
+	if err != nil || !found {
+		return roster.History{}, false, err
+	}
+	if h, err = registry.DecodeHistory(o); err != nil {
+		return roster.History{}, false, err
+	}
+	return h, h.Era == era, nil
+}
+
 // run writes the queued origins until the context is canceled.
 func (a *archive) run(ctx context.Context) {
 	ticker := time.NewTicker(archiveTick)
--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -161,7 +161,7 @@
 	c.gateway.Permits.SetFleet(gateway.Fleet{Issuers: issuers, Lost: lost, Size: c.presence.FleetSize(), WithoutSlots: c.presence.WithoutSlots(now)})
 	c.noteFormats(now)
 	peers := c.presence.Peers(now)
-	c.gateway.Origins.SetRouters(originRouters(peers), c.isOutdated(now))
+	c.gateway.Origins.SetRouters(originRouters(peers))
 	c.gateway.Origins.SetArchivist(c.archivist(now))
 	c.gateway.Relays.SetPeers(c.relayPeers(peers))
 	leaving := c.upstreams.SetPeerReports(now, gateway.PeerReports{
--- a/hornbeamd/edge/origins.go
+++ b/hornbeamd/edge/origins.go
@@ -54,18 +54,6 @@
 	return true
 }
 
-// maxServersAge is the time without any contact with the store after which the list of backend
-// servers counts as outdated. The store answers a watch at least that often.
-const maxServersAge = 3 * time.Second
-
-// isOutdated reports whether the list of backend servers may lack new ones that other routers know.
-// A router without others learns of new servers before any of their streams begins, and one that
-// has started has no list until it hears of the store.
-func (c *controlLoop) isOutdated(now time.Time) bool {
-	newest, _ := c.presence.LastStoreContact(now, c.storeContact)
-	return c.presence.FleetSize() > 1 && !newest.IsZero() && now.Sub(newest) > maxServersAge
-}
-
 // originRouters returns the other live routers as possible holders of the origins of streams.
 func originRouters(peers []presence.Peer) []origin.Router {
 	out := make([]origin.Router, len(peers))
--- /dev/null
+++ b/hornbeamd/edge/stale_versions_test.go
@@ -0,0 +1,64 @@
+package edge_test
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// signal sends a signal to the processes of routers.
+func (p *testPlatform) signal(s syscall.Signal, routers ...int) {
+	for _, i := range routers {
+		p.c.Assert(p.routers[i].process.Process.Signal(s), qt.IsNil)
+	}
+}
+
+// Guards against a stream that changes its version at a router that was paused while servers of a new version joined.
+func TestStreamKeepsVersionAtRouterThatMissedIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		// storeAnswers and routersAnswer say whether the router reaches the store and the other routers when it wakes.
+		storeAnswers, routersAnswer bool
+	}{
+		"no store, no routers": {false, false},
+		"store, no routers":    {true, false},
+		"no store, routers":    {false, true},
+		"store and routers":    {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newTestPlatform(c, 3)
+			const paused = 2
+			p.addPoolServers("v1")
+			p.signal(syscall.SIGSTOP, paused)
+			p.joinPoolServers("v2")
+			streams := map[string]string{}
+			for range 12 {
+				attempt, version, cancel := p.begin(0)
+				defer cancel()
+				streams[attempt] = version
+			}
+			if !test.storeAnswers {
+				p.store.SetUnresponsive(p.ips[paused])
+			}
+			if !test.routersAnswer {
+				p.signal(syscall.SIGSTOP, 0, 1)
+			}
+			var wg sync.WaitGroup
+			for stream, began := range streams {
+				wg.Go(func() {
+					response, version := p.resumeOnce(paused, stream)
+					if response.Status != 200 {
+						c.Check(response.Status, qt.Equals, 503)
+						return
+					}
+					c.Check(version, qt.Equals, began)
+				})
+			}
+			p.signal(syscall.SIGCONT, paused)
+			wg.Wait()
+			p.signal(syscall.SIGCONT, 0, 1)
+		})
+	}
+}
--- a/hornbeamd/edge/version_test.go
+++ b/hornbeamd/edge/version_test.go
@@ -26,6 +26,11 @@
 			delete(p.servers, id)
 		}
 	}
+	p.joinPoolServers(versions...)
+}
+
+// joinPoolServers adds two servers of each version to the service "pool".
+func (p *testPlatform) joinPoolServers(versions ...string) {
 	for _, version := range versions {
 		for i := range 2 {
 			s := standin.NewServer(fmt.Sprintf("pool-%s-%d", version, i), "pool")
--- a/hornbeamd/gateway/origins.go
+++ b/hornbeamd/gateway/origins.go
@@ -15,15 +15,17 @@
 )
 
 const (
-	// originRounds is the number of times that other routers are asked for the origin of a stream
-	// while it is unknown, because datagrams may be lost. originTimeout limits the wait for the
-	// answers of each round.
-	originRounds  = 2
+	// originTimeout limits the wait for the answers of other routers that are asked for the origin of a
+	// stream.
 	originTimeout = 50 * time.Millisecond
 	// archiveTimeout limits the wait for the origins in the store, and archiveReadInterval is the least
 	// time between two calls that read them.
 	archiveTimeout      = 400 * time.Millisecond
 	archiveReadInterval = time.Second
+	// historyTimeout limits the wait for the history of versions, and historyReadInterval is the least
+	// time between two calls that read it.
+	historyTimeout      = 400 * time.Millisecond
+	historyReadInterval = 50 * time.Millisecond
 	// defaultStreamTimeout is how long a stream may last if its route has no timeout.
 	defaultStreamTimeout = 30 * time.Second
 )
@@ -37,17 +39,21 @@
 	AskOrigin(to []string, q origin.Question)
 }
 
-// OriginArchive keeps origins of streams in the store, where they last if all routers are killed.
+// OriginArchive is what the store holds on the origins of streams, where it lasts if all routers are
+// killed.
 type OriginArchive interface {
 	// Add queues the origin of a stream for writing. It must not block.
 	Add(stream origin.Stream, build origin.Build)
 	// Read returns the origins in the store.
 	Read(ctx context.Context) ([]origin.Batch, error)
+	// History returns the history of the versions of backend servers in the store, as it is during the
+	// call. found is false if there is none of the store's present era.
+	History(ctx context.Context) (h roster.History, found bool, err error)
 }
 
 // Origins knows at which build each stream began, together with the other routers. It is safe for
 // concurrent use. Transport must be set before first use; without one there are no other routers.
-// Archive and Log are optional.
+// Archive and Log are optional. Without an archive, only records tell the origin of a stream.
 type Origins struct {
 	Transport OriginTransport
 	Archive   OriginArchive
@@ -56,14 +62,15 @@
 	mu      sync.Mutex
 	ledger  *origin.Ledger
 	routers []origin.Router
-	// isOutdated is true if the list of backend servers may lack new ones.
-	isOutdated bool
 	// archivist is the router that writes origins to the store.
 	archivist Archivist
 	// archiveRead is closed once the latest call that reads the archive has ended; nil before the
 	// first one. archiveReadAt is when it began.
 	archiveRead   chan struct{}
 	archiveReadAt time.Time
+	// historyRead is the call that reads the history, until the next one may begin; nil if there is none.
+	// nextHistoryRead is the one after it, for the requests that have arrived meanwhile.
+	historyRead, nextHistoryRead *historyRead
 	// pending holds the answers to the questions that are open, by their number.
 	pending    map[uint32]chan origin.Answer
 	lastNumber uint32
@@ -88,7 +95,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ledger.SetServers(now, servers, history)
-	o.isOutdated = false
 }
 
 // SetArchivist replaces the router that writes origins to the store.
@@ -98,12 +104,11 @@
 	o.archivist = a
 }
 
-// SetRouters replaces the other routers. isOutdated is true if the list of backend servers may lack
-// new ones, because no router that this one hears has been in contact with the registry.
-func (o *Origins) SetRouters(routers []origin.Router, isOutdated bool) {
+// SetRouters replaces the other routers.
+func (o *Origins) SetRouters(routers []origin.Router) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.routers, o.isOutdated = routers, isOutdated
+	o.routers = routers
 }
 
 // Merge records the origin of a stream that another router has told.
@@ -155,24 +160,30 @@
 }
 
 // find returns what is known of the build at which a stream may go on, and the number of routers that
-// were asked. It asks other routers unless this router has a record. isNamed is false if the client does
-// not say which stream it resumes, so that no router can have a record.
+// were asked. Unless this router has a record, it asks other routers, and then the store. isNamed is
+// false if the client does not say which stream it resumes, so that no router can have a record.
 func (o *Origins) find(ctx context.Context, q origin.Question, isNamed bool) (inquiry origin.Inquiry, asked int) {
 	o.mu.Lock()
 	inquiry = o.ledger.Inquire(time.Now(), q)
-	if o.isOutdated {
-		inquiry = inquiry.WithOutdatedServers()
-	}
 	to := addressesOf(origin.CandidatesOf(q.Stream, o.routers))
 	o.mu.Unlock()
-	for round := range originRounds {
-		if len(to) == 0 || inquiry.HasRecord() || inquiry.HasResult() && (round > 0 || !isNamed) {
-			break
-		}
+	if len(to) > 0 && !inquiry.HasRecord() {
 		asked = len(to)
 		inquiry = o.ask(ctx, inquiry, to)
 	}
-	if isNamed && !inquiry.HasResult() && o.Archive != nil {
+	if o.Archive != nil && !inquiry.HasRecord() {
+		if h, found := o.readHistory(ctx); found {
+			inquiry = inquiry.WithHistory(h)
+		}
+	}
+	if !isNamed || inquiry.HasResult() {
+		return inquiry, asked
+	}
+	if len(to) > 0 {
+		// Datagrams may be lost.
+		inquiry = o.ask(ctx, inquiry, to)
+	}
+	if o.Archive != nil && !inquiry.HasResult() {
 		o.readArchive(ctx)
 		o.mu.Lock()
 		defer o.mu.Unlock()
@@ -181,6 +192,63 @@
 	return inquiry, asked
 }
 
+// historyRead is a call that reads the history of versions from the store for all requests that arrive
+// before it begins. The other fields are set when done is closed.
+type historyRead struct {
+	done    chan struct{}
+	history roster.History
+	found   bool
+}
+
+// readHistory returns the history of versions that the store holds, which it reads after the call of
+// readHistory. found is false if the store does not answer in time.
+func (o *Origins) readHistory(ctx context.Context) (h roster.History, found bool) {
+	o.mu.Lock()
+	read := o.nextHistoryRead
+	if read == nil {
+		read = &historyRead{done: make(chan struct{})}
+		if o.historyRead == nil {
+			o.historyRead = read
+			go o.runHistoryReads(context.WithoutCancel(ctx), read)
+		} else {
+			o.nextHistoryRead = read
+		}
+	}
+	o.mu.Unlock()
+	timeout := time.NewTimer(historyTimeout)
+	defer timeout.Stop()
+	select {
+	case <-read.done:
+		return read.history, read.found
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return roster.History{}, false
+}
+
+// runHistoryReads makes the given call and those that are requested meanwhile.
+func (o *Origins) runHistoryReads(ctx context.Context, read *historyRead) {
+	for read != nil {
+		began := time.Now()
+		o.fetchHistory(ctx, read)
+		time.Sleep(historyReadInterval - time.Since(began))
+		o.mu.Lock()
+		read = o.nextHistoryRead
+		o.historyRead, o.nextHistoryRead = read, nil
+		o.mu.Unlock()
+	}
+}
+
+func (o *Origins) fetchHistory(ctx context.Context, read *historyRead) {
+	defer close(read.done)
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	var err error
+	if read.history, read.found, err = o.Archive.History(ctx); err != nil && o.Log != nil {
+		o.Log.Info("reading the history of versions failed; streams without a record are rejected", zap.Error(err))
+	}
+}
+
 // readArchive records the origins that the store has, unless they were read a short time ago. It
 // returns once they are recorded, and after archiveTimeout at the latest.
 func (o *Origins) readArchive(ctx context.Context) {
--- a/routing/origin/inquiry.go
+++ b/routing/origin/inquiry.go
@@ -1,6 +1,10 @@
 package origin
 
-import "time"
+import (
+	"time"
+
+	"hornbeamstep.example/routing/roster"
+)
 
 // Question asks other routers for the origin of a stream.
 type Question struct {
@@ -39,7 +43,8 @@
 	Recorded Source = "recorded"
 	// Archived origins were found in the store.
 	Archived Source = "archived"
-	// Single origins are those of services that had a single build while the stream may have begun.
+	// Single origins are those of services that had a single build while the stream may have begun,
+	// by the history in the registry.
 	Single Source = "single"
 	// Unknown means that the origin is not known, so that the stream must not go on.
 	Unknown Source = "unknown"
@@ -50,8 +55,10 @@
 	Question
 	own    Answer
 	listed Build
-	// isOutdated is true if this router may not know of new builds.
-	isOutdated bool
+	// confirmed is the only build of the service in the history that the registry holds. isSufficient
+	// is true if no stream can have begun at a build that this history lacks.
+	confirmed    Build
+	isSufficient bool
 	// answers is the number of answers of other routers. single is the build that these state as
 	// the only one.
 	answers int
@@ -68,11 +75,15 @@
 	return Inquiry{Question: q, own: own, listed: l.SoleListed(q.Service), several: own.Several}
 }
 
-// WithOutdatedServers returns the inquiry of a router that has had no contact with the registry for
-// some time, neither itself nor through other routers. Unless another router answers, only a record
-// counts.
-func (i Inquiry) WithOutdatedServers() Inquiry {
-	i.isOutdated = true
+// WithHistory returns the inquiry with the history of versions that the registry holds. It must have
+// been read after the client's request arrived: the registry records a version before a stream begins
+// at it, so that this history cannot lack the build of the stream. What this router and others have
+// heard may lack it.
+func (i Inquiry) WithHistory(h roster.History) Inquiry {
+	i.confirmed, i.isSufficient = 0, false
+	if builds := buildsIn(h, i.Service); len(builds) == 1 {
+		i.confirmed, i.isSufficient = builds[0], h.Settled && i.Within <= roster.HistoryRetention
+	}
 	return i
 }
 
@@ -117,12 +128,10 @@
 		return i.own.Recorded, Recorded
 	case i.archived != 0:
 		return i.archived, Archived
-	case i.isOutdated && i.answers == 0, i.several:
+	case i.several || i.confirmed == 0:
 		return 0, Unknown
-	case i.own.Sole != 0:
-		return i.own.Sole, Single
-	case i.single != 0:
-		return i.single, Single
+	case i.isSufficient, i.own.Sole == i.confirmed, i.single == i.confirmed:
+		return i.confirmed, Single
 	}
 	return 0, Unknown
 }
--- a/routing/origin/ledger.go
+++ b/routing/origin/ledger.go
@@ -131,11 +131,15 @@
 
 // recorded returns the builds of a service in the history.
 func (l *Ledger) recorded(service Service) []Build {
-	var builds []Build
 	if l.history == nil {
 		return nil
 	}
-	for _, v := range l.history.Versions {
+	return buildsIn(*l.history, service)
+}
+
+func buildsIn(h roster.History, service Service) []Build {
+	var builds []Build
+	for _, v := range h.Versions {
 		if ServiceOf(v.Service) == service {
 			builds = append(builds, BuildOf(v.Service, v.Version))
 		}
--- a/routing/origin/origin.go
+++ b/routing/origin/origin.go
@@ -6,7 +6,8 @@
 // routers, the holders, which build began the stream; HoldersOf chooses them by rendezvous hashing.
 // A router that resumes a stream asks the routers that most likely are its holders, and combines
 // their answers with its own Ledger; see Inquiry. A stream of unknown origin is resumed only if its
-// service had a single build for as long as a stream lasts.
+// service had a single build for as long as a stream lasts, by the history that the registry holds
+// when the client resumes it.
 package origin
 
 import (
--- a/routing/origin/origin_test.go
+++ b/routing/origin/origin_test.go
@@ -48,35 +48,40 @@
 	for name, test := range map[string]struct {
 		lists []list
 		// now is the time of the inquiry, in seconds.
-		now        float64
-		recorded   Build
-		answers    []Answer
+		now      float64
+		recorded Build
+		answers  []Answer
+		// confirmed is the history that the registry holds; nil if it does not answer.
+		confirmed  *roster.History
 		archived   Build
-		outdated   bool
 		want       Build
 		wantSource Source
 	}{
-		"own record":                     {[]list{{0, []string{"v1", "v2"}, nil}}, 1, v2, nil, 0, false, v2, Recorded},
-		"record of a holder":             {[]list{{0, []string{"v1", "v2"}, nil}}, 1, 0, []Answer{{}, {Recorded: v2}}, 0, false, v2, Recorded},
-		"record beats a single version":  {[]list{{0, []string{"v1"}, nil}}, 99, 0, []Answer{{Sole: v1}, {Recorded: v2}}, 0, false, v2, Recorded},
-		"lost record, two versions":      {[]list{{0, []string{"v1", "v2"}, nil}}, 99, 0, []Answer{{}, {}}, 0, false, 0, Unknown},
-		"lost record, found in store":    {[]list{{0, []string{"v1", "v2"}, history("v1", "v2")}}, 1, 0, nil, v1, false, v1, Archived},
-		"lost record, single version":    {[]list{{0, []string{"v1"}, nil}}, 99, 0, nil, 0, false, v1, Single},
-		"second version just gone":       {[]list{{0, []string{"v1", "v2"}, nil}, {90, []string{"v2"}, nil}}, 99, 0, nil, 0, false, 0, Unknown},
-		"second version long gone":       {[]list{{0, []string{"v1", "v2"}, nil}, {20, []string{"v2"}, nil}}, 99, 0, nil, 0, false, v2, Single},
-		"new router, others know":        {[]list{{0, []string{"v1"}, nil}}, 1, 0, []Answer{{Sole: v1}}, 0, false, v1, Single},
-		"new router, others lag":         {[]list{{0, []string{"v1", "v2"}, nil}}, 1, 0, []Answer{{Sole: v1}}, 0, false, 0, Unknown},
-		"this router lags":               {[]list{{0, []string{"v1"}, history("v1")}}, 99, 0, []Answer{{Sole: v1}, {Several: true}}, 0, false, 0, Unknown},
-		"new routers, no history":        {[]list{{0, []string{"v1"}, nil}}, 1, 0, []Answer{{}}, 0, false, 0, Unknown},
-		"new routers, single version":    {[]list{{0, []string{"v1"}, history("v1")}}, 1, 0, []Answer{{}}, 0, false, v1, Single},
-		"new routers, version just gone": {[]list{{0, []string{"v2"}, history("v1", "v2")}}, 1, 0, []Answer{{}}, 0, false, 0, Unknown},
-		"new routers, other version":     {[]list{{0, []string{"v2"}, history("v1")}}, 1, 0, nil, 0, false, 0, Unknown},
-		"new routers, unsettled history": {[]list{{0, []string{"v1"}, unsettled}}, 1, 0, nil, 0, false, 0, Unknown},
-		"unsettled history, long known":  {[]list{{0, []string{"v1"}, unsettled}}, 99, 0, nil, 0, false, v1, Single},
-		"cut off, single version":        {[]list{{0, []string{"v1"}, history("v1")}}, 99, 0, nil, 0, true, 0, Unknown},
-		"cut off, own record":            {[]list{{0, []string{"v1"}, nil}}, 99, v1, nil, 0, true, v1, Recorded},
-		"outdated, others answer":        {[]list{{0, []string{"v1"}, nil}}, 99, 0, []Answer{{}}, 0, true, v1, Single},
-		"no servers":                     {nil, 1, 0, nil, 0, false, 0, Unknown},
+		"own record":                     {[]list{{0, []string{"v1", "v2"}, nil}}, 1, v2, nil, nil, 0, v2, Recorded},
+		"record of a holder":             {[]list{{0, []string{"v1", "v2"}, nil}}, 1, 0, []Answer{{}, {Recorded: v2}}, nil, 0, v2, Recorded},
+		"record beats a single version":  {[]list{{0, []string{"v1"}, nil}}, 99, 0, []Answer{{Sole: v1}, {Recorded: v2}}, history("v1"), 0, v2, Recorded},
+		"lost record, two versions":      {[]list{{0, []string{"v1", "v2"}, nil}}, 99, 0, []Answer{{}, {}}, history("v1", "v2"), 0, 0, Unknown},
+		"lost record, found in store":    {[]list{{0, []string{"v1", "v2"}, history("v1", "v2")}}, 1, 0, nil, history("v1", "v2"), v1, v1, Archived},
+		"lost record, single version":    {[]list{{0, []string{"v1"}, nil}}, 99, 0, nil, history("v1"), 0, v1, Single},
+		"no answer of the registry":      {[]list{{0, []string{"v1"}, history("v1")}}, 99, 0, nil, nil, 0, 0, Unknown},
+		"answers of others only":         {[]list{{0, []string{"v1"}, history("v1")}}, 99, 0, []Answer{{Sole: v1}, {Sole: v1}}, nil, 0, 0, Unknown},
+		"second version just joined":     {[]list{{0, []string{"v1"}, history("v1")}}, 99, 0, []Answer{{Sole: v1}}, history("v1", "v2"), 0, 0, Unknown},
+		"only version is replaced":       {[]list{{0, []string{"v1"}, history("v1")}}, 99, 0, nil, history("v2"), 0, v2, Single},
+		"second version just gone":       {[]list{{0, []string{"v1", "v2"}, nil}, {90, []string{"v2"}, nil}}, 99, 0, nil, history("v2"), 0, 0, Unknown},
+		"second version long gone":       {[]list{{0, []string{"v1", "v2"}, nil}, {20, []string{"v2"}, nil}}, 99, 0, nil, history("v2"), 0, v2, Single},
+		"new router, others know":        {[]list{{0, []string{"v1"}, nil}}, 1, 0, []Answer{{Sole: v1}}, unsettled, 0, v1, Single},
+		"new router, others lag":         {[]list{{0, []string{"v1", "v2"}, nil}}, 1, 0, []Answer{{Sole: v1}}, unsettled, 0, 0, Unknown},
+		"this router lags":               {[]list{{0, []string{"v1"}, history("v1")}}, 99, 0, []Answer{{Sole: v1}, {Several: true}}, history("v1"), 0, 0, Unknown},
+		"new routers, no history":        {[]list{{0, []string{"v1"}, nil}}, 1, 0, []Answer{{}}, nil, 0, 0, Unknown},
+		"new routers, single version":    {[]list{{0, []string{"v1"}, history("v1")}}, 1, 0, []Answer{{}}, history("v1"), 0, v1, Single},
+		"new routers, version just gone": {[]list{{0, []string{"v2"}, history("v1", "v2")}}, 1, 0, []Answer{{}}, history("v1", "v2"), 0, 0, Unknown},
+		"new routers, other version":     {[]list{{0, []string{"v2"}, history("v1")}}, 1, 0, nil, history("v1"), 0, 0, Unknown},
+		"new routers, unsettled history": {[]list{{0, []string{"v1"}, unsettled}}, 1, 0, nil, unsettled, 0, 0, Unknown},
+		"unsettled history, long known":  {[]list{{0, []string{"v1"}, unsettled}}, 99, 0, nil, unsettled, 0, v1, Single},
+		"cut off, single version":        {[]list{{0, []string{"v1"}, history("v1")}}, 99, 0, nil, nil, 0, 0, Unknown},
+		"cut off, own record":            {[]list{{0, []string{"v1"}, nil}}, 99, v1, nil, nil, 0, v1, Recorded},
+		"outdated, registry answers":     {[]list{{0, []string{"v1"}, nil}}, 99, 0, []Answer{{}}, history("v1"), 0, v1, Single},
+		"no servers":                     {nil, 1, 0, nil, history(), 0, 0, Unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -92,8 +97,8 @@
 			for _, a := range test.answers {
 				inquiry = inquiry.WithAnswer(a)
 			}
-			if test.outdated {
-				inquiry = inquiry.WithOutdatedServers()
+			if test.confirmed != nil {
+				inquiry = inquiry.WithHistory(*test.confirmed)
 			}
 			inquiry = inquiry.WithArchived(test.archived)
 			build, source := inquiry.Result()
@@ -173,6 +178,10 @@
 	c := qt.New(t)
 	l := NewLedger()
 	l.SetServers(at(0), servers("v1"), history("v1"))
+	for within, want := range map[time.Duration]Source{roster.HistoryRetention: Single, roster.HistoryRetention + 1: Unknown} {
+		_, source := l.Inquire(at(1), Question{Service: ServiceOf("pool"), Within: within}).WithHistory(*history("v1")).Result()
+		c.Assert(source, qt.Equals, want)
+	}
 	c.Assert(l.Sole(at(1), ServiceOf("pool"), roster.HistoryRetention), qt.Equals, BuildOf("pool", "v1"))
 	c.Assert(l.Sole(at(1), ServiceOf("pool"), roster.HistoryRetention+1), qt.Equals, Build(0))
 }
