fix(gateway): a relayed stream is recorded by the router that serves its caller only

A router without a path to the servers relays a request through a peer. The peer recorded the version of the stream before it sent the first event. If that event did not arrive, because the connection between the two broke, the stream began at another peer, perhaps at another version, and two records existed: a caller that took it up at the first peer got it from the wrong version. Found by looking for other beliefs that can be wrong in the incident with stale versions; not seen in the users' record.

The relaying router, which alone knows what reaches the caller, now makes the record and says so with the request, so that a peer leaves it out. Beside a router of an earlier release the record is made as before: a header that is absent makes the peer record.

--- a/hornbeamd/gateway/origins.go
+++ b/hornbeamd/gateway/origins.go
@@ -410,14 +410,10 @@
 		return false
 	}
 	a.claimed = true
-	build := origin.BuildOf(c.service.Name, a.version())
-	switch {
-	case !c.route.Resumable || c.responseStarted:
-	case a.viaPeer:
-		// The peer has told the holders.
-		c.server.Origins.Merge(time.Now(), c.stream(), build)
-	default:
-		c.server.Origins.record(time.Now(), c.stream(), build)
+	// The event of a peer may not arrive at the router that relays the request, which then begins the
+	// stream elsewhere.
+	if c.route.Resumable && !c.responseStarted && !c.relayed.recordsOrigin {
+		c.server.Origins.record(time.Now(), c.stream(), origin.BuildOf(c.service.Name, a.version()))
 	}
 	return true
 }
--- a/hornbeamd/gateway/paths_test.go
+++ b/hornbeamd/gateway/paths_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	"hornbeamstep.example/platform/headers"
 	"hornbeamstep.example/platform/standin"
 	"hornbeamstep.example/routing/balance"
+	"hornbeamstep.example/routing/origin"
 	"hornbeamstep.example/routing/reach"
 	"hornbeamstep.example/routing/roster"
 	"hornbeamstep.example/routing/routes"
@@ -314,6 +316,47 @@
 	}
 }
 
+// originRecords is an OriginTransport that passes on the records of origins.
+type originRecords func(origin.Build)
+
+func (r originRecords) SendOrigin(_ []string, _ origin.Stream, build origin.Build) { r(build) }
+
+func (r originRecords) AskOrigin([]string, origin.Question) {}
+
+// Guards against records of two versions for a stream whose first event did not arrive from the first peer.
+func TestRelayedStreamHasOneOrigin(t *testing.T) {
+	for range 10 {
+		c := qt.New(t)
+		f := newTestFleet(c)
+		for i, s := range f.servers {
+			s.Version = []string{"v1", "v1", "v2", "v2"}[i%4]
+		}
+		var mu sync.Mutex
+		recorded := map[origin.Build]bool{}
+		for i, isCut := range []bool{true, false, false} {
+			f.start(fmt.Sprint("r", i), isCut)
+			origins := f.gateways[i].Origins
+			origins.SetRouters([]origin.Router{{ID: "holder", Address: "holder"}})
+			origins.Transport = originRecords(func(build origin.Build) {
+				mu.Lock()
+				defer mu.Unlock()
+				recorded[build] = true
+				if len(recorded) == 1 && !isCut {
+					f.relays[i].CloseClientConnections()
+				}
+			})
+		}
+		f.losePath(f.gateways[0])
+		response := f.post(0, "/stream/x")
+		body, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(strings.Count(string(body), "piece"), qt.Equals, 5)
+		mu.Lock()
+		c.Assert(recorded, qt.HasLen, 1)
+		mu.Unlock()
+	}
+}
+
 // Guards against a peer's promise "not run" for a request that may have run before.
 func TestPeerRejectsRequestThatMayHaveRun(t *testing.T) {
 	for range 10 {
--- a/hornbeamd/gateway/relays.go
+++ b/hornbeamd/gateway/relays.go
@@ -21,6 +21,9 @@
 const (
 	// relayedByHeader is the ID of the router that relays a request.
 	relayedByHeader = "Hornbeam-Relayed-By"
+	// recordsOriginHeader is "1" if the relaying router records where the stream begins. Routers of
+	// releases that leave it out expect that of the peer.
+	recordsOriginHeader = "Hornbeam-Records-Origin"
 	// sentHeader is the number of backend servers that may have received the request.
 	sentHeader = "Hornbeam-Sent"
 	// serviceHeader is the service of the request, and versionHeader the software version of the
@@ -109,6 +112,8 @@
 	// version is the one at which the stream must go on, if hasVersion is true.
 	version    string
 	hasVersion bool
+	// recordsOrigin is true if the relaying router records where the stream begins.
+	recordsOrigin bool
 }
 
 // RelayHandler returns the handler for requests that other routers relay.
@@ -117,7 +122,10 @@
 		// A missing or invalid number counts as 0.
 		sent, _ := strconv.Atoi(r.Header.Get(sentHeader))
 		version, hasVersion := r.Header[versionHeader]
-		request := relayRequest{by: r.Header.Get(relayedByHeader), sent: max(0, sent), service: r.Header.Get(serviceHeader), hasVersion: hasVersion}
+		request := relayRequest{
+			by: r.Header.Get(relayedByHeader), sent: max(0, sent), service: r.Header.Get(serviceHeader), hasVersion: hasVersion,
+			recordsOrigin: r.Header.Get(recordsOriginHeader) == "1",
+		}
 		if request.by == "" {
 			w.WriteHeader(http.StatusBadRequest)
 			return
@@ -131,7 +139,7 @@
 }
 
 func removeRelayHeaders(h http.Header) {
-	for _, name := range []string{relayedByHeader, sentHeader, serviceHeader, versionHeader, outcomeHeader} {
+	for _, name := range []string{relayedByHeader, recordsOriginHeader, sentHeader, serviceHeader, versionHeader, outcomeHeader} {
 		h.Del(name)
 	}
 }
@@ -229,6 +237,7 @@
 	header := c.server.Codec.BuildRelayHeader(c.r.Header, forward)
 	removeRelayHeaders(header)
 	header.Set(relayedByHeader, c.server.ID)
+	header.Set(recordsOriginHeader, "1")
 	header.Set(serviceHeader, c.service.Name)
 	header.Set(sentHeader, strconv.Itoa(a.sentBefore))
 	c.mu.Lock()
