fix(roster): a version that has returned and left again stays in the history for its full retention

Callers would see a stream joined from two software versions. A router that watches the store removes a version from the history two minutes after it first saw it marked as gone. One that was paused, or did not watch, meanwhile missed that servers of the version returned and left again: the stored history looked as before, so it removed the version although streams had begun at it seconds ago. A router without a record then found a single version in the store and went on there. The write is conditional on the revision that was just read, so that the condition always held.

The router now starts the two minutes anew if the history has another revision than the one that it read or wrote last: only then can the version have returned, because that is recorded before its servers are used.

--- a/hornbeamd/storewatch/history.go
+++ b/hornbeamd/storewatch/history.go
@@ -75,6 +75,7 @@
 	}
 	stored := v.decode(object, found)
 	now := time.Now()
+	v.recorder.Read(now, roster.Revision{Era: era, Number: object.Revision})
 	next, changed := v.recorder.Next(now, era, servers, stored)
 	if changed {
 		var written metastore.Object
@@ -89,6 +90,7 @@
 		case storeEra != era:
 			return errOtherEra
 		}
+		v.recorder.Written(roster.Revision{Era: era, Number: written.Revision})
 		v.log.Info("versions of backend servers recorded", zap.Any("versions", next.Versions), zap.Bool("settled", next.Settled),
 			zap.Int64("revision", written.Revision), zap.Int64("era", era))
 	}
--- a/routing/roster/history.go
+++ b/routing/roster/history.go
@@ -56,8 +56,8 @@
 }
 
 // Recorder keeps the history of one router that watches the registry. The router reads the history,
-// calls Next, writes the result on condition that the history has not changed since, and calls
-// Confirm. It is not safe for concurrent use.
+// calls Read and Next, writes the result on condition that the history has not changed since, and calls
+// Written and Confirm. It is not safe for concurrent use.
 type Recorder struct {
 	// IsFirstStart is true if no router has served before, so that no history means that there are
 	// no streams.
@@ -67,6 +67,8 @@
 	// versions that had servers then.
 	confirmed *History
 	listed    map[ServiceVersion]bool
+	// revision is that of the history that this router read or wrote last.
+	revision Revision
 	// goneSince is when this router first saw a version marked as gone, and unsettledSince when it
 	// first saw an unsettled history; zero if it is settled.
 	goneSince      map[ServiceVersion]time.Time
@@ -113,6 +115,21 @@
 	return v.Gone && known && now.Sub(since) > HistoryRetention
 }
 
+// Read records the revision of the history that is about to be passed to Next. If another
+// router has written it, a version that is gone may have had servers since.
+func (r *Recorder) Read(now time.Time, revision Revision) {
+	if revision == r.revision {
+		return
+	}
+	r.revision = revision
+	for v := range r.goneSince {
+		r.goneSince[v] = now
+	}
+}
+
+// Written records the revision of the history that this router has written.
+func (r *Recorder) Written(revision Revision) { r.revision = revision }
+
 // Next returns the history that the registry should hold, and whether it differs from the stored
 // one, which is nil if there is none. servers are those that the registry lists in the given era.
 func (r *Recorder) Next(now time.Time, era int64, servers []Server, stored *History) (next History, changed bool) {
--- a/routing/roster/history_test.go
+++ b/routing/roster/history_test.go
@@ -31,10 +31,12 @@
 	if !r.NeedsUpdate(now, h.era, servers) {
 		return
 	}
+	r.Read(now, roster.Revision{Era: h.era, Number: int64(h.writes)})
 	next, changed := r.Next(now, h.era, servers, h.stored)
 	if changed {
 		h.stored = &next
 		h.writes++
+		r.Written(roster.Revision{Era: h.era, Number: int64(h.writes)})
 	}
 	r.Confirm(now, next, servers)
 }
@@ -84,6 +86,23 @@
 	c.Assert(h.writes, qt.Equals, before+1)
 }
 
+// Guards against a version that a paused router removes too soon, because its servers returned and left again meanwhile.
+func TestVersionLeavesAgainBeforeItsRemoval(t *testing.T) {
+	c := qt.New(t)
+	var h registryHistory
+	paused, other := &roster.Recorder{IsFirstStart: true}, &roster.Recorder{}
+	for _, r := range []*roster.Recorder{paused, other} {
+		h.update(r, at(0), "v1", "v2")
+		h.update(r, at(1000), "v2")
+	}
+	h.update(other, at(60_000), "v1", "v2")
+	h.update(other, at(115_000), "v2")
+	h.update(paused, at(125_000), "v2")
+	c.Assert(h.stored.VersionsOf("pool"), qt.DeepEquals, []string{"v1", "v2"})
+	h.update(other, at(236_000), "v2")
+	c.Assert(h.stored.VersionsOf("pool"), qt.DeepEquals, []string{"v2"})
+}
+
 // Guards against a history that counts as complete although the registry was restored from an older
 // copy, or never had one.
 func TestHistoryAfterRestore(t *testing.T) {
