fix(roster): a router that was paused reads the history of versions before it goes on

Callers would see a stream joined from two software versions. A router that watches the store reads the history only when the versions in the list differ from those it saw last. One that was paused, or did not watch, while a version left, was removed from the history by another router, and returned, saw no difference: it used the version without a record, and a router that lacked a record of such a stream found a single version in the store.

A version is removed two minutes after it has gone at the earliest, so a router now reads the history again if the latest one that it confirmed was asked for more than half of that time ago: one call a minute for each router that watches.

--- a/routing/roster/history.go
+++ b/routing/roster/history.go
@@ -67,6 +67,9 @@
 	// versions that had servers then.
 	confirmed *History
 	listed    map[ServiceVersion]bool
+	// askedAt is when NeedsUpdate last returned true, and confirmedAt is its value when the history was
+	// confirmed last.
+	askedAt, confirmedAt time.Time
 	// revision is that of the history that this router read or wrote last.
 	revision Revision
 	// goneSince is when this router first saw a version marked as gone, and unsettledSince when it
@@ -93,9 +96,18 @@
 
 // NeedsUpdate reports whether the history must be read, and written if Next says so, before servers
 // of new versions in the list are used. A version that returns counts as new, because another
-// router may have removed it meanwhile.
+// router may have removed it meanwhile. A router that was paused, or did not watch, may have missed that
+// a version was gone.
 func (r *Recorder) NeedsUpdate(now time.Time, era int64, servers []Server) bool {
-	if r.Confirmed(era) == nil || !maps.Equal(versionsOf(servers), r.listed) {
+	if !r.needsUpdate(now, era, servers) {
+		return false
+	}
+	r.askedAt = now
+	return true
+}
+
+func (r *Recorder) needsUpdate(now time.Time, era int64, servers []Server) bool {
+	if now.Sub(r.confirmedAt) > HistoryRetention/2 || r.Confirmed(era) == nil || !maps.Equal(versionsOf(servers), r.listed) {
 		return true
 	}
 	if r.isSettledBy(now) {
@@ -187,6 +199,7 @@
 	case r.unsettledSince.IsZero() || r.confirmed != nil && r.confirmed.Era != h.Era:
 		r.unsettledSince = now
 	}
+	r.confirmedAt = r.askedAt
 	r.confirmed, r.listed, r.goneSince = &h, versionsOf(servers), goneSince
 }
 
--- a/routing/roster/history_test.go
+++ b/routing/roster/history_test.go
@@ -103,6 +103,23 @@
 	c.Assert(h.stored.VersionsOf("pool"), qt.DeepEquals, []string{"v2"})
 }
 
+// Guards against a version that a router uses although another one has removed it from the history while this one was paused.
+func TestPausedRouterUsesRecordedVersionsOnly(t *testing.T) {
+	c := qt.New(t)
+	var h registryHistory
+	paused, other := &roster.Recorder{IsFirstStart: true}, &roster.Recorder{}
+	for _, r := range []*roster.Recorder{paused, other} {
+		h.update(r, at(0), "v1", "v2")
+	}
+	h.update(other, at(1000), "v2")
+	h.update(other, at(125_000), "v2")
+	c.Assert(h.stored.VersionsOf("pool"), qt.DeepEquals, []string{"v2"})
+	// The servers of v1 have returned when the paused router looks again.
+	h.update(paused, at(126_000), "v1", "v2")
+	c.Assert(paused.Allowed(listOf("v1", "v2")), qt.HasLen, 2)
+	c.Assert(h.stored.HasServers(roster.ServiceVersion{Service: "pool", Version: "v1"}), qt.IsTrue)
+}
+
 // Guards against a history that counts as complete although the registry was restored from an older
 // copy, or never had one.
 func TestHistoryAfterRestore(t *testing.T) {
