fix(gateway): a resumed stream sends no event that its client already has

Callers that took a stream up with Last-Event-Id got events twice if the server began at an earlier event: the router left out events that it had sent itself, but began each response without the ID that the client stated. Whether servers of a real deployment do that is not known; a router that resumes within one response has always left them out.

The ID that the client states is now the one to go on after, on routes whose streams may be resumed. What is sent to servers is the same.

TestStreamSurvivesFaultyServers has real sockets, servers that pause, break off, reset or begin anew at any byte, and a client that takes the stream up again.

--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -69,7 +69,8 @@
 	// relays is the number of attempts through other routers, and unreachable that of servers that
 	// could not be reached.
 	relays, unreachable int
-	// lastEventID is the ID of the last event that was sent to the client.
+	// lastEventID is the ID of the last event that was sent to the client, also in the response that the
+	// request resumes.
 	lastEventID string
 	// version is the software version at which the client's stream began, and at which alone it may
 	// go on; set if hasVersion is true.
@@ -104,6 +105,9 @@
 		c.reject(rejected)
 		return
 	}
+	if c.isResumed() && c.route.Resumable {
+		c.lastEventID = c.metadata.LastEventID
+	}
 	defer c.standby.close()
 	a, denied := c.firstAttempt()
 	if denied != "" {
--- a/hornbeamd/gateway/standby_test.go
+++ b/hornbeamd/gateway/standby_test.go
@@ -88,6 +88,7 @@
 		Codec: headers.Codec{}, Pool: &backend.Pool{Codec: with.codec, DialTimeout: time.Second}, Upstreams: upstreams, Crashes: NewCrashTracker(), Permits: NewPermits(), Origins: NewOrigins(),
 		Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()), Started: time.Now(),
 	}
+	s.Origins.SetServers(time.Now(), servers, nil)
 	s.Paths, s.Relays = NewPaths(s.Pool), NewRelays(&backend.Pool{Codec: headers.Codec{}})
 	s.Init()
 	shares := []routes.WeightedService{{Service: "pool", Weight: 1}}
