fix(roster): a version that was used while the history could not be written is recorded later

Callers would see a stream joined from two software versions. If a service has no server of a recorded version, a router uses servers of any version, because the service would not be served at all otherwise. If such a version had left before the history could be written again, the history lacked it and counted as complete, although streams were in progress at it: a router without a record went on at the only version that the store had. Found in the review of the incident with stale versions; not seen in the users' record.

The router now keeps such versions and adds them to the next history, as gone if they have left. While the history can't be written, it still lacks them: a router that reads it then may conclude another version. That is open.

TestHistoryHasVersionThatWasUsed failed in both cases in 3 of 3 runs without the addition, and passes with it.

--- a/routing/roster/history.go
+++ b/routing/roster/history.go
@@ -76,6 +76,8 @@
 	// first saw an unsettled history; zero if it is settled.
 	goneSince      map[ServiceVersion]time.Time
 	unsettledSince time.Time
+	// unrecorded holds the versions that Allowed has returned although the confirmed history lacks them.
+	unrecorded map[ServiceVersion]bool
 }
 
 func versionsOf(servers []Server) map[ServiceVersion]bool {
@@ -172,6 +174,7 @@
 		next.Settled = stored == nil && r.IsFirstStart
 	}
 	maps.Copy(versions, listed)
+	maps.Copy(versions, r.unrecorded)
 	for v := range versions {
 		next.Versions = append(next.Versions, RecordedVersion{ServiceVersion: v, Gone: !listed[v]})
 	}
@@ -199,7 +202,7 @@
 	case r.unsettledSince.IsZero() || r.confirmed != nil && r.confirmed.Era != h.Era:
 		r.unsettledSince = now
 	}
-	r.confirmedAt = r.askedAt
+	r.confirmedAt, r.unrecorded = r.askedAt, nil
 	r.confirmed, r.listed, r.goneSince = &h, versionsOf(servers), goneSince
 }
 
@@ -213,11 +216,18 @@
 	for _, s := range servers {
 		served[s.Service] = served[s.Service] || isRecorded(s) && !s.Leaving
 	}
+	unrecorded := map[ServiceVersion]bool{}
+	maps.Copy(unrecorded, r.unrecorded)
 	out := make([]Server, 0, len(servers))
 	for _, s := range servers {
-		if isRecorded(s) || !served[s.Service] {
-			out = append(out, s)
+		if !isRecorded(s) {
+			if served[s.Service] {
+				continue
+			}
+			unrecorded[ServiceVersion{s.Service, s.Version}] = true
 		}
+		out = append(out, s)
 	}
+	r.unrecorded = unrecorded
 	return out
 }
--- a/routing/roster/history_test.go
+++ b/routing/roster/history_test.go
@@ -120,6 +120,29 @@
 	c.Assert(h.stored.HasServers(roster.ServiceVersion{Service: "pool", Version: "v1"}), qt.IsTrue)
 }
 
+// Guards against a history that counts as complete although it lacks a version that was used while it could not be written.
+func TestHistoryHasVersionThatWasUsed(t *testing.T) {
+	for name, test := range map[string]struct{ recorded, want []string }{
+		"no history":  {nil, []string{"v2", "v3"}},
+		"one version": {[]string{"v1"}, []string{"v1", "v2", "v3"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var h registryHistory
+			r := &roster.Recorder{IsFirstStart: true}
+			if test.recorded != nil {
+				h.update(r, at(0), test.recorded...)
+			}
+			// The registry lists v2, and the history can't be written.
+			c.Assert(r.Allowed(listOf("v2")), qt.HasLen, 1)
+			h.update(r, at(2000), "v3")
+			c.Assert(h.stored.VersionsOf("pool"), qt.DeepEquals, test.want)
+			h.update(r, at(125_000), "v3")
+			c.Assert(h.stored.VersionsOf("pool"), qt.DeepEquals, []string{"v3"})
+		})
+	}
+}
+
 // Guards against a history that counts as complete although the registry was restored from an older
 // copy, or never had one.
 func TestHistoryAfterRestore(t *testing.T) {
