fix(balance): no stream that may be resumed begins at a version that the history lacks

If a service has servers of a version only that the store would not record, because it refuses writes, they were used for all requests. A caller that took up such a stream at a router which had not heard of the version, while the others were out of reach, got it from the former version: the history, which the router reads, had only that. The write-ahead on which the conclusion rests had this exception.

Such servers are now marked in the list, and get no streams that may be resumed until the version is recorded; these are rejected at once with a retry delay. All other requests go on as before, and so do streams while no history is known at all, from which nothing can be concluded.

--- a/hornbeamd/edge/stale_versions_test.go
+++ b/hornbeamd/edge/stale_versions_test.go
@@ -1,11 +1,14 @@
 package edge_test
 
 import (
+	"maps"
 	"sync"
 	"syscall"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"hornbeamstep.example/platform/standin"
 )
 
 // signal sends a signal to the processes of routers.
@@ -45,20 +48,58 @@
 			if !test.routersAnswer {
 				p.signal(syscall.SIGSTOP, 0, 1)
 			}
-			var wg sync.WaitGroup
-			for stream, began := range streams {
-				wg.Go(func() {
-					response, version := p.resumeOnce(paused, stream)
-					if response.Status != 200 {
-						c.Check(response.Status, qt.Equals, 503)
-						return
-					}
-					c.Check(version, qt.Equals, began)
-				})
-			}
-			p.signal(syscall.SIGCONT, paused)
-			wg.Wait()
+			p.resumeAll(paused, streams)
 			p.signal(syscall.SIGCONT, 0, 1)
 		})
 	}
 }
+
+// resumeAll resumes streams at a router that is paused, continues it, and checks that none has changed its version.
+func (p *testPlatform) resumeAll(paused int, streams map[string]string) {
+	var wg sync.WaitGroup
+	for stream, began := range streams {
+		wg.Go(func() {
+			response, version := p.resumeOnce(paused, stream)
+			if response.Status != 200 {
+				p.c.Check(response.Status, qt.Equals, 503)
+				return
+			}
+			p.c.Check(version, qt.Equals, began)
+		})
+	}
+	p.signal(syscall.SIGCONT, paused)
+	wg.Wait()
+}
+
+// Guards against a stream that begins at a version which the history lacks, and is resumed at another one.
+func TestNoStreamBeginsAtUnrecordedVersion(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlatform(c, 3)
+	const paused = 2
+	p.addPoolServers("v1")
+	p.signal(syscall.SIGSTOP, paused)
+	p.store.RefuseWrites(true)
+	former := maps.Clone(p.servers)
+	p.addPoolServers("v2")
+	// The former servers go on serving.
+	maps.Copy(p.servers, former)
+	c.Assert(p.send(0, "/stream/x").Status, qt.Equals, 200)
+	streams := map[string]string{}
+	for range 4 {
+		attempt := p.nextAttempt()
+		response, err := standin.Do(c.Context(), standin.Request{Address: p.frontAddr(0), Path: streamPath, Key: "key", Attempt: attempt})
+		c.Assert(err, qt.IsNil)
+		if response.Status != 200 {
+			c.Check(response.Status, qt.Equals, 503)
+			continue
+		}
+		streams[attempt] = p.versionOf(attempt)
+	}
+	p.signal(syscall.SIGSTOP, 0, 1)
+	p.resumeAll(paused, streams)
+	p.signal(syscall.SIGCONT, 0, 1)
+	p.store.RefuseWrites(false)
+	p.waitFor(func() bool {
+		return p.sendRequest(standin.Request{Address: p.frontAddr(0), Path: streamPath, Key: "key"}).Status == 200
+	})
+}
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -174,10 +174,10 @@
 func (c *clientRequest) buildQuery(now time.Time, avoid ...string) balance.Request {
 	c.mu.Lock()
 	avoid = append(avoid, c.triedServers...)
-	version := c.version
+	version, hasVersion := c.version, c.hasVersion
 	c.mu.Unlock()
 	query := balance.Request{
-		Service: c.service.Name, Version: version, Zone: c.server.Zone, Avoid: avoid, Slots: c.service.Slots, Draw: c.server.Upstreams.RandomFraction(),
+		Service: c.service.Name, Version: version, OnlyRecorded: c.route.Kind == routes.Streaming && c.route.Resumable && !hasVersion, Zone: c.server.Zone, Avoid: avoid, Slots: c.service.Slots, Draw: c.server.Upstreams.RandomFraction(),
 		Priority: c.priority, Account: c.account,
 	}
 	if c.regions.IsLimited() {
--- a/routing/balance/balance.go
+++ b/routing/balance/balance.go
@@ -110,6 +110,8 @@
 	Service string
 	// Version is the only software version whose servers may be chosen; empty allows all.
 	Version string
+	// OnlyRecorded excludes servers whose version is unrecorded, for a stream that a client may resume.
+	OnlyRecorded bool
 	// Zone is the availability zone of the router.
 	Zone string
 	// AllowsZone reports whether the request may be processed in an availability zone; nil allows
--- a/routing/balance/candidates.go
+++ b/routing/balance/candidates.go
@@ -53,10 +53,10 @@
 	return available
 }
 
-// allows reports whether a server has the request's version, is in a zone that is allowed, and is not
-// in the request's list to avoid.
+// allows reports whether a server has the request's version, is recorded if that is needed, is in a zone
+// that is allowed, and is not in the request's list to avoid.
 func (r Request) allows(e *entry) bool {
-	return r.allowsZone(e.Zone) && (r.Version == "" || r.Version == e.Version) && !slices.Contains(r.Avoid, e.ID)
+	return (!r.OnlyRecorded || !e.Unrecorded) && r.allowsZone(e.Zone) && (r.Version == "" || r.Version == e.Version) && !slices.Contains(r.Avoid, e.ID)
 }
 
 func (r Request) allowsZone(zone string) bool { return r.AllowsZone == nil || r.AllowsZone(zone) }
--- a/routing/roster/history.go
+++ b/routing/roster/history.go
@@ -207,7 +207,8 @@
 }
 
 // Allowed returns the servers whose versions are recorded in the confirmed history, and all of a
-// service that has no such server: it would not be served at all otherwise.
+// service that has no such server: it would not be served at all otherwise. These are marked as
+// unrecorded if there is a history.
 func (r *Recorder) Allowed(servers []Server) []Server {
 	isRecorded := func(s Server) bool {
 		return r.confirmed != nil && r.confirmed.HasServers(ServiceVersion{s.Service, s.Version})
@@ -225,6 +226,7 @@
 				continue
 			}
 			unrecorded[ServiceVersion{s.Service, s.Version}] = true
+			s.Unrecorded = r.confirmed != nil
 		}
 		out = append(out, s)
 	}
--- a/routing/roster/roster.go
+++ b/routing/roster/roster.go
@@ -30,6 +30,9 @@
 	// Cold is true for a server that is slow for some seconds and withstands only some requests per
 	// second, mostly because it has just started.
 	Cold bool
+	// Unrecorded is true for a server whose version the history lacks, because it could not be written. No
+	// stream that a client may resume begins there, since routers conclude from the history.
+	Unrecorded bool `json:",omitempty"`
 	// Born is when the server process started, in Unix milliseconds; 0 if unknown.
 	Born int64
 }
