fix(origin): an unsettled history is not completed by what a router has heard

After the store was restored from a copy while no router knew the latest history, the history is unsettled for two minutes. A router concluded a single version from it all the same if its own lists, or the answers of others, had shown no other one for as long as a stream lasts.

Only a settled history lets a stream without a record go on. What routers have heard of versions is now a veto only. Callers whose stream has no record are told to come back for two minutes after such a restore.

--- a/routing/origin/inquiry.go
+++ b/routing/origin/inquiry.go
@@ -19,8 +19,8 @@
 type Answer struct {
 	// Recorded is the build that began the stream.
 	Recorded Build
-	// Sole is the only build that the service had while the stream may have begun. It is set by
-	// routers without a record.
+	// Sole is the only build that the service had while the stream may have begun, as far as the router
+	// has heard. It is set by routers without a record, for routers of earlier releases.
 	Sole Build
 	// Several is true if streams may be in progress at several builds of the service.
 	Several bool
@@ -53,16 +53,12 @@
 // Inquiry collects what is known of the origin of a stream.
 type Inquiry struct {
 	Question
-	own    Answer
-	listed Build
-	// confirmed is the only build of the service in the history that the registry holds. isSufficient
-	// is true if no stream can have begun at a build that this history lacks.
-	confirmed    Build
-	isSufficient bool
-	// answers is the number of answers of other routers. single is the build that these state as
-	// the only one.
+	own Answer
+	// confirmed is the only build of the service in the history that the registry holds, if no stream can
+	// have begun at a build that this history lacks.
+	confirmed Build
+	// answers is the number of answers of other routers.
 	answers int
-	single  Build
 	// several is true if any router knows several builds.
 	several bool
 	// archived is the build that the store has for the stream.
@@ -72,17 +68,17 @@
 // Inquire begins an inquiry with what this ledger knows.
 func (l *Ledger) Inquire(now time.Time, q Question) Inquiry {
 	own := l.Answer(now, q)
-	return Inquiry{Question: q, own: own, listed: l.SoleListed(q.Service), several: own.Several}
+	return Inquiry{Question: q, own: own, several: own.Several}
 }
 
 // WithHistory returns the inquiry with the history of versions that the registry holds. It must have
 // been read after the client's request arrived: the registry records a version before a stream begins
 // at it, so that this history cannot lack the build of the stream. What this router and others have
-// heard may lack it.
+// heard may lack it, so that it does not complete a history that is not settled.
 func (i Inquiry) WithHistory(h roster.History) Inquiry {
-	i.confirmed, i.isSufficient = 0, false
-	if builds := buildsIn(h, i.Service); len(builds) == 1 {
-		i.confirmed, i.isSufficient = builds[0], h.Settled && i.Within <= roster.HistoryRetention
+	i.confirmed = 0
+	if builds := buildsIn(h, i.Service); len(builds) == 1 && h.Settled && i.Within <= roster.HistoryRetention {
+		i.confirmed = builds[0]
 	}
 	return i
 }
@@ -94,16 +90,12 @@
 	return i
 }
 
-// WithAnswer returns the inquiry with the answer of another router. A router that lags behind may
-// state a single build although this router knows a second one; that counts as no answer.
+// WithAnswer returns the inquiry with the answer of another router.
 func (i Inquiry) WithAnswer(a Answer) Inquiry {
 	i.answers++
 	i.several = i.several || a.Several
-	switch {
-	case a.Recorded != 0 && i.own.Recorded == 0:
+	if a.Recorded != 0 && i.own.Recorded == 0 {
 		i.own = a
-	case a.Sole != 0 && a.Sole == i.listed:
-		i.single = a.Sole
 	}
 	return i
 }
@@ -130,8 +122,6 @@
 		return i.archived, Archived
 	case i.several || i.confirmed == 0:
 		return 0, Unknown
-	case i.isSufficient, i.own.Sole == i.confirmed, i.single == i.confirmed:
-		return i.confirmed, Single
 	}
-	return 0, Unknown
+	return i.confirmed, Single
 }
--- a/routing/origin/ledger.go
+++ b/routing/origin/ledger.go
@@ -147,16 +147,12 @@
 	return builds
 }
 
-// SoleListed returns the build of a service if it is the only one that has servers, and 0
-// otherwise.
-func (l *Ledger) SoleListed(service Service) Build { return l.sole(time.Time{}, service, 0) }
-
 // sole returns the only build of a service that is listed, or was within the given time; 0 if there
 // are several or none.
 func (l *Ledger) sole(now time.Time, service Service, within time.Duration) Build {
 	only := Build(0)
 	for key, b := range l.builds {
-		if ServiceOf(b.service) != service || !b.listed && (within == 0 || now.Sub(b.lastSeen) > within) {
+		if ServiceOf(b.service) != service || !b.listed && now.Sub(b.lastSeen) > within {
 			continue
 		}
 		if only != 0 {
