fix(gateway): reads of the history stay within a quarter of the store's rate limit

After a start of all routers, each stream that is taken up without a record makes its router read the history of versions, up to 20 times a second. 300 routers would read 6,000 times a second; a store that allows 2,000 rejects calls beyond that with 429, among them watches.

The time between two calls grows with the number of routers, so that all together use a quarter of platform.reads_per_s. TestHistoryReadsOfLargeFleet: 134 reads of one of 300 routers in 10 s at 16,000, and 17 at 2,000, are the most that is allowed.

--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -158,6 +158,7 @@
 	e.store = metastore.New(s.Store, storeTimeout, watchMargin)
 	e.store.Count = e.storeCounter()
 	e.archive = newArchive(e.store, e.Log.Named("archive"), e.registry)
+	e.gateway.Origins.StoreReadsPerSecond = s.StoreReadsPerSecond
 	e.gateway.Origins.Archive, e.gateway.Origins.Log = e.archive, e.gateway.Log
 }
 
--- a/hornbeamd/gateway/origins.go
+++ b/hornbeamd/gateway/origins.go
@@ -22,10 +22,13 @@
 	// time between two calls that read them.
 	archiveTimeout      = 400 * time.Millisecond
 	archiveReadInterval = time.Second
-	// historyTimeout limits the wait for the history of versions, and historyReadInterval is the least
-	// time between two calls that read it.
-	historyTimeout      = 400 * time.Millisecond
-	historyReadInterval = 50 * time.Millisecond
+	// historyTimeout limits the time of a call that reads the history of versions, and
+	// minHistoryReadInterval is the least time between two of these calls.
+	historyTimeout         = 400 * time.Millisecond
+	minHistoryReadInterval = 50 * time.Millisecond
+	// historyReadShare is the share of the store's rate limit that all routers together use for these
+	// calls.
+	historyReadShare = 0.25
 	// defaultStreamTimeout is how long a stream may last if its route has no timeout.
 	defaultStreamTimeout = 30 * time.Second
 )
@@ -58,6 +61,9 @@
 	Transport OriginTransport
 	Archive   OriginArchive
 	Log       *zap.Logger
+	// StoreReadsPerSecond is the rate at which all routers together may read from the store; 0 if there
+	// is no limit.
+	StoreReadsPerSecond float64
 
 	mu      sync.Mutex
 	ledger  *origin.Ledger
@@ -214,8 +220,10 @@
 			o.nextHistoryRead = read
 		}
 	}
+	interval := o.historyReadInterval()
 	o.mu.Unlock()
-	timeout := time.NewTimer(historyTimeout)
+	// A call that another request has begun ends first.
+	timeout := time.NewTimer(interval + historyTimeout)
 	defer timeout.Stop()
 	select {
 	case <-read.done:
@@ -226,12 +234,24 @@
 	return roster.History{}, false
 }
 
+// historyReadInterval returns the time between two calls that read the history. o.mu must be held.
+func (o *Origins) historyReadInterval() time.Duration {
+	if o.StoreReadsPerSecond <= 0 {
+		return minHistoryReadInterval
+	}
+	perRouter := historyReadShare * o.StoreReadsPerSecond / float64(len(o.routers)+1)
+	return max(minHistoryReadInterval, time.Duration(float64(time.Second)/perRouter))
+}
+
 // runHistoryReads makes the given call and those that are requested meanwhile.
 func (o *Origins) runHistoryReads(ctx context.Context, read *historyRead) {
 	for read != nil {
 		began := time.Now()
 		o.fetchHistory(ctx, read)
-		time.Sleep(historyReadInterval - time.Since(began))
+		o.mu.Lock()
+		interval := o.historyReadInterval()
+		o.mu.Unlock()
+		time.Sleep(interval - time.Since(began))
 		o.mu.Lock()
 		read = o.nextHistoryRead
 		o.historyRead, o.nextHistoryRead = read, nil
--- a/hornbeamd/gateway/origins_test.go
+++ b/hornbeamd/gateway/origins_test.go
@@ -77,6 +77,36 @@
 	}
 }
 
+// Guards against routers that together exceed the rate limit of the store when they all read the history.
+func TestHistoryReadsOfLargeFleet(t *testing.T) {
+	for name, test := range map[string]struct {
+		routers        int
+		readsPerSecond float64
+		maxReadsIn10s  int
+	}{
+		"8 routers":              {8, 2000, 201},
+		"300 routers":            {300, 16_000, 134},
+		"300 routers, low limit": {300, 2000, 17},
+		"no limit":               {300, 0, 201},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				archive := &fakeArchive{versions: []string{"v1"}}
+				o := newOriginsWithVersion(archive, "v1")
+				o.StoreReadsPerSecond, o.routers = test.readsPerSecond, make([]origin.Router, test.routers-1)
+				o.Transport = originRecords(nil)
+				for range 10 * 20 {
+					go func() { c.Check(o.sourceOf(1, true), qt.Equals, origin.Single) }()
+					time.Sleep(50 * time.Millisecond)
+				}
+				c.Assert(archive.reads <= test.maxReadsIn10s, qt.IsTrue, qt.Commentf("%d reads", archive.reads))
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a request that goes by a call to the store which began before it arrived, and against a call for each of many requests.
 func TestRequestsShareReadsOfHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
