--- a/hornbeamd/edge/handlers.go
+++ b/hornbeamd/edge/handlers.go
@@ -100,9 +100,13 @@
 	}, func() float64 { return float64(e.mesh.Dropped.Load()) }))
 }
 
-// registerConditionMetrics registers metrics of evacuated zones, cold and brittle servers, and overloaded services.
+// registerConditionMetrics registers metrics of evacuated zones, cold and brittle servers, overloaded services, and
+// the reports of the other routers.
 func (e *Router) registerConditionMetrics() {
 	e.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "hornbeam_peer_reports_age_seconds", Help: "Time since what the other routers report was last put into effect.",
+		}, func() float64 { return e.gateway.Upstreams.ReportsAge(time.Now()).Seconds() }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "hornbeam_evacuated_zones", Help: "Availability zones whose backend servers get no new requests.",
 		}, func() float64 { return float64(e.control.evacuatedCount.Load()) }),
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -78,6 +78,20 @@
 	return u.Balancer.MarkLeaving(r.Leaving)
 }
 
+// ReportsAge returns the time since the latest call of SetPeerReports; 0 before the first.
+func (u *Upstreams) ReportsAge(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.reportsAge(now)
+}
+
+func (u *Upstreams) reportsAge(now time.Time) time.Duration {
+	if u.reportsReceived.IsZero() {
+		return 0
+	}
+	return now.Sub(u.reportsReceived)
+}
+
 // UpdatePeerLoads updates the other routers' requests in progress by server ID, between two calls
 // of SetPeerReports.
 func (u *Upstreams) UpdatePeerLoads(load map[string]int) {
@@ -197,10 +211,7 @@
 func (u *Upstreams) chooseServer(now time.Time, query balance.Request) serverChoice {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	choice := serverChoice{Choice: u.Balancer.Choose(now, query), serversRevision: u.serversRevision}
-	if !u.reportsReceived.IsZero() {
-		choice.reportsAge = now.Sub(u.reportsReceived)
-	}
+	choice := serverChoice{Choice: u.Balancer.Choose(now, query), serversRevision: u.serversRevision, reportsAge: u.reportsAge(now)}
 	if choice.Server.ID != "" && !choice.IsLimited {
 		u.Balancer.Start(now, choice.Server.ID)
 	}
