fix(edge): reports of other routers are put into effect during frequent changes too

Callers would see servers with long queues beside idle ones, and rejections by full servers, for as long as the configuration or the list of servers changes more often than heartbeats are due.

Cause: the control loop put the reports of other routers into effect in the turn of the regular heartbeat, and each heartbeat out of turn, which applyConfig, applyServers, applyEvacuations, updatePaths and storeFailed send, put that turn off. In a fleet with hubs the turn comes after 400 ms; with a version each 100 ms it never came. Loads went on being updated on arrival, but the moving averages by which servers of short requests are weighted, the servers that others do not reach or have heard to be leaving, the issuers of permits, the routers asked for the origin of streams, and the size of the fleet all stayed as they were when the changes began.

Class: periodic work that shares a timer with something that events restart.

Evidence, before: TestLoadLimitDuringConfigurationChanges 1,176 of 3,194 requests above the limit of 2 times the mean plus 3 (48 without changes; 95 allowed); TestReportsAreAppliedDuringChanges fails with configurations, servers and evacuations once reports are 250 ms old, with an interval of 200 ms. Both are deterministic. With the fix: 15 of 3,194, and the reports are never older than the interval.

Why it works: the two kinds of work have a time of their own, so that no change can put off the reports.

--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -56,8 +56,10 @@
 	// response. Unlike storeFailedAt, it does not expire, so that each change is logged once.
 	storeAvailable bool
 	// fetching holds the kinds of data for which a call to another router is in progress.
-	fetching      map[string]bool
-	lastHeartbeat time.Time
+	fetching map[string]bool
+	// lastHeartbeat is when this router last sent a heartbeat, and reportsAppliedAt when it last put the
+	// reports of the others into effect.
+	lastHeartbeat, reportsAppliedAt time.Time
 	// lostPaths holds the services whose backend servers this router doesn't reach, sorted.
 	lostPaths []string
 	// serverIDs holds the IDs of the backend servers by the keys that messages carry.
@@ -143,6 +145,9 @@
 	c.updateWatching(now)
 	if now.Sub(c.lastHeartbeat) >= c.presence.Interval() {
 		c.sendHeartbeat(now)
+	}
+	// Changes cause heartbeats out of turn, which must not put this off.
+	if now.Sub(c.reportsAppliedAt) >= c.presence.Interval() {
 		c.applyPeerReports(now)
 	}
 	if stoppedAt := c.drainingSince.Load(); stoppedAt != nil {
@@ -156,6 +161,7 @@
 
 // applyPeerReports passes what the other routers report about backend servers to the gateway.
 func (c *controlLoop) applyPeerReports(now time.Time) {
+	c.reportsAppliedAt = now
 	reports := c.presence.OtherReports(now, c.self)
 	issuers, lost := c.presence.PermitIssuers(now, c.isReady())
 	c.gateway.Permits.SetFleet(gateway.Fleet{Issuers: issuers, Lost: lost, Size: c.presence.FleetSize(), WithoutSlots: c.presence.WithoutSlots(now)})
