test(edge): a router that starts while the configuration changes often shares limits

On such a router never learned the size of the fleet for as long as the changes went on: with one peer, its share of a server's 100 connections was 90 instead of 45 (the test fails each time; it is deterministic). The same figure divides the retry budget.

--- a/hornbeamd/edge/report_turns_test.go
+++ b/hornbeamd/edge/report_turns_test.go
@@ -45,3 +45,23 @@
 		})
 	}
 }
+
+// Guards against a router that takes limits of the whole fleet for its own because it started while the
+// configuration changed often.
+func TestRouterStartedDuringChangesSharesLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const peer = "10.0.0.2:1"
+		loop := newTestLoop(presence.Record{ID: "a", Peer: "10.0.0.1:1"}, func(presence.OutgoingMessage) {})
+		alone := loop.upstreams.ConnectionShare(100)
+		for number := range 20 {
+			loop.applyConfig(routes.Config{Version: int64(number + 1)}, "store")
+			loop.handleMessage(context.Background(), presence.Message{From: "b", Records: []presence.AgedRecord{
+				{Record: presence.Record{ID: "b", Peer: peer, Boot: 1, Sequence: uint64(number + 1)}},
+			}}, peer)
+			time.Sleep(tickInterval)
+			loop.tick(context.Background(), time.Now())
+		}
+		c.Assert(loop.upstreams.ConnectionShare(100), qt.Equals, alone/2)
+	})
+}
