--- a/hornbeamd/edge/stale_versions_test.go
+++ b/hornbeamd/edge/stale_versions_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"maps"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -103,3 +105,39 @@
 		return p.sendRequest(standin.Request{Address: p.frontAddr(0), Path: streamPath, Key: "key"}).Status == 200
 	})
 }
+
+// Guards against a stream that changes its version at a router which has not heard that the servers have restarted with another one.
+func TestStreamKeepsVersionAfterRestartOfServers(t *testing.T) {
+	if os.Getenv("KNOWN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt; set KNOWN_RED=1 to run it")
+	}
+	for name, isStoreReachable := range map[string]bool{"cut off": false, "store answers": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newTestPlatform(c, 3)
+			const paused = 2
+			p.addPoolServers("v1")
+			streams := map[string]string{}
+			for range 12 {
+				attempt, version, cancel := p.begin(paused)
+				defer cancel()
+				streams[attempt] = version
+			}
+			p.signal(syscall.SIGSTOP, paused)
+			if !isStoreReachable {
+				p.store.SetUnresponsive(p.ips[paused])
+			}
+			for _, s := range p.servers {
+				if s.Service == "pool" {
+					s.CloseClientConnections()
+					s.Version = "v2"
+					p.store.Put("servers", s.ID, s.Entry("ready"))
+				}
+			}
+			time.Sleep(time.Second)
+			p.signal(syscall.SIGSTOP, 0, 1)
+			defer p.signal(syscall.SIGCONT, 0, 1)
+			p.resumeAll(paused, streams)
+		})
+	}
+}
