fix(gateway): responses without end to many clients exceed the router's memory

Callers would see that a router ends (memory_mb) and all requests on it with it, while backend servers send events or bodies that don't end.

Class: a limit for each request whose sum over the requests isn't limited.

An event that finds no room ends the attempts with larger events that are not yet complete, largest first, so that servers without an end don't keep the events of others from being read; if there is none, its own attempt fails. A success that finds no room is relayed as it arrives, like one that is too large for the buffer. A failure that finds none counts as one that is too large.

--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -64,6 +64,8 @@
 	// reader reads the events of a stream. read is what a standby has read of the response.
 	reader *bufio.Reader
 	read   *readResult
+	// held is the memory of the event or the response that the attempt holds.
+	held reservation
 	// events is the number of events received, and lastData the time of the latest one, or of the
 	// start of the attempt.
 	events   int
@@ -210,6 +212,7 @@
 // client.
 func (c *clientRequest) tryServer(a *attempt) attemptResult {
 	defer a.cancel(nil)
+	defer a.held.release()
 	a.timer = c.newProgressTimer(a)
 	defer a.timer.stop()
 	defer c.server.Upstreams.removeStream(&a.timer.stream)
@@ -301,6 +304,7 @@
 // end records the end of the attempt.
 func (a *attempt) end(outcome balance.Outcome, result attemptResult) {
 	c, now := a.request, time.Now()
+	a.held.release()
 	a.recordEnd(now, outcome, now.Sub(a.startedAt))
 	a.recordCapacity(now, outcome)
 	a.suspectCold(now, outcome)
@@ -448,26 +452,56 @@
 		return balance.Abandoned, attemptClientGone
 	case errors.Is(context.Cause(a.ctx), errReplaced):
 		return balance.Silent, attemptMayHaveRun
+	case errors.Is(context.Cause(a.ctx), errRevoked):
+		return balance.Broken, attemptMayHaveRun
 	case a.ctx.Err() != nil:
 		return balance.Abandoned, attemptMayHaveRun
 	}
 	return balance.Broken, attemptMayHaveRun
 }
 
-// readBuffered reads a response that is not a stream, up to one byte more than maxBufferedBytes. A
-// longer one must be a success, because servers in trouble may send failures that do not end.
+// readBuffered reads a response that is not a stream, up to one byte more than maxBufferedBytes, or
+// as much as there is room for. A longer one must be a success, because servers in trouble may send
+// failures that do not end.
 func (a *attempt) readBuffered() (*bufferedResponse, error) {
 	if a.read != nil {
 		return a.read.buffered, a.read.err
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response, maxBufferedBytes+1))
+	a.held.budget = a.request.server.bodyBudget
+	body, isWhole, err := readUpTo(a.response, maxBufferedBytes+1, a.response.ContentLength, &a.held)
 	switch isSuccess := a.response.Status/100 == 2; {
 	case err == nil && isSuccess:
 		a.recordAnswer()
-	case err == nil && len(body) > maxBufferedBytes:
+	case err == nil && !isWhole:
 		err = errFailureTooLarge
 	}
-	return &bufferedResponse{a.response.Status, a.response.Header, body}, err
+	return &bufferedResponse{a.response.Status, a.response.Header, body, isWhole}, err
+}
+
+// readUpTo reads at most limit bytes, as far as held grows. isWhole is true if that is all. length is
+// the length that the sender states, negative if unknown.
+func readUpTo(reader io.Reader, limit int, length int64, held *reservation) (body []byte, isWhole bool, err error) {
+	if length >= 0 && length < int64(limit) {
+		// One more byte, because the end may come after the last byte.
+		limit = int(length) + 1
+	}
+	for {
+		if len(body) == cap(body) {
+			capacity := min(limit, max(uncountedBytes, 2*cap(body)))
+			if len(body) == limit || !held.grow(capacity) {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, capacity), body...)
+		}
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, true, nil
+		case err != nil:
+			return body, false, err
+		}
+	}
 }
 
 // nextEvent returns the next event of a stream, like readEvent.
@@ -479,7 +513,12 @@
 	if a.reader == nil {
 		a.reader = bufio.NewReaderSize(a.response, streamBufferBytes)
 	}
-	e, err := readEvent(a.reader)
+	a.held.release()
+	a.held.budget, a.held.revoke = a.request.server.eventBudget, func() { a.cancel(errRevoked) }
+	e, err := readEvent(a.reader, &a.held)
+	if !a.held.pin() {
+		err = errRevoked
+	}
 	if err == nil {
 		a.recordAnswer()
 		if !a.viaPeer {
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -78,7 +78,9 @@
 	// savedFailure is the latest failure response of a server, which is relayed if no retry
 	// succeeds.
 	savedFailure *bufferedResponse
-	permits      permitStats
+	// savedFailureHeld is the memory of savedFailure.
+	savedFailureHeld reservation
+	permits          permitStats
 }
 
 // maxUnsentAttempts limits the attempts in which nothing was sent to a server. The route's limit
@@ -104,6 +106,7 @@
 		c.reject(rejected)
 		return
 	}
+	defer c.releaseFailure()
 	defer c.standby.close()
 	a, denied := c.firstAttempt()
 	if denied != "" {
@@ -243,6 +246,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// isWhole is false if body is only the first part.
+	isWhole bool
 }
 
 // relayBody relays a response that is not a stream. It reads the whole response before it sends any
@@ -257,11 +262,11 @@
 	if buffered.isServerError() {
 		outcome = balance.Failed
 	}
-	if len(buffered.body) > maxBufferedBytes {
+	if !buffered.isWhole {
 		return c.relayLarge(a, buffered)
 	}
 	if outcome == balance.Failed && c.route.Retryable() {
-		c.saveFailure(buffered)
+		c.saveFailure(a, buffered)
 		return outcome, attemptMayHaveRun
 	}
 	c.relayBuffered(buffered)
@@ -269,10 +274,19 @@
 }
 
 // saveFailure keeps a failure response of a server in case that no retry succeeds.
-func (c *clientRequest) saveFailure(response *bufferedResponse) {
+func (c *clientRequest) saveFailure(a *attempt, response *bufferedResponse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.savedFailureHeld.release()
 	c.savedFailure = response
+	a.held.moveTo(&c.savedFailureHeld)
+}
+
+// releaseFailure releases the saved failure response.
+func (c *clientRequest) releaseFailure() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.savedFailureHeld.release()
 }
 
 // relayBuffered sends a buffered response of a server to the client.
@@ -324,6 +338,8 @@
 	c.responseStarted = true
 	client := &clientWriter{Writer: c.w}
 	_, err := client.Write(beginning.body)
+	beginning.body = nil
+	a.held.release()
 	if err == nil {
 		_, err = io.Copy(client, response)
 	}
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -72,6 +72,8 @@
 	// one does.
 	nextRouterIn atomic.Int64
 	active       atomic.Int64
+	// eventBudget and bodyBudget limit what all requests hold of the responses of backend servers.
+	eventBudget, bodyBudget *readBudget
 }
 
 const (
@@ -113,7 +115,10 @@
 func (s *Server) SetReady() { s.readyOnce.Do(func() { close(s.ready) }) }
 
 // Init initializes the server. It must be called before the first request.
-func (s *Server) Init() { s.ready = make(chan struct{}) }
+func (s *Server) Init() {
+	s.ready = make(chan struct{})
+	s.eventBudget, s.bodyBudget = newReadBudget(maxHeldEventBytes), newReadBudget(maxHeldBodyBytes)
+}
 
 // awaitReady waits until the first configuration and the backend servers are known, but no longer
 // than startupWait after startup.
--- a/hornbeamd/gateway/standby.go
+++ b/hornbeamd/gateway/standby.go
@@ -217,7 +217,7 @@
 		return a.classifyReadError()
 	case a.read.buffered != nil && a.isFailure(a.read.buffered.status):
 		a.response.Close()
-		a.request.saveFailure(a.read.buffered)
+		a.request.saveFailure(a, a.read.buffered)
 		return balance.Failed, attemptMayHaveRun
 	}
 	return balance.Answered, attemptFinished
--- a/hornbeamd/gateway/stream.go
+++ b/hornbeamd/gateway/stream.go
@@ -31,14 +31,18 @@
 }
 
 // readEvent reads the next event. It returns the reader's error unchanged, along with the part of
-// the event that was read. The error is errEventTooLarge for an event above maxEventBytes.
-func readEvent(reader *bufio.Reader) (event, error) {
+// the event that was read. The error is errEventTooLarge for an event above maxEventBytes, and
+// errNoReadBudget if held can't hold the event.
+func readEvent(reader *bufio.Reader, held *reservation) (event, error) {
 	var e event
 	// hasLine is true once a part of a line that is not blank was read.
 	hasLine := false
 	for {
 		line, err := reader.ReadSlice('\n')
-		e.text = append(e.text, line...)
+		var hasRoom bool
+		if e.text, hasRoom = held.append(e.text, line); !hasRoom {
+			return e, errNoReadBudget
+		}
 		switch {
 		case len(e.text) > maxEventBytes:
 			return e, errEventTooLarge
