fix(backend): unread bytes of fast backend servers exceed the router's memory

Callers would see that a router ends (memory_mb; bytes that have been received and not yet read count) and all requests on it with it, while clients read slowly what backend servers send without end or at great length. The kernel let the receive buffer of each connection grow up to 28 MB.

Class: memory that grows with what a server sends, outside of the program.

Connections to backend servers and to routers that relay get a receive buffer of 64 KB, which the kernel doubles for its own accounts. It is set before the connection is established, so that the sender's window fits it. The throughput of one connection over a long distance is bounded by it; that was not measured.

--- a/hornbeamd/backend/pool.go
+++ b/hornbeamd/backend/pool.go
@@ -35,6 +35,9 @@
 	// unackedTimeout is how long sent data may remain unacknowledged before the kernel closes the
 	// connection. Keep-alive probes are sent at half this interval.
 	unackedTimeout = 2 * time.Second
+	// receiveBuffer is the size of a connection's receive buffer in bytes. Otherwise the kernel lets it
+	// grow up to tens of megabytes, which count as memory of the router while its client reads slowly.
+	receiveBuffer = 64 << 10
 )
 
 // Pool manages the connections to all backend servers. The exported fields must be set before first
@@ -95,7 +98,7 @@
 
 // dial establishes a connection.
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAlive: unackedTimeout / 2, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: p.DialTimeout, KeepAlive: unackedTimeout / 2, Control: setOptions}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if p.OnDial != nil && (err == nil || ctx.Err() == nil) {
 		p.OnDial(address, err == nil)
@@ -295,11 +298,13 @@
 // tcpUserTimeoutOption is the Linux socket option TCP_USER_TIMEOUT (RFC 5482).
 const tcpUserTimeoutOption = 18
 
-// setUserTimeout makes the kernel close a connection whose peer does not acknowledge data within
-// unackedTimeout.
-func setUserTimeout(_, _ string, rawConn syscall.RawConn) error {
+// setOptions limits the receive buffer of a connection, and makes the kernel close a connection whose
+// peer does not acknowledge data within unackedTimeout.
+func setOptions(_, _ string, rawConn syscall.RawConn) error {
 	var setErr error
 	err := rawConn.Control(func(fd uintptr) {
+		// The buffer must be set before the connection is established. Without it the connection works too.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 		setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(unackedTimeout.Milliseconds()))
 	})
 	if err != nil {
