fix(engine): events without end of many streams take the process's memory

Callers of the own interface would see that a router ends and all requests on it with it, while engines send events that don't end. Each event was bounded (1 MB) but not their sum, and a stream kept the buffer of its largest event until it ended.

Class: a limit for each request whose sum over the requests isn't limited.

Buffers above 4 KB now count toward 32 MB that all engine clients of the server for callers share, and are freed before the next event is read. A stream without room ends like one with an event that is too large.

--- a/hornbeamd/caller/server.go
+++ b/hornbeamd/caller/server.go
@@ -82,6 +82,10 @@
 	o.MaxAttempts = orDefault(o.MaxAttempts, 3)
 	o.MaxResumes = orDefault(o.MaxResumes, 2)
 	o.RouteTTL = orDefault(o.RouteTTL, 30*time.Second)
+	if o.Engine.EventMemory == nil {
+		// The clients of all engines share it.
+		o.Engine.EventMemory = engine.NewEventMemory(engine.DefaultEventMemory)
+	}
 	if o.Registry == nil {
 		o.Registry = prometheus.NewRegistry()
 	}
--- a/hornbeamd/engine/client.go
+++ b/hornbeamd/engine/client.go
@@ -32,6 +32,9 @@
 	ControlTimeout time.Duration
 	// MaxEventBytes is the maximum size of a stream event. Default: 1 MiB.
 	MaxEventBytes int
+	// EventMemory limits the sum of the events of all streams. Clients may share it. Default: 32 MiB for
+	// each client.
+	EventMemory *EventMemory
 	// MaxKVBytes is the maximum size of a KV cache. Default: 64 MiB.
 	MaxKVBytes int64
 }
@@ -49,6 +52,9 @@
 	if o.MaxEventBytes <= 0 {
 		o.MaxEventBytes = 1 << 20
 	}
+	if o.EventMemory == nil {
+		o.EventMemory = NewEventMemory(DefaultEventMemory)
+	}
 	if o.MaxKVBytes <= 0 {
 		o.MaxKVBytes = 64 << 20
 	}
@@ -125,7 +131,7 @@
 	}
 	s := newStream(ctx, cancel, resp, watchdog)
 	watchdog.Stop()
-	s.events = newEventReader(resp.Body, h.options.MaxEventBytes)
+	s.events = newEventReader(resp.Body, h.options.MaxEventBytes, h.options.EventMemory)
 	s.attempt = attempt
 	s.lastSeq = after
 	s.firstTimeout = h.options.FirstChunkTimeout
--- a/hornbeamd/engine/eventstream.go
+++ b/hornbeamd/engine/eventstream.go
@@ -13,6 +13,9 @@
 // errEventTooLarge means that an event exceeds the limit, which bounds the memory of a reader.
 var errEventTooLarge = eris.New("stream event exceeds the size limit")
 
+// errNoEventMemory means that events of other streams take the memory for events.
+var errNoEventMemory = eris.New("no memory for a stream event")
+
 // event is one server-sent event.
 type event struct {
 	// id is the value of the id field; 0 if the field is missing or not a positive integer.
@@ -28,21 +31,28 @@
 type eventReader struct {
 	r     *bufio.Reader
 	limit int
-	// data is the buffer for the data of the current event.
-	data []byte
+	// data is the buffer for the data of the current event, and line that for a line that is longer
+	// than the read buffer.
+	data, line eventBuffer
 }
 
 // newEventReader returns a reader of events. The limit, in bytes, applies to the data of an event
 // and to each line that is longer than the read buffer.
-func newEventReader(r io.Reader, limit int) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, 4<<10), limit: limit}
+func newEventReader(r io.Reader, limit int, memory *EventMemory) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, 4<<10), limit: limit, data: eventBuffer{memory: memory}, line: eventBuffer{memory: memory}}
+}
+
+// close frees the buffers.
+func (e *eventReader) close() {
+	e.data.reset()
+	e.line.reset()
 }
 
 // next returns the next event that has data. It returns io.ErrUnexpectedEOF at the end of the
 // input, because only the data of an event can mark the stream as complete.
 func (e *eventReader) next() (event, error) {
 	var ev event
-	e.data = e.data[:0]
+	e.data.reset()
 	hasData := false
 	for {
 		line, err := e.readLine()
@@ -54,19 +64,18 @@
 				ev = event{}
 				continue
 			}
-			ev.data = e.data
+			ev.data = e.data.bytes
 			return ev, nil
 		}
 		name, value := splitField(line)
 		switch string(name) {
 		case "data":
-			if len(e.data)+len(value)+1 > e.limit {
+			if len(e.data.bytes)+len(value)+1 > e.limit {
 				return event{}, errEventTooLarge
 			}
-			if hasData {
-				e.data = append(e.data, '\n')
+			if hasData && !e.data.append([]byte{'\n'}) || !e.data.append(value) {
+				return event{}, errNoEventMemory
 			}
-			e.data = append(e.data, value...)
 			hasData = true
 		case "event":
 			ev.name = string(value)
@@ -79,16 +88,18 @@
 // readLine returns the next line without its line ending. It joins the parts of a line that is
 // longer than the buffer, up to the limit.
 func (e *eventReader) readLine() ([]byte, error) {
+	e.line.reset()
 	line, err := e.r.ReadSlice('\n')
 	if err == nil {
 		return trimLineEnding(line), nil
 	}
-	var joined []byte
 	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(joined)+len(line) > e.limit {
+		if len(e.line.bytes)+len(line) > e.limit {
 			return nil, errEventTooLarge
 		}
-		joined = append(joined, line...)
+		if !e.line.append(line) {
+			return nil, errNoEventMemory
+		}
 		line, err = e.r.ReadSlice('\n')
 	}
 	if err != nil {
@@ -97,10 +108,13 @@
 		}
 		return nil, err
 	}
-	if len(joined)+len(line) > e.limit {
+	if len(e.line.bytes)+len(line) > e.limit {
 		return nil, errEventTooLarge
 	}
-	return trimLineEnding(append(joined, line...)), nil
+	if !e.line.append(line) {
+		return nil, errNoEventMemory
+	}
+	return trimLineEnding(e.line.bytes), nil
 }
 
 // buffered reports whether the buffer contains the end of an event, so that next usually does not
--- a/hornbeamd/engine/eventstream_test.go
+++ b/hornbeamd/engine/eventstream_test.go
@@ -11,7 +11,7 @@
 
 // readAll returns all events of the input as "name|data" strings, and the error that ends it.
 func readAll(r io.Reader) ([]string, error) {
-	events := newEventReader(r, 1<<10)
+	events := newEventReader(r, 1<<10, NewEventMemory(1<<20))
 	list := []string{}
 	for {
 		ev, err := events.next()
--- a/hornbeamd/engine/stream.go
+++ b/hornbeamd/engine/stream.go
@@ -102,12 +102,13 @@
 		s.complete = errors.Is(err, io.EOF)
 	}
 	s.watchdog.Stop()
+	s.events.close()
 	s.resp.Body.Close()
 	s.cancel(nil)
 }
 
 func (s *stream) readError(err error) error {
-	if errors.Is(err, errEventTooLarge) {
+	if errors.Is(err, errEventTooLarge) || errors.Is(err, errNoEventMemory) {
 		return s.streamError(exchange.Protocol, err.Error())
 	}
 	return exchange.NewError(s.ctx, err, true)
