--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -79,7 +79,9 @@
 	// savedFailure is the latest failure response of a server, which is relayed if no retry
 	// succeeds.
 	savedFailure *bufferedResponse
-	permits      permitStats
+	// savedFailureHeld is the memory of savedFailure.
+	savedFailureHeld reservation
+	permits          permitStats
 }
 
 // maxUnsentAttempts limits the attempts in which nothing was sent to a server. The route's limit
@@ -108,6 +110,7 @@
 	if c.isResumed() && c.route.Resumable {
 		c.lastEventID = c.metadata.LastEventID
 	}
+	defer c.releaseFailure()
 	defer c.standby.close()
 	a, denied := c.firstAttempt()
 	if denied != "" {
@@ -247,6 +250,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// isWhole is false if body is only the first part.
+	isWhole bool
 }
 
 // relayBody relays a response that is not a stream. It reads the whole response before it sends any
@@ -261,11 +266,11 @@
 	if buffered.isServerError() {
 		outcome = balance.Failed
 	}
-	if len(buffered.body) > maxBufferedBytes {
+	if !buffered.isWhole {
 		return c.relayLarge(a, buffered)
 	}
 	if outcome == balance.Failed && c.route.Retryable() {
-		c.saveFailure(buffered)
+		c.saveFailure(a, buffered)
 		return outcome, attemptMayHaveRun
 	}
 	c.relayBuffered(buffered)
@@ -273,10 +278,19 @@
 }
 
 // saveFailure keeps a failure response of a server in case that no retry succeeds.
-func (c *clientRequest) saveFailure(response *bufferedResponse) {
+func (c *clientRequest) saveFailure(a *attempt, response *bufferedResponse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.savedFailureHeld.release()
 	c.savedFailure = response
+	a.held.moveTo(&c.savedFailureHeld)
+}
+
+// releaseFailure releases the saved failure response.
+func (c *clientRequest) releaseFailure() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.savedFailureHeld.release()
 }
 
 // relayBuffered sends a buffered response of a server to the client.
@@ -328,6 +342,8 @@
 	c.responseStarted = true
 	client := &clientWriter{Writer: c.w}
 	_, err := client.Write(beginning.body)
+	beginning.body = nil
+	a.held.release()
 	if err == nil {
 		_, err = io.Copy(client, response)
 	}
--- a/hornbeamd/gateway/stream_property_test.go
+++ b/hornbeamd/gateway/stream_property_test.go
@@ -151,7 +151,7 @@
 				before := received
 				reader := bufio.NewReader(response.Body)
 				for {
-					e, err := readEvent(reader)
+					e, err := readEvent(reader, nil)
 					if err != nil {
 						if response.StatusCode == http.StatusOK && errors.Is(err, io.EOF) {
 							c.Check(received, qt.Equals, len(events), qt.Commentf("try %d looks complete, rest %q", try, e.text))
