test(soak): a router misses a release of servers, and streams are taken up there

All servers now start with one version. In each run the servers of the service with streams are replaced by those of a new version, in half of the runs twice. A router is paused when the new ones join, and its receive buffer is filled so that heartbeats are lost. Streams of the other routers break and are sent to it before it goes on. Then it is cut off from the others for 0.5 to 5 s, with or without the store, or in touch with them in half of the cases. Routers send heartbeats from their own address, so that no proxy can be between them: the others are paused instead, and callers turn to the one that runs. Their connections and those to servers are reset.

The check of versions excuses no router and, as before, no stream. A new one compares streams that are resumed at routers in touch, while two servers of their version serve, with new ones; 24 streams are taken up so before the events and 24 after the recovery.

--- a/hornbeambench/soak/caller.go
+++ b/hornbeambench/soak/caller.go
@@ -71,9 +71,12 @@
 }
 
 // chooseRouter creates a client for a random router from service discovery and reports whether it
-// found one. It first refreshes addresses older than resolveInterval. The first request dials the
-// connection.
+// found one. It first refreshes addresses older than resolveInterval.
 func (c *caller) chooseRouter(ctx context.Context) bool {
+	if r := c.testbed.onlyRouter.Load(); r != nil {
+		c.connect(r)
+		return true
+	}
 	if time.Since(c.resolvedAt) > resolveInterval || len(c.addresses) == 0 {
 		// Every router has a service discovery endpoint.
 		queried := c.testbed.routers[c.random.IntN(len(c.testbed.routers))]
@@ -91,6 +94,12 @@
 		c.addresses = nil
 		return false
 	}
+	c.connect(r)
+	return true
+}
+
+// connect creates a client for a router. The first request dials the connection.
+func (c *caller) connect(r *router) {
 	c.routerID = r.id
 	c.client = &http.Client{Transport: &http.Transport{
 		DisableCompression: true, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1,
@@ -98,7 +107,6 @@
 			return (&net.Dialer{Timeout: resolveInterval}).DialContext(ctx, network, r.callerProxy.address())
 		},
 	}}
-	return true
 }
 
 func (c *caller) disconnect() {
@@ -128,21 +136,27 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	q.Sent = time.Now()
-	unusable := c.send(ctx, &q)
-	q.Ended = time.Now()
-	// A request that ended before its short timeout was not canceled.
-	q.Canceled = q.Canceled && ctx.Err() != nil
+	unusable := c.exchange(ctx, &q)
 	c.interrupted = nil
 	if q.Incomplete && !q.Canceled && strings.HasPrefix(q.Path, "/resume/") && q.lastEvent() > 0 {
 		c.interrupted = &q
 	}
-	c.testbed.observations.addRequest(q)
 	if unusable {
 		c.disconnect()
 	}
 }
 
+// exchange sends q and records its result. It reports whether the connection can no longer be used.
+func (c *caller) exchange(ctx context.Context, q *request) bool {
+	q.Sent = time.Now()
+	unusable := c.send(ctx, q)
+	q.Ended = time.Now()
+	// A request that ended before its short timeout was not canceled.
+	q.Canceled = q.Canceled && ctx.Err() != nil
+	c.testbed.observations.addRequest(*q)
+	return unusable
+}
+
 // send sends q, stores the response in it, and reports whether the connection can no longer be
 // used.
 func (c *caller) send(ctx context.Context, q *request) bool {
--- a/hornbeambench/soak/checks.go
+++ b/hornbeambench/soak/checks.go
@@ -56,7 +56,7 @@
 	for _, check := range []func() []violation{
 		o.checkResponses, o.checkRuns, o.checkNonRetryable, o.checkRejections, o.checkAPIKeys, o.checkDrains, o.checkUnanswered,
 		o.checkAttempts, o.checkRetryBudget, o.checkCanceled, o.checkTimeouts, o.checkRecovery, o.checkExits, o.checkLeavingNotices, o.checkRejectionTimes,
-		o.checkLimits, o.checkVersions, o.checkEvacuations, o.checkColdServers, o.checkBrittleServers,
+		o.checkLimits, o.checkVersions, o.checkEvacuations, o.checkColdServers, o.checkBrittleServers, o.checkResumed,
 	} {
 		found = append(found, check()...)
 	}
@@ -109,16 +109,11 @@
 }
 
 // checkVersions checks that each run that continues a stream has the software version of a run that
-// may have begun it. Several may have, since a router may make a second attempt beside a first one.
+// may have begun it, at routers in touch or not.
 func (o *observations) checkVersions() []violation {
 	var found []violation
 	for _, r := range o.requests {
-		began := map[string]bool{}
-		for _, first := range o.runs[r.stream()] {
-			if first.After == 0 {
-				began[first.Version] = true
-			}
-		}
+		began := o.beganAt(r)
 		for _, next := range o.runs[r.Attempt] {
 			if next.After > 0 && len(began) > 0 && !began[next.Version] {
 				found = append(found, violation{"streams keep their software version", fmt.Sprintf("%s resumes %s at %s (%s)", r.Attempt, r.stream(), next.Server, next.Version)})
--- a/hornbeambench/soak/checks_test.go
+++ b/hornbeambench/soak/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"testing"
 	"time"
@@ -61,6 +62,26 @@
 	}
 }
 
+// resumeStreams adds requests that resume a stream at 10 s, of which some go on, while two servers of its
+// version serve.
+func (o *observations) resumeStreams(n, wentOn int) {
+	o.runs["s"][0].Version = "v1"
+	for _, server := range []string{"pool-1", "pool-2"} {
+		o.serving = append(o.serving, servingPeriod{Server: server, Service: "pool", Version: "v1", From: at(0)})
+	}
+	for i := range n {
+		r := request{
+			Attempt: fmt.Sprint("resumed-", i), Path: "/resume/stream/x", Key: permanentKey, Router: "r0", Sent: at(10), Ended: at(10.1), Status: 503,
+			Resumes: "s", LastEvent: 2,
+		}
+		if i < wentOn {
+			r.Status, r.ResponseBody, r.Signature = 200, streamAfter(2), standin.Signature("pool-1", r.Attempt)
+			o.runs[r.Attempt] = []run{{Run: standin.Run{Attempt: r.Attempt, Account: "clerks", At: at(10.05), After: 2}, Server: "pool-1", Service: "pool", Version: "v1", Ended: at(10.1), Complete: true}}
+		}
+		o.requests = append(o.requests, r)
+	}
+}
+
 // exceedLimit makes more requests run on a limited server than it takes.
 func (o *observations) exceedLimit() {
 	o.limitations = []limitation{{Server: "plain-2", From: at(5), To: at(15)}}
@@ -108,6 +129,25 @@
 			o.runs["s"] = append(o.runs["s"], run{Run: o.runs["s"][0].Run, Service: "pool", Version: "v2"})
 			o.runs["s"][1].After = 2
 		}, "streams keep their software version"},
+		"resumed at another version during a disruption": {func(o *observations) {
+			o.runs["s"][0].Version = "v1"
+			o.runs["s"] = append(o.runs["s"], run{Run: o.runs["s"][0].Run, Service: "pool", Version: "v2"})
+			o.runs["s"][1].After = 2
+			o.addDisruption(disruption{Router: all, Store: true})
+		}, "streams keep their software version"},
+		"most resumed streams rejected":                   {func(o *observations) { o.resumeStreams(14, 5) }, "streams that are resumed go on"},
+		"half of the resumed streams rejected":            {func(o *observations) { o.resumeStreams(14, 7) }, ""},
+		"fewer resumed streams than are compared":         {func(o *observations) { o.resumeStreams(11, 0) }, ""},
+		"most resumed streams rejected, router disrupted": {func(o *observations) { o.resumeStreams(14, 5); o.addDisruption(disruption{Router: "r0"}) }, ""},
+		"most resumed streams rejected, server connections reset": {func(o *observations) {
+			o.resumeStreams(14, 5)
+			o.addDisruption(disruption{Kind: resetServerConnections, Server: "pool-1"})
+		}, "streams that are resumed go on"},
+		"most resumed streams rejected, one server of the version": {func(o *observations) {
+			o.resumeStreams(14, 5)
+			o.addDisruption(disruption{Kind: killServer, Server: "pool-1"})
+		}, ""},
+		"most resumed streams rejected, a server of the version leaves": {func(o *observations) { o.resumeStreams(14, 5); o.serving[0].To = at(10) }, ""},
 		"changed body":                     {func(o *observations) { o.runs["a"][0].Body = "x" }, "servers run what callers sent"},
 		"unknown request":                  {func(o *observations) { o.runs["x"] = []run{{Run: standin.Run{Attempt: "x"}}} }, "servers run what callers sent"},
 		"other client account":             {func(o *observations) { o.runs["a"][0].Account = "forged" }, "requests run for the account of their key"},
@@ -309,11 +349,52 @@
 			c.Assert(i == 0 || events[i-1].At <= e.At, qt.IsTrue)
 		}
 	}
-	for _, k := range slices.Concat(eventKinds, laterKinds, []eventKind{silenceServer, limitServers, evacuateZone, returnCold}) {
+	for _, k := range slices.Concat(eventKinds, laterKinds, []eventKind{silenceServer, limitServers, evacuateZone, returnCold, makeBrittle, releaseServers}) {
 		c.Assert(seen[k], qt.IsTrue, qt.Commentf("%s", k))
 	}
 }
 
+// Guards against routers that know of several versions before the first release, so that none can miss one.
+func TestFirstReleaseIsMissed(t *testing.T) {
+	c := qt.New(t)
+	tb := &testbed{}
+	c.Assert([]string{tb.version("plain"), tb.version("pool")}, qt.DeepEquals, []string{"v1", "v1"})
+	tb.releases = 1
+	c.Assert([]string{tb.version("plain"), tb.version("pool")}, qt.DeepEquals, []string{"v1", "v2"})
+	for seed := range uint64(50) {
+		events := randomEvents(seed, 12*time.Second)
+		first := events[slices.IndexFunc(events, func(e event) bool { return e.Kind == releaseServers })]
+		c.Assert(first.Variant&withoutPause, qt.Equals, 0)
+	}
+}
+
+// Guards against a router of an earlier release that is made to miss a release of servers.
+func TestChooseCurrent(t *testing.T) {
+	c := qt.New(t)
+	tb := &testbed{routerPrograms: routerPrograms{current: "new", previous: "old"}}
+	for _, program := range []string{"old", "new", "old", "new"} {
+		tb.routers = append(tb.routers, &router{program: program})
+	}
+	for target := range 8 {
+		c.Assert(tb.chooseCurrent(target).program, qt.Equals, "new")
+	}
+	c.Assert(tb.chooseCurrent(7), qt.Equals, tb.routers[3])
+}
+
+// Guards against new kinds of events that change those of seeds that violated a guarantee earlier.
+func TestEarlierSeedsKeepTheirEvents(t *testing.T) {
+	c := qt.New(t)
+	hash := fnv.New64a()
+	for _, seed := range regressionSeeds(seedsText)[:5] {
+		for _, e := range randomEvents(seed, 12*time.Second) {
+			if e.Kind != releaseServers {
+				_, _ = fmt.Fprintf(hash, "%+v\n", e)
+			}
+		}
+	}
+	c.Assert(hash.Sum64(), qt.Equals, uint64(17825313134728528592))
+}
+
 // Guards against regression seeds that are not parsed and therefore not run.
 func TestRegressionSeeds(t *testing.T) {
 	c := qt.New(t)
--- a/hornbeambench/soak/events.go
+++ b/hornbeambench/soak/events.go
@@ -54,6 +54,8 @@
 	returnCold   eventKind = "server back and cold"
 	// makeBrittle makes the backend servers of a service brittle, beside more callers.
 	makeBrittle eventKind = "servers brittle"
+	// releaseServers replaces servers by those of a new software version, beside a router that misses it.
+	releaseServers eventKind = "release of servers"
 	// changeTimeouts changes the timeouts in the configuration. It only occurs beside a silence.
 	changeTimeouts eventKind = "change timeouts"
 )
@@ -80,6 +82,8 @@
 	limitOdds      = 2
 	// One of zoneOdds runs has an event of evacuateZone, and one an event of returnCold.
 	zoneOdds = 2
+	// Each run has an event of releaseServers, and one of releaseOdds runs a second one.
+	releaseOdds = 2
 )
 
 // event is one fault or one piece of planned work.
@@ -155,6 +159,18 @@
 	if brittle.IntN(limitOdds) == 0 {
 		events = append(events, event{Kind: makeBrittle, At: randomDuration(brittle, window/2), Duration: minBrittleTime + randomDuration(brittle, brittleTimeRange), Target: brittle.IntN(1 << 16)})
 	}
+	releases := rand.New(rand.NewPCG(seed, 6))
+	// A release that a router may miss is the first one, as routers know of a version for minutes.
+	events = append(events, event{
+		Kind: releaseServers, At: randomDuration(releases, window/2), Duration: minCut + randomDuration(releases, cutRange),
+		Target: releases.IntN(1 << 16), Variant: releases.IntN(1<<16) &^ withoutPause,
+	})
+	if releases.IntN(releaseOdds) == 0 {
+		events = append(events, event{
+			Kind: releaseServers, At: window/2 + randomDuration(releases, window/2), Duration: minCut + randomDuration(releases, cutRange),
+			Target: releases.IntN(1 << 16), Variant: releases.IntN(1 << 16),
+		})
+	}
 	slices.SortFunc(events, func(a, b event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
--- a/hornbeambench/soak/inject.go
+++ b/hornbeambench/soak/inject.go
@@ -70,6 +70,8 @@
 		return tb.silenceServers(ctx, e)
 	case limitServers:
 		return tb.limitServers(ctx, e)
+	case releaseServers:
+		return tb.release(ctx, e)
 	case makeBrittle:
 		return tb.makeBrittle(ctx, e)
 	case evacuateZone:
@@ -273,6 +275,11 @@
 	if err := tb.addServer(s.service); err != nil {
 		return err
 	}
+	return tb.removeServer(ctx, s, how)
+}
+
+func (tb *testbed) removeServer(ctx context.Context, s *server, how removal) error {
+	tb.observations.endServing(s)
 	tb.mu.Lock()
 	s.removing = true
 	var acked time.Time
--- a/hornbeambench/soak/observations.go
+++ b/hornbeambench/soak/observations.go
@@ -25,6 +25,8 @@
 	// limitations holds the periods in which backend servers stated a rate limit.
 	limitations []limitation
 	evacuations []evacuation
+	// serving holds the periods in which backend servers were registered as ready.
+	serving     []servingPeriod
 	coldPeriods []coldPeriod
 	// rejections holds the requests that backend servers rejected with a retry delay.
 	rejections []rejection
--- a/hornbeambench/soak/soak.go
+++ b/hornbeambench/soak/soak.go
@@ -173,12 +173,15 @@
 		callers.Go(func() { caller.run(trafficCtx) })
 	}
 	go tb.watchStalls(trafficCtx)
+	tb.takeUpInTouch(ctx)
 	events := randomEvents(seed, c.FaultWindow)
 	err = tb.injectAll(ctx, events)
 	tb.observations.mu.Lock()
 	tb.observations.eventsEnd = time.Now()
 	tb.observations.mu.Unlock()
-	sleep(ctx, maxRecoveryTime+postRecoveryTime)
+	sleep(ctx, maxRecoveryTime)
+	tb.takeUpInTouch(ctx)
+	sleep(ctx, postRecoveryTime)
 	stopTraffic()
 	callers.Wait()
 	// Give the servers time to report the end of their last runs.
@@ -266,6 +269,7 @@
 			stalls++
 		}
 	}
-	return fmt.Sprintf("%d events, %d requests, %d served, %d runs, %d versions, %d stalls of the machine",
-		eventCount, len(o.requests), served, runCount, len(o.versions), stalls)
+	resumed, wentOn, _, _ := o.countResumed()
+	return fmt.Sprintf("%d events, %d requests, %d served, %d runs, %d versions, %d of %d resumed streams went on, %d stalls of the machine",
+		eventCount, len(o.requests), served, runCount, len(o.versions), wentOn, resumed, stalls)
 }
--- a/hornbeambench/soak/testbed.go
+++ b/hornbeambench/soak/testbed.go
@@ -33,6 +33,10 @@
 	// same ports and the same metricsPort; each has its own IP address.
 	ports       [5]int
 	metricsPort int
+	// onlyRouter is the router that callers choose while all others are paused; nil at other times.
+	onlyRouter atomic.Pointer[router]
+	// streams is the number of streams that breakStreams has begun.
+	streams atomic.Int64
 
 	mu    sync.Mutex
 	store *child
@@ -42,6 +46,8 @@
 	// serverCount is the number of servers added so far, including removed ones. It is part of the
 	// ID of the next server.
 	serverCount int
+	// releases is the number of software versions released so far.
+	releases int
 	// latestVersion is the number of the latest version of the configuration. apiKeys holds the API
 	// keys of the next version.
 	latestVersion int
@@ -85,6 +91,8 @@
 
 	mu      sync.Mutex
 	process *child
+	// program is the path of the program that the process runs.
+	program string
 }
 
 type server struct {
@@ -208,26 +216,45 @@
 
 // addServer starts a backend server with a new ID and registers it in the store.
 func (tb *testbed) addServer(service string) error {
+	s, err := tb.newServer(service)
+	if err != nil {
+		return err
+	}
+	return tb.register(s)
+}
+
+// newServer starts a backend server with a new ID.
+func (tb *testbed) newServer(service string) (*server, error) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	tb.serverCount++
-	s := &server{id: fmt.Sprintf("%s-%d", service, tb.serverCount), service: service, zone: zoneOf(tb.serverCount), version: versions[tb.serverCount/2%len(versions)], noLength: tb.serverCount%noLengthRatio == 0}
+	s := &server{id: fmt.Sprintf("%s-%d", service, tb.serverCount), service: service, zone: zoneOf(tb.serverCount), version: tb.version(service), noLength: tb.serverCount%noLengthRatio == 0}
 	var err error
 	if s.proxy, err = newProxy("127.0.0.1:0", ""); err != nil {
-		return err
-	}
-	if err := tb.startServer(s); err != nil {
-		return err
+		return nil, err
 	}
+	return s, tb.startServer(s)
+}
+
+func (tb *testbed) register(s *server) error {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
 	if _, err := tb.instructStore(instruction{Put: "servers/" + s.id, Spec: s.entry("ready")}); err != nil {
 		return err
 	}
 	tb.servers = append(tb.servers, s)
+	tb.observations.beginServing(s)
 	return nil
 }
 
-// versions are the software versions of backend servers.
-var versions = []string{"v1", "v2"}
+// version returns the software version of a new server. The caller must hold tb.mu.
+func (tb *testbed) version(service string) string {
+	number := firstVersion
+	if service == releasedService {
+		number += tb.releases
+	}
+	return fmt.Sprint("v", number)
+}
 
 // entry returns the server's entry in the store as JSON.
 func (s *server) entry(state string) string {
@@ -346,16 +373,17 @@
 // startRouter starts the process of a router. If the process exits unexpectedly, the exit is
 // recorded in the observations.
 func (tb *testbed) startRouter(r *router) error {
+	program := tb.routerPrograms.of(r)
 	process, err := startChild(r.logFile, []string{bootfile.PathEnv + "=" + r.settingsFile}, func(line []byte) {
 		// Write errors are ignored: the log only helps to explain violations and is not checked
 		// itself.
 		_, _ = r.logFile.Write(append(line, '\n'))
-	}, tb.routerPrograms.of(r), "edge", "--metrics", fmt.Sprint(tb.metricsPort))
+	}, program, "edge", "--metrics", fmt.Sprint(tb.metricsPort))
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
-	r.process = process
+	r.process, r.program = process, program
 	r.starts++
 	r.mu.Unlock()
 	go func() {
@@ -367,6 +395,20 @@
 	return nil
 }
 
+// chooseCurrent returns a router that runs the current program, if there is one.
+func (tb *testbed) chooseCurrent(target int) *router {
+	for i := range tb.routers {
+		r := tb.routers[(target+i)%len(tb.routers)]
+		r.mu.Lock()
+		isCurrent := r.program == tb.routerPrograms.current
+		r.mu.Unlock()
+		if isCurrent {
+			return r
+		}
+	}
+	return tb.routers[target%len(tb.routers)]
+}
+
 func (r *router) currentProcess() *child {
 	r.mu.Lock()
 	defer r.mu.Unlock()
