fix(gateway): a request that becomes too late in a shutdown is not sent to a server

What callers saw: in a planned stop of a router, a request whose head arrived in the first part of the grace period was accepted by its arrival time, although its body arrived much later, or although it waited for a permit, a slot or another server meanwhile. It was then sent to a server when the router rejects all new requests, and cut without a response at the end of the grace period, even if it must not be repeated.

Cause: the plan of the shutdown was checked once, when the head had been read. Class: a decision that depends on the time is made early and used late.

The plan is now also checked when the request is about to be sent to a server for the first time, after all waits. A request that no server can have run is rejected with 503 and a Retry-After; one that a server may have run goes on as before.

The wait for a permit or a slot goes through the same check, but no test covers it.

--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -157,6 +157,7 @@
 	deniedAttempts    = "attempts"
 	deniedUnreachable = "unreachable"
 	deniedRetryBudget = "retry_budget"
+	deniedDraining    = "draining"
 )
 
 // nextAttempt begins an attempt at another server, or returns the reason why there is none, which
@@ -172,6 +173,10 @@
 	if a.choice.Server.ID == "" {
 		return a, string(a.choice.Reason)
 	}
+	if !c.canHaveRun(inProgress) && c.isTooLate() {
+		a.recordEnd(time.Now(), balance.Abandoned, 0)
+		return nil, deniedDraining
+	}
 	// The budget is used last, so that only a retry that is sent uses it. A peer uses its own.
 	if now := time.Now(); c.hasSent(inProgress) && !a.viaPeer && !c.server.Upstreams.takeRetry(now, c.service.Name) {
 		a.recordEnd(now, balance.Abandoned, 0)
@@ -206,6 +211,13 @@
 	return c.sentAttempts+inProgress > 0
 }
 
+// canHaveRun reports whether a server may have run the request, or may be running it.
+func (c *clientRequest) canHaveRun(inProgress int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mayHaveRun || inProgress > 0
+}
+
 // tryServer makes an attempt, or continues one that was a standby, and relays the response to the
 // client.
 func (c *clientRequest) tryServer(a *attempt) attemptResult {
--- a/hornbeamd/gateway/drain.go
+++ b/hornbeamd/gateway/drain.go
@@ -14,8 +14,8 @@
 	CloseAt time.Time
 }
 
-// accepts reports whether a request that arrives now is accepted. The deadline is zero if the
-// request has none.
+// accepts reports whether a request is accepted now, or may be sent to a server for the first time.
+// The deadline is zero if the request has none.
 func (p DrainPlan) accepts(now, deadline time.Time) bool {
 	switch {
 	case now.Before(p.LeftAt):
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -147,6 +147,10 @@
 	if a.choice.Server.ID == "" {
 		return a, string(a.choice.Reason)
 	}
+	if c.isTooLate() {
+		a.recordEnd(time.Now(), balance.Abandoned, 0)
+		return nil, deniedDraining
+	}
 	if !a.viaPeer {
 		c.server.Upstreams.countRequest(c.receivedAt, c.service.Name)
 	}
@@ -220,6 +224,8 @@
 		switch {
 		case cause == crashingRequest || cause == crashingPart:
 			retryAfter = quarantinedRetryAfter
+		case cause == deniedDraining:
+			retryAfter = c.server.drainRetryAfter()
 		case c.choice.Reason == balance.Limited:
 			now := time.Now()
 			retryAfter = c.server.Permits.retryAfter(now, c.service.Name, c.choice.Wait, c.choice.LimitSum, c.timeLeft(now))
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -231,13 +231,25 @@
 	c.regions = routes.RegionsOf(route.Regions, accountRegions)
 	c.service = c.table.Service(route.Service(c.server.Upstreams.RandomFraction()))
 	c.setDeadline()
-	if plan := c.server.drain.Load(); plan != nil && !plan.accepts(time.Now(), c.deadline) {
-		retryAfter := max(drainingRetryAfter, time.Duration(c.server.nextRouterIn.Load()))
-		return &rejection{http.StatusServiceUnavailable, "draining", retryAfter}
+	if c.isTooLate() {
+		return &rejection{http.StatusServiceUnavailable, deniedDraining, c.server.drainRetryAfter()}
 	}
 	return nil
 }
 
+// isTooLate reports whether a request that no server can have run must not be sent to one any more,
+// because this router shuts down and may have to end it. That may become true while the body of the
+// request arrives, or while the request waits for a permit.
+func (c *clientRequest) isTooLate() bool {
+	plan := c.server.drain.Load()
+	return plan != nil && !plan.accepts(time.Now(), c.deadline)
+}
+
+// drainRetryAfter returns the retry delay for requests that are rejected because of the shutdown.
+func (s *Server) drainRetryAfter() time.Duration {
+	return max(drainingRetryAfter, time.Duration(s.nextRouterIn.Load()))
+}
+
 // setDeadline sets the request's deadline to the earlier of the client's deadline and the route's
 // timeout.
 func (c *clientRequest) setDeadline() {
