fix(gateway): requests in progress at the end of a shutdown get a response

What callers saw: a request that arrived while clients still use the address of a stopping router, and that its server had not answered by the end of the grace period, was cut without a response, even if it must not be repeated. The caller could not tell that from a router that had crashed.

Cause: the router closed the connections of the requests that were left, and exited. Class: a limit that is enforced from outside of the request.

A stream that has begun is cut as before, since a response can't be added to it. CloseAt moves from 0.95 to 0.92 of the grace period, and connections are closed at 0.95, so that there is time to write the responses. The end is not held against the server.

--- a/hornbeamd/edge/drain.go
+++ b/hornbeamd/edge/drain.go
@@ -15,8 +15,11 @@
 const (
 	// acceptShare is the share during which new requests are accepted at all.
 	acceptShare = 0.55
-	// closeShare is the share after which requests that are still in progress are aborted.
-	closeShare = 0.95
+	// closeShare is the share after which requests that are still in progress are ended, and
+	// abortShare the one after which connections are closed although the responses to these requests
+	// have not been written.
+	closeShare = 0.92
+	abortShare = 0.95
 	// quietPeriod is the time without any request in progress after which the router stops early.
 	// It does not stop before addressCacheTime or the acceptShare of the grace period has passed,
 	// whichever is shorter.
@@ -48,7 +51,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	e.Log.Info("stopped", zap.Int("active", e.gateway.Active()), zap.Duration("took", time.Since(started)))
-	closeServers(servers, plan.CloseAt)
+	closeServers(servers, started.Add(shareOf(e.settings.GracePeriod, abortShare)))
 }
 
 // closeServers closes the servers once their requests in progress are complete, or at closeAt. It
@@ -67,10 +70,14 @@
 
 // newDrainPlan returns the plan of a shutdown that started at the given time.
 func newDrainPlan(started time.Time, gracePeriod time.Duration) gateway.DrainPlan {
-	share := func(share float64) time.Duration { return time.Duration(share * float64(gracePeriod)) }
 	return gateway.DrainPlan{
-		LeftAt:   started.Add(min(addressCacheTime, share(acceptShare))),
-		RejectAt: started.Add(share(acceptShare)),
-		CloseAt:  started.Add(share(closeShare)),
+		LeftAt:   started.Add(min(addressCacheTime, shareOf(gracePeriod, acceptShare))),
+		RejectAt: started.Add(shareOf(gracePeriod, acceptShare)),
+		CloseAt:  started.Add(shareOf(gracePeriod, closeShare)),
 	}
 }
+
+// shareOf returns a share of the grace period.
+func shareOf(gracePeriod time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(gracePeriod))
+}
--- a/hornbeamd/edge/shutdown_test.go
+++ b/hornbeamd/edge/shutdown_test.go
@@ -39,3 +39,31 @@
 	c.Assert(p.runs("plain"), qt.HasLen, 0)
 	c.Assert(<-p.routers[0].done, qt.IsNil)
 }
+
+// Guards against a request that was sent to a backend server and whose connection a graceful
+// shutdown closes without a response.
+func TestShutdownAnswersUnfinishedRequests(t *testing.T) {
+	for name, test := range map[string]struct {
+		path    string
+		maxRuns int
+	}{
+		"at most once": {"/once/x", 1},
+		"repeatable":   {"/again/x", 2},
+		"stream":       {"/stream/x", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newTestPlatform(c, 1)
+			p.setFault("p", standin.Hang)
+			c.Assert(p.routers[0].process.Process.Signal(syscall.SIGTERM), qt.IsNil)
+			// The timeout of the route ends after the grace period of 4 s.
+			time.Sleep(500 * time.Millisecond)
+			response := p.send(0, test.path)
+			c.Assert(response.Err, qt.IsNil)
+			c.Assert(response.Status, qt.Equals, http.StatusGatewayTimeout)
+			runs := len(p.runs("p"))
+			c.Assert(runs >= 1 && runs <= test.maxRuns, qt.IsTrue, qt.Commentf("%d runs", runs))
+			c.Assert(<-p.routers[0].done, qt.IsNil)
+		})
+	}
+}
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -435,7 +435,7 @@
 	switch {
 	case a.request.r.Context().Err() != nil:
 		return balance.Abandoned, attemptClientGone
-	case errors.Is(context.Cause(a.ctx), errNotNeeded):
+	case errors.Is(context.Cause(a.ctx), errNotNeeded), a.request.isEnded():
 		return balance.Abandoned, result
 	case err.Kind == backend.ContextDone:
 		// A standby has replaced the attempt, or the request's deadline has passed, without a
--- a/hornbeamd/gateway/drain.go
+++ b/hornbeamd/gateway/drain.go
@@ -1,6 +1,15 @@
 package gateway
 
-import "time"
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// errClosing ends the requests that are still in progress at the end of a shutdown.
+var errClosing = eris.New("the router closes")
 
 // DrainPlan says which requests a router accepts that is shutting down. The times must not decrease
 // in the order of the fields.
@@ -10,7 +19,8 @@
 	LeftAt time.Time
 	// RejectAt is the time from which all requests are rejected.
 	RejectAt time.Time
-	// CloseAt is the time at which the requests in progress are aborted.
+	// CloseAt is the time at which the requests in progress are ended. Those of which the client has
+	// received nothing yet get a response that says so.
 	CloseAt time.Time
 }
 
@@ -25,3 +35,13 @@
 	}
 	return deadline.Add(writeDeadlineMargin).Before(p.CloseAt)
 }
+
+// Drain makes each further response ask its client to close the connection, so that the client
+// connects to another router. Requests are served, rejected and ended according to the plan.
+func (s *Server) Drain(plan DrainPlan) {
+	s.drain.Store(&plan)
+	time.AfterFunc(time.Until(plan.CloseAt), func() { s.end(errClosing) })
+}
+
+// isEnded reports whether the request was ended because the router closes.
+func (c *clientRequest) isEnded() bool { return errors.Is(context.Cause(c.ctx), errClosing) }
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -39,7 +39,7 @@
 
 	// suspect identifies the request if it may crash servers.
 	suspect suspect
-	// ctx ends at the deadline, or when the client disconnects.
+	// ctx ends at the deadline, when the client disconnects, or when the router closes.
 	ctx context.Context
 	// choice is that of the current attempt, or of the last one. current is nil while no attempt
 	// can send the client's response.
@@ -88,7 +88,10 @@
 // forward sends the request to one backend server after another until one responds or no further
 // attempt is allowed.
 func (c *clientRequest) forward() {
-	c.ctx = c.r.Context()
+	ctx, end := context.WithCancelCause(c.r.Context())
+	defer end(nil)
+	defer context.AfterFunc(c.server.closing, func() { end(errClosing) })()
+	c.ctx = ctx
 	if !c.deadline.IsZero() {
 		var cancel context.CancelFunc
 		c.ctx, cancel = context.WithDeadline(c.ctx, c.deadline)
@@ -162,6 +165,8 @@
 // is none; see nextAttempt.
 func (c *clientRequest) retry(result attemptResult) (a *attempt, denied string) {
 	switch {
+	case c.isEnded():
+		return nil, deniedDraining
 	case c.ctx.Err() != nil:
 		return nil, "deadline"
 	case result == attemptMayHaveRun && !c.route.Retryable():
@@ -233,7 +238,7 @@
 			retryAfter = time.Duration(c.choice.RetryAfterSeconds() * float64(time.Second))
 		}
 		c.reject(&rejection{http.StatusServiceUnavailable, cause, retryAfter})
-	case cause == "deadline":
+	case cause == "deadline", cause == deniedDraining:
 		c.reject(&rejection{http.StatusGatewayTimeout, cause, 0})
 	default:
 		c.reject(&rejection{http.StatusBadGateway, cause, 0})
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -68,6 +68,9 @@
 	// drain is nil until the router shuts down. From then on, responses ask clients to close the
 	// connection.
 	drain atomic.Pointer[DrainPlan]
+	// closing is done from the time at which a shutdown ends the requests in progress; end ends it.
+	closing context.Context
+	end     context.CancelCauseFunc
 	// nextRouterIn is the expected time until another router takes callers, in nanoseconds; 0 while
 	// one does.
 	nextRouterIn atomic.Int64
@@ -113,7 +116,10 @@
 func (s *Server) SetReady() { s.readyOnce.Do(func() { close(s.ready) }) }
 
 // Init initializes the server. It must be called before the first request.
-func (s *Server) Init() { s.ready = make(chan struct{}) }
+func (s *Server) Init() {
+	s.ready = make(chan struct{})
+	s.closing, s.end = context.WithCancelCause(context.Background())
+}
 
 // awaitReady waits until the first configuration and the backend servers are known, but no longer
 // than startupWait after startup.
@@ -132,10 +138,6 @@
 // Table returns the active configuration, or nil before the first one.
 func (s *Server) Table() *routes.Table { return s.table.Load() }
 
-// Drain makes each further response ask its client to close the connection, so that the client
-// connects to another router. Requests are served or rejected according to the plan.
-func (s *Server) Drain(plan DrainPlan) { s.drain.Store(&plan) }
-
 // SetNextRouterIn sets the expected time until another router takes callers; 0 if one does. Only a
 // draining router uses it.
 func (s *Server) SetNextRouterIn(d time.Duration) { s.nextRouterIn.Store(int64(d)) }
