fix(gateway): no request is accepted once a stopping router closes idle connections

What callers would see: a router that stops early, because nothing was in progress, closes the connections that net/http takes for idle. net/http takes a connection for idle until it has read the whole head of the next request, and runs the handler although the connection was closed meanwhile. If the plan of the shutdown still accepted the request, it was sent to a server and its caller got no response.

Cause: the decision to stop was made without telling the gateway. Class: check and act in two places.

The gateway now rejects all requests before the connections are closed. A request whose handler has passed the check before is on a connection that net/http knows to be active, and which it does not close.

Evidence: by reading net/http (conn.serve, Server.closeIdleConns); the window is microseconds long and was not hit in a test with real processes. TestRejectAll covers the decision; it does not compile on the code before.

--- a/hornbeamd/edge/drain.go
+++ b/hornbeamd/edge/drain.go
@@ -50,6 +50,7 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	e.gateway.RejectAll(time.Now())
 	e.Log.Info("stopped", zap.Int("active", e.gateway.Active()), zap.Duration("took", time.Since(started)))
 	closeServers(servers, started.Add(shareOf(e.settings.GracePeriod, abortShare)))
 }
--- a/hornbeamd/gateway/drain.go
+++ b/hornbeamd/gateway/drain.go
@@ -43,5 +43,14 @@
 	time.AfterFunc(time.Until(plan.CloseAt), func() { s.end(errClosing) })
 }
 
+// RejectAll makes a draining router reject all further requests. It must be called before idle
+// connections are closed, because net/http may take a connection for idle whose next request it has
+// just read.
+func (s *Server) RejectAll(now time.Time) {
+	plan := *s.drain.Load()
+	plan.LeftAt, plan.RejectAt = now, now
+	s.drain.Store(&plan)
+}
+
 // isEnded reports whether the request was ended because the router closes.
 func (c *clientRequest) isEnded() bool { return errors.Is(context.Cause(c.ctx), errClosing) }
--- a/hornbeamd/gateway/drain_test.go
+++ b/hornbeamd/gateway/drain_test.go
@@ -30,3 +30,17 @@
 		})
 	}
 }
+
+// Guards against sending a request to a server whose connection net/http closes as idle, at the early
+// end of a shutdown.
+func TestRejectAll(t *testing.T) {
+	c := qt.New(t)
+	s := &Server{}
+	s.Init()
+	now := time.Now()
+	s.Drain(DrainPlan{LeftAt: now.Add(-time.Second), RejectAt: now.Add(time.Hour), CloseAt: now.Add(2 * time.Hour)})
+	request := &clientRequest{server: s, deadline: now.Add(time.Second)}
+	c.Assert(request.isTooLate(), qt.IsFalse)
+	s.RejectAll(now)
+	c.Assert(request.isTooLate(), qt.IsTrue)
+}
