test(edge): the exit of a router under the race detector is not delayed by it

By default, the race detector keeps a process for 1 s when it exits (GORACE, atexit_sleep_ms). The router stops 7.9 s after SIGTERM in this test (7.5 s of a stream, and 0.4 s without requests), so 0.1 s was left for everything else.

The routers of the tests now run without this delay. The bounds stay as they are.

--- a/hornbeamd/edge/edge_test.go
+++ b/hornbeamd/edge/edge_test.go
@@ -147,7 +147,9 @@
 	}
 	p.c.Assert(os.WriteFile(path, []byte(settings.FileContent()), 0o600), qt.IsNil)
 	process := exec.Command(os.Args[0])
-	process.Env = append(os.Environ(), metricsPortVariable+"="+strconv.Itoa(p.metricsPort), bootfile.PathEnv+"="+path)
+	// By default, the race detector keeps a process for one more second when it exits.
+	race := "GORACE=" + os.Getenv("GORACE") + " atexit_sleep_ms=0"
+	process.Env = append(os.Environ(), metricsPortVariable+"="+strconv.Itoa(p.metricsPort), bootfile.PathEnv+"="+path, race)
 	process.Stdout = p.output
 	if testing.Verbose() && p.output == nil {
 		process.Stdout = os.Stdout
