test(edge): a request that a server rejects late in a shutdown is not sent to another one

A second way to the fault of "a request that becomes too late in a shutdown is not sent to a server": the request arrives in time, a server rejects it without running it after the router has begun to reject requests, and another server gets it. It was cut at the end of the grace period, without a response.

--- a/hornbeamd/edge/shutdown_test.go
+++ b/hornbeamd/edge/shutdown_test.go
@@ -40,6 +40,34 @@
 	c.Assert(<-p.routers[0].done, qt.IsNil)
 }
 
+// Guards against a request that a backend server rejects late in a graceful shutdown and that is then
+// sent to another one, although it can't be answered by the end of the grace period.
+func TestShutdownRejectsLateRetry(t *testing.T) {
+	c := qt.New(t)
+	p := newTestPlatform(c, 1)
+	p.setFault("plain", standin.Shed)
+	for _, s := range p.servers {
+		s.SetSilence(2700 * time.Millisecond)
+	}
+	c.Assert(p.routers[0].process.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	rejected := make(chan standin.Response, 1)
+	go func() { rejected <- p.send(0, "/once/x") }()
+	arrivals := func() (n int) {
+		for _, s := range p.servers {
+			n += len(s.Arrivals())
+		}
+		return n
+	}
+	p.waitFor(func() bool { return arrivals() == 1 })
+	p.setFault("plain", standin.Hang)
+	response := <-rejected
+	c.Assert(response.Err, qt.IsNil)
+	c.Assert(response.Status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.RetryAfter, qt.Not(qt.Equals), "")
+	c.Assert(arrivals(), qt.Equals, 1)
+	c.Assert(<-p.routers[0].done, qt.IsNil)
+}
+
 // Guards against a request that was sent to a backend server and whose connection a graceful
 // shutdown closes without a response.
 func TestShutdownAnswersUnfinishedRequests(t *testing.T) {
