fix(edge): a stopping router allows for the time until it notices the signal

What callers saw: a request that was sent a few milliseconds after the three seconds in which clients use the address of a stopping router was accepted although it might last longer than the grace period, and was cut at its end.

Cause: the three seconds ran from when the router noticed SIGTERM, not from when it was sent. Class: a bound that holds at another process is counted from an own, later event.

Requests that can't be answered in time are rejected 100 ms sooner. The router still serves others, and does not close, before the three seconds have passed.

TestDrainPlanOfLateSignal fails without the fix.

--- a/hornbeamd/edge/drain.go
+++ b/hornbeamd/edge/drain.go
@@ -26,7 +26,10 @@
 	quietPeriod = 400 * time.Millisecond
 	// addressCacheTime is the time after which no client uses a cached address of this router any
 	// more. It is three times the TTL, because some clients cache addresses for that long.
-	addressCacheTime  = 3 * resolveTTL
+	addressCacheTime = 3 * resolveTTL
+	// signalMargin is how much sooner than that the router begins to reject requests that it may have
+	// to end, because SIGTERM was sent before the router notices it.
+	signalMargin      = 100 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 )
 
@@ -45,7 +48,7 @@
 		if e.gateway.Active() > 0 {
 			lastActive = now
 		}
-		if now.Sub(lastActive) >= quietPeriod && !now.Before(plan.LeftAt) {
+		if now.Sub(lastActive) >= quietPeriod && !now.Before(plan.LeftAt.Add(signalMargin)) {
 			break
 		}
 		time.Sleep(drainPollInterval)
@@ -72,7 +75,7 @@
 // newDrainPlan returns the plan of a shutdown that started at the given time.
 func newDrainPlan(started time.Time, gracePeriod time.Duration) gateway.DrainPlan {
 	return gateway.DrainPlan{
-		LeftAt:   started.Add(min(addressCacheTime, shareOf(gracePeriod, acceptShare))),
+		LeftAt:   started.Add(min(addressCacheTime, shareOf(gracePeriod, acceptShare)) - signalMargin),
 		RejectAt: started.Add(shareOf(gracePeriod, acceptShare)),
 		CloseAt:  started.Add(shareOf(gracePeriod, closeShare)),
 	}
--- a/hornbeamd/edge/drain_test.go
+++ b/hornbeamd/edge/drain_test.go
@@ -61,3 +61,12 @@
 		})
 	}
 }
+
+// Guards against a request that is sent three seconds after SIGTERM and accepted, although it may last
+// longer than the grace period, because the router noticed the signal late.
+func TestDrainPlanOfLateSignal(t *testing.T) {
+	c := qt.New(t)
+	signaled := time.Unix(1000, 0)
+	plan := newDrainPlan(signaled.Add(50*time.Millisecond), 8*time.Second)
+	c.Assert(plan.LeftAt.Before(signaled.Add(3*time.Second)), qt.IsTrue)
+}
