--- a/hornbeamd/edge/drain.go
+++ b/hornbeamd/edge/drain.go
@@ -15,15 +15,21 @@
 const (
 	// acceptShare is the share during which new requests are accepted at all.
 	acceptShare = 0.55
-	// closeShare is the share after which requests that are still in progress are aborted.
-	closeShare = 0.95
+	// closeShare is the share after which requests that are still in progress are ended, and
+	// abortShare the one after which connections are closed although the responses to these requests
+	// have not been written.
+	closeShare = 0.92
+	abortShare = 0.95
 	// quietPeriod is the time without any request in progress after which the router stops early.
 	// It does not stop before addressCacheTime or the acceptShare of the grace period has passed,
 	// whichever is shorter.
 	quietPeriod = 400 * time.Millisecond
 	// addressCacheTime is the time after which no client uses a cached address of this router any
 	// more. It is three times the TTL, because some clients cache addresses for that long.
-	addressCacheTime  = 3 * resolveTTL
+	addressCacheTime = 3 * resolveTTL
+	// signalMargin is how much sooner than that the router begins to reject requests that it may have
+	// to end, because SIGTERM was sent before the router notices it.
+	signalMargin      = 100 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 )
 
@@ -42,13 +48,14 @@
 		if e.gateway.Active() > 0 {
 			lastActive = now
 		}
-		if now.Sub(lastActive) >= quietPeriod && !now.Before(plan.LeftAt) {
+		if now.Sub(lastActive) >= quietPeriod && !now.Before(plan.LeftAt.Add(signalMargin)) {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
+	e.gateway.RejectAll(time.Now())
 	e.Log.Info("stopped", zap.Int("active", e.gateway.Active()), zap.Duration("took", time.Since(started)))
-	closeServers(servers, plan.CloseAt)
+	closeServers(servers, started.Add(shareOf(e.settings.GracePeriod, abortShare)))
 }
 
 // closeServers closes the servers once their requests in progress are complete, or at closeAt. It
@@ -67,10 +74,14 @@
 
 // newDrainPlan returns the plan of a shutdown that started at the given time.
 func newDrainPlan(started time.Time, gracePeriod time.Duration) gateway.DrainPlan {
-	share := func(share float64) time.Duration { return time.Duration(share * float64(gracePeriod)) }
 	return gateway.DrainPlan{
-		LeftAt:   started.Add(min(addressCacheTime, share(acceptShare))),
-		RejectAt: started.Add(share(acceptShare)),
-		CloseAt:  started.Add(share(closeShare)),
+		LeftAt:   started.Add(min(addressCacheTime, shareOf(gracePeriod, acceptShare)) - signalMargin),
+		RejectAt: started.Add(shareOf(gracePeriod, acceptShare)),
+		CloseAt:  started.Add(shareOf(gracePeriod, closeShare)),
 	}
 }
+
+// shareOf returns a share of the grace period.
+func shareOf(gracePeriod time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(gracePeriod))
+}
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -159,6 +159,7 @@
 	deniedAttempts    = "attempts"
 	deniedUnreachable = "unreachable"
 	deniedRetryBudget = "retry_budget"
+	deniedDraining    = "draining"
 )
 
 // nextAttempt begins an attempt at another server, or returns the reason why there is none, which
@@ -174,6 +175,10 @@
 	if a.choice.Server.ID == "" {
 		return a, string(a.choice.Reason)
 	}
+	if !c.canHaveRun(inProgress) && c.isTooLate() {
+		a.recordEnd(time.Now(), balance.Abandoned, 0)
+		return nil, deniedDraining
+	}
 	// The budget is used last, so that only a retry that is sent uses it. A peer uses its own.
 	if now := time.Now(); c.hasSent(inProgress) && !a.viaPeer && !c.server.Upstreams.takeRetry(now, c.service.Name) {
 		a.recordEnd(now, balance.Abandoned, 0)
@@ -208,6 +213,13 @@
 	return c.sentAttempts+inProgress > 0
 }
 
+// canHaveRun reports whether a server may have run the request, or may be running it.
+func (c *clientRequest) canHaveRun(inProgress int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mayHaveRun || inProgress > 0
+}
+
 // tryServer makes an attempt, or continues one that was a standby, and relays the response to the
 // client.
 func (c *clientRequest) tryServer(a *attempt) attemptResult {
@@ -427,7 +439,7 @@
 	switch {
 	case a.request.r.Context().Err() != nil:
 		return balance.Abandoned, attemptClientGone
-	case errors.Is(context.Cause(a.ctx), errNotNeeded):
+	case errors.Is(context.Cause(a.ctx), errNotNeeded), a.request.isEnded():
 		return balance.Abandoned, result
 	case err.Kind == backend.ContextDone:
 		// A standby has replaced the attempt, or the request's deadline has passed, without a
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -68,6 +68,9 @@
 	// drain is nil until the router shuts down. From then on, responses ask clients to close the
 	// connection.
 	drain atomic.Pointer[DrainPlan]
+	// closing is done from the time at which a shutdown ends the requests in progress; end ends it.
+	closing context.Context
+	end     context.CancelCauseFunc
 	// nextRouterIn is the expected time until another router takes callers, in nanoseconds; 0 while
 	// one does.
 	nextRouterIn atomic.Int64
@@ -118,6 +121,7 @@
 func (s *Server) Init() {
 	s.ready = make(chan struct{})
 	s.eventBudget, s.bodyBudget = newReadBudget(maxHeldEventBytes), newReadBudget(maxHeldBodyBytes)
+	s.closing, s.end = context.WithCancelCause(context.Background())
 }
 
 // awaitReady waits until the first configuration and the backend servers are known, but no longer
@@ -137,10 +141,6 @@
 // Table returns the active configuration, or nil before the first one.
 func (s *Server) Table() *routes.Table { return s.table.Load() }
 
-// Drain makes each further response ask its client to close the connection, so that the client
-// connects to another router. Requests are served or rejected according to the plan.
-func (s *Server) Drain(plan DrainPlan) { s.drain.Store(&plan) }
-
 // SetNextRouterIn sets the expected time until another router takes callers; 0 if one does. Only a
 // draining router uses it.
 func (s *Server) SetNextRouterIn(d time.Duration) { s.nextRouterIn.Store(int64(d)) }
@@ -236,13 +236,25 @@
 	c.regions = routes.RegionsOf(route.Regions, accountRegions)
 	c.service = c.table.Service(route.Service(c.server.Upstreams.RandomFraction()))
 	c.setDeadline()
-	if plan := c.server.drain.Load(); plan != nil && !plan.accepts(time.Now(), c.deadline) {
-		retryAfter := max(drainingRetryAfter, time.Duration(c.server.nextRouterIn.Load()))
-		return &rejection{http.StatusServiceUnavailable, "draining", retryAfter}
+	if c.isTooLate() {
+		return &rejection{http.StatusServiceUnavailable, deniedDraining, c.server.drainRetryAfter()}
 	}
 	return nil
 }
 
+// isTooLate reports whether a request that no server can have run must not be sent to one any more,
+// because this router shuts down and may have to end it. That may become true while the body of the
+// request arrives, or while the request waits for a permit.
+func (c *clientRequest) isTooLate() bool {
+	plan := c.server.drain.Load()
+	return plan != nil && !plan.accepts(time.Now(), c.deadline)
+}
+
+// drainRetryAfter returns the retry delay for requests that are rejected because of the shutdown.
+func (s *Server) drainRetryAfter() time.Duration {
+	return max(drainingRetryAfter, time.Duration(s.nextRouterIn.Load()))
+}
+
 // setDeadline sets the request's deadline to the earlier of the client's deadline and the route's
 // timeout.
 func (c *clientRequest) setDeadline() {
