--- a/hornbeamd/engine/many_endless_test.go
+++ b/hornbeamd/engine/many_endless_test.go
@@ -25,7 +25,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { listener.Close() })
-	event := "HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nConnection: close\r\n\r\ndata: " + strings.Repeat("x", 1_000_000)
+	// All connections share the bytes, so that the heap is that of the clients.
+	event := []byte("HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nConnection: close\r\n\r\ndata: " + strings.Repeat("x", 1_000_000))
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -37,7 +38,7 @@
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 					return
 				}
-				_, err := io.WriteString(conn, event)
+				_, err := conn.Write(event)
 				full.Add(1)
 				for err == nil {
 					time.Sleep(20 * time.Millisecond)
