--- a/routing/balance/simulation_test.go
+++ b/routing/balance/simulation_test.go
@@ -469,6 +469,34 @@
 	}
 }
 
+// Guards against the same failure when one prompt of each client account becomes hot, so that a router gets
+// a request with the same hot prompt every few seconds: 87 routers, 90 servers, loads 300 to 600 ms old.
+func TestHotPromptsOfAccounts(t *testing.T) {
+	skipKnownRed(t)
+	c := qt.New(t)
+	// hotShare is the share of requests with a hot prompt, and accountShares those of the accounts in them.
+	const hotShare = 0.22
+	accountShares := []float64{0.32, 0.15, 0.1, 0.07, 0.06, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05}
+	sim := &simulation{
+		routers: 87, servers: servers(90, 32), rate: 536, duration: 940 * time.Millisecond,
+		reportInterval: 300 * time.Millisecond, reportAge: 600 * time.Millisecond, stale: true,
+		request: func(_ int, draw float64) balance.Request {
+			prompt := uint64(draw * 5000)
+			position := draw / hotShare
+			for account, share := range accountShares {
+				if position < share {
+					prompt = uint64(10000 + account)
+					break
+				}
+				position -= share
+			}
+			return balance.Request{Service: "pool", PrefixHashes: []uint64{prompt}, Draw: draw}
+		},
+	}
+	o := sim.run(20 * time.Second)
+	c.Assert(o.overLimit*100 <= 3*o.sent, qt.IsTrue, qt.Commentf("%d of %d requests above the limit", o.overLimit, o.sent))
+}
+
 // Guards against servers above 2 times the mean plus 3 over all servers of a large pool, while those of
 // an evacuated zone get nothing, so that the others carry half as much again.
 func TestEvacuatedZoneInLargePool(t *testing.T) {
