--- a/hornbeamd/engine/eventmemory.go
+++ b/hornbeamd/engine/eventmemory.go
@@ -34,6 +34,19 @@
 	return int64(capacity)
 }
 
+// appendLine appends a line, with a line feed before it if there are others. It returns false if there
+// is no memory for it.
+func (b *eventBuffer) appendLine(line []byte, hasLines bool) bool {
+	if len(b.bytes)+1+len(line) > cap(b.bytes) {
+		return (!hasLines || b.append([]byte{'\n'})) && b.append(line)
+	}
+	if hasLines {
+		b.bytes = append(b.bytes, '\n')
+	}
+	b.bytes = append(b.bytes, line...)
+	return true
+}
+
 // append appends data. It returns false if there is no memory for it.
 func (b *eventBuffer) append(data []byte) bool {
 	needed := len(b.bytes) + len(data)
--- a/hornbeamd/engine/eventstream.go
+++ b/hornbeamd/engine/eventstream.go
@@ -73,7 +73,7 @@
 			if len(e.data.bytes)+len(value)+1 > e.limit {
 				return event{}, errEventTooLarge
 			}
-			if hasData && !e.data.append([]byte{'\n'}) || !e.data.append(value) {
+			if !e.data.appendLine(value, hasData) {
 				return event{}, errNoEventMemory
 			}
 			hasData = true
