--- a/hornbeamd/gateway/origins_test.go
+++ b/hornbeamd/gateway/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 
 // fakeArchive holds a history with versions of the service "pool" and no origins.
 type fakeArchive struct {
+	mu       sync.Mutex
 	versions []string
 	// delay is how long a call takes. The history is that at its beginning.
 	delay time.Duration
@@ -27,15 +29,30 @@
 func (a *fakeArchive) Read(context.Context) ([]origin.Batch, error) { return nil, a.err }
 
 func (a *fakeArchive) History(context.Context) (h roster.History, found bool, err error) {
+	a.mu.Lock()
 	a.reads++
 	h.Settled = true
 	for _, v := range a.versions {
 		h.Versions = append(h.Versions, roster.RecordedVersion{ServiceVersion: roster.ServiceVersion{Service: "pool", Version: v}})
 	}
+	a.mu.Unlock()
 	time.Sleep(a.delay)
 	return h, a.err == nil, a.err
 }
 
+// join adds a version, and readCount returns the number of calls of History.
+func (a *fakeArchive) join(version string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.versions = append(a.versions, version)
+}
+
+func (a *fakeArchive) readCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.reads
+}
+
 // newOriginsWithVersion returns an Origins without records, for which the service "pool" has a single version.
 func newOriginsWithVersion(archive OriginArchive, version string) *Origins {
 	o := NewOrigins()
@@ -100,7 +117,7 @@
 					go func() { c.Check(o.sourceOf(1, true), qt.Equals, origin.Single) }()
 					time.Sleep(50 * time.Millisecond)
 				}
-				c.Assert(archive.reads <= test.maxReadsIn10s, qt.IsTrue, qt.Commentf("%d reads", archive.reads))
+				c.Assert(archive.readCount() <= test.maxReadsIn10s, qt.IsTrue, qt.Commentf("%d reads", archive.readCount()))
 				time.Sleep(2 * time.Second)
 			})
 		})
@@ -116,7 +133,7 @@
 		sources := make(chan origin.Source, 100)
 		go func() { sources <- o.sourceOf(0, true) }()
 		time.Sleep(10 * time.Millisecond)
-		archive.versions = append(archive.versions, "v2")
+		archive.join("v2")
 		for i := range 99 {
 			go func() { sources <- o.sourceOf(origin.Stream(i), true) }()
 		}
@@ -124,7 +141,7 @@
 		for range 99 {
 			c.Assert(<-sources, qt.Equals, origin.Unknown)
 		}
-		c.Assert(archive.reads, qt.Equals, 2)
+		c.Assert(archive.readCount(), qt.Equals, 2)
 		time.Sleep(2 * time.Second)
 	})
 }
