--- /dev/null
+++ b/review/rig-2/alias.go
@@ -0,0 +1,8 @@
+package main
+
+import "net/http"
+
+type (
+	httpWriter  = http.ResponseWriter
+	httpRequest = http.Request
+)
