--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../rig-2/run-case.sh" crash "$(dirname "$0")"
+exec "$(dirname "$0")/../rig-2/run-case.sh" tenants "$(dirname "$0")"
