--- a/review/rig-2/case_crash.go
+++ b/review/rig-2/case_crash.go
@@ -57,7 +57,7 @@
 			}
 		}()
 	}
-	// The caller sends the request every 25 ms, to one router after the other.
+	// The caller sends the request every 15 ms, to one router after the other.
 	n := 0
 	repeat := func(times int) (retries int) {
 		for range times {
@@ -67,16 +67,16 @@
 			if len(b.runsOf(id)) > 0 {
 				retries++
 			}
-			time.Sleep(25 * time.Millisecond)
+			time.Sleep(15 * time.Millisecond)
 		}
 		return retries
 	}
-	before := repeat(120)
+	before := repeat(200)
 	b.note("%d times the request has crashed a worker before the disruption", before)
 	if before < 3 {
 		return "", fmt.Errorf("the request has crashed %d workers only", before)
 	}
-	if late := repeat(120); late > 0 {
+	if late := repeat(200); late > 0 {
 		return "", fmt.Errorf("the request reaches workers %d times before the disruption, later than contact_ms after the third crash", late)
 	}
 	if trouble {
@@ -100,7 +100,7 @@
 	time.Sleep(6 * time.Second)
 	ordinary.Store(0)
 	failed.Store(0)
-	after := repeat(120)
+	after := repeat(200)
 	close(stop)
 	load.Wait()
 	b.note("%d retries have reached workers after that; %d of %d requests of other callers have failed since", after, failed.Load(), ordinary.Load())
