--- a/review/rig-2/case_popular.go
+++ b/review/rig-2/case_popular.go
@@ -117,7 +117,7 @@
 		steady.Store(false)
 		for _, w := range lookup[:3] {
 			w.crash()
-			w.restartAfter(3 * time.Second)
+			w.restartAfter(2 * time.Second)
 		}
 	}
 	time.Sleep(8 * time.Second)
