fix: an empty list of client accounts requires API keys

Cause: Table.HasAccounts took an empty list for a missing one. DecodeConfig did not keep the difference, and the JSON between routers has no field for it.

Evidence: with the new fields of "configuration applied", version 8 is in effect with accounts 0.

Change: routes.Config.Keys says whether keys are required; only a missing field makes them optional. A router does not apply a configuration without accounts that a router of an earlier release sends, which cannot say so, and reads it from the store.

--- a/hornbeamd/edge/control.go
+++ b/hornbeamd/edge/control.go
@@ -49,7 +49,7 @@
 	// the store responds, and when storeFailureExpiry has passed.
 	storeFailedAt time.Time
 	// configAppliedAt is the time at which the active configuration was applied. configSource is
-	// "store" or the ID of the router from which the configuration was fetched.
+	// storeSource or the ID of the router from which the configuration was fetched.
 	configAppliedAt time.Time
 	configSource    string
 	// storeAvailable is true if the store responded to the latest call; false before the first
@@ -68,6 +68,10 @@
 	// foreignLoggedAt is when the count was last logged.
 	foreignMessages int
 	foreignLoggedAt time.Time
+	// unclearConfig is the newest version of the configuration that a router of an earlier release
+	// offered without the key policy; 0 if there is none. unclearAt is when one last did.
+	unclearConfig int64
+	unclearAt     time.Time
 	// isMixed is true while routers of several releases are in the fleet.
 	isMixed bool
 
@@ -219,7 +223,8 @@
 	if c.presence.LiveCount(now) > 0 || slices.Contains(c.seeds, c.self.Peer) {
 		delay = seedStartDelay
 	}
-	watch := now.Sub(c.started) >= delay && c.presence.MustWatchStore(now, c.storeContact, c.started, !c.storeFailedAt.IsZero())
+	watch := now.Sub(c.started) >= delay && c.presence.MustWatchStore(now, c.storeContact, c.started, !c.storeFailedAt.IsZero()) ||
+		c.isConfigUnclear()
 	if c.watching.Set(watch) {
 		c.log.Info("metadata store watch changed", zap.Bool("on_duty", watch), zap.Int("routers", c.presence.LiveCount(now)+1),
 			zap.Duration("own_contact", age(now, c.storeContact)))
@@ -392,11 +397,23 @@
 	}
 }
 
+// unclearRetryInterval is the time between two attempts to get a configuration from other routers
+// after one of an earlier release has sent it without the key policy. One of this release may get it.
+const unclearRetryInterval = time.Second
+
+// storeSource is the source of a configuration or a list that this router read from the store itself.
+const storeSource = "store"
+
 // applyConfig activates a configuration unless the active one is as new or newer.
 func (c *controlLoop) applyConfig(config routes.Config, from string) {
 	if t := c.gateway.Table(); t != nil && t.Version() >= config.Version {
 		return
 	}
+	required, known := config.RequiresKey()
+	if !known && from != storeSource {
+		c.readConfigFromStore(config.Version, from)
+		return
+	}
 	table, err := routes.New(config)
 	if err != nil {
 		c.log.Error("new configuration is invalid; the active one remains", zap.Error(err))
@@ -405,12 +422,33 @@
 	if c.gateway.SetTable(table) {
 		c.gateway.Permits.SetServices(config.Services)
 		c.configAppliedAt, c.configSource = time.Now(), from
-		c.log.Info("configuration applied", zap.Int64("config", config.Version), zap.Int("routes", table.RouteCount()), zap.String("from", from))
+		c.log.Info("configuration applied", zap.Int64("config", config.Version), zap.Int("routes", table.RouteCount()),
+			zap.Int("accounts", len(config.Accounts)), zap.Bool("requires_key", required), zap.String("from", from))
 		c.updateReadiness()
 		c.sendHeartbeat(time.Now())
 	}
 }
 
+// readConfigFromStore makes this router watch the store until it has a version of the configuration
+// itself. The router that offers the version runs an earlier release, which does not say whether an
+// empty list of client accounts is configured, or none.
+func (c *controlLoop) readConfigFromStore(version int64, from string) {
+	c.unclearAt = time.Now()
+	if version <= c.unclearConfig {
+		return
+	}
+	c.unclearConfig = version
+	c.log.Info("configuration of an earlier release does not say whether requests need a key; reading it from the store",
+		zap.Int64("config", version), zap.String("from", from))
+	c.updateWatching(c.unclearAt)
+}
+
+// isConfigUnclear reports whether a newer configuration is known that only the store can tell.
+func (c *controlLoop) isConfigUnclear() bool {
+	t := c.gateway.Table()
+	return c.unclearConfig > 0 && (t == nil || t.Version() < c.unclearConfig)
+}
+
 // updateReadiness releases the requests that wait in the gateway, once both the configuration and
 // the backend servers are known.
 func (c *controlLoop) updateReadiness() {
@@ -463,7 +501,7 @@
 		config = t.Version()
 	}
 	forConfig, forServers := c.presence.UpdateSources(now, config, c.roster.Revision())
-	if forConfig.ID != "" {
+	if forConfig.ID != "" && (!c.isConfigUnclear() || now.Sub(c.unclearAt) >= unclearRetryInterval) {
 		fetchFrom(ctx, c, configKind, forConfig, mesh.FetchConfig, c.applyConfig)
 	}
 	if forServers.ID != "" {
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -182,9 +182,9 @@
 		Store: e.store, IsFirstStart: e.settings.IsFirstStart, ApplyWithin: e.applyWithin(), Active: &c.watching, Log: e.Log.Named("source"),
 		OnSuccess:      func() { c.enqueue(c.storeAnswered) },
 		OnError:        func(err error) { c.enqueue(func() { c.storeFailed(err) }) },
-		OnConfig:       func(config routes.Config) { c.enqueue(func() { c.applyConfig(config, "store") }) },
-		OnServers:      func(r roster.Snapshot) { c.enqueue(func() { c.applyServers(r, "store") }) },
-		EvacuateWithin: e.settings.EvacuateTimeout, OnEvacuations: func(z evacuation.Zones) { c.enqueue(func() { c.applyEvacuations(z, "store") }) },
+		OnConfig:       func(config routes.Config) { c.enqueue(func() { c.applyConfig(config, storeSource) }) },
+		OnServers:      func(r roster.Snapshot) { c.enqueue(func() { c.applyServers(r, storeSource) }) },
+		EvacuateWithin: e.settings.EvacuateTimeout, OnEvacuations: func(z evacuation.Zones) { c.enqueue(func() { c.applyEvacuations(z, storeSource) }) },
 	}
 	go e.mesh.Run(ctx)
 	go c.run(ctx)
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -223,7 +223,7 @@
 	c.route = route
 	c.priority = route.Priority
 	var accountRegions []string
-	if !route.Public && c.table.HasAccounts() {
+	if !route.Public && c.table.RequiresKey() {
 		account, ok := c.table.Account(c.metadata.Key)
 		if !ok {
 			return &rejection{http.StatusUnauthorized, "unknown_key", 0}
--- a/routing/routes/routes.go
+++ b/routing/routes/routes.go
@@ -111,6 +111,20 @@
 	ColdRate float64
 }
 
+// KeyPolicy says whether requests on routes that are not public need an API key. It goes between
+// routers as a number.
+type KeyPolicy uint8
+
+const (
+	// KeysUnstated is the policy of a configuration from a release that did not send it. Keys are
+	// needed if there are accounts; without accounts the policy is unknown.
+	KeysUnstated KeyPolicy = iota
+	// KeysOptional means that no key is needed, because client accounts are not configured.
+	KeysOptional
+	// KeysRequired means that a key is needed, also if the list of client accounts is empty.
+	KeysRequired
+)
+
 // Account is a client account.
 type Account struct {
 	Name string
@@ -140,9 +154,19 @@
 	Routes   []Route
 	Services []Service
 	Accounts []Account
+	Keys     KeyPolicy
 	Limits   Limits
 }
 
+// RequiresKey reports whether requests on routes that are not public need an API key. known is false
+// if the configuration does not say so, because a router of an earlier release sent it.
+func (c Config) RequiresKey() (required, known bool) {
+	if c.Keys == KeysUnstated {
+		return len(c.Accounts) > 0, len(c.Accounts) > 0
+	}
+	return c.Keys == KeysRequired, true
+}
+
 // InvalidError reports an invalid configuration.
 type InvalidError struct {
 	Version int64
@@ -236,9 +260,11 @@
 // HostRegions returns the regions that all routes of a host allow.
 func (t *Table) HostRegions(host string) Regions { return t.regions[strings.ToLower(host)] }
 
-// HasAccounts reports whether client accounts are configured, so that requests need an API key
-// unless their route is public.
-func (t *Table) HasAccounts() bool { return len(t.config.Accounts) > 0 }
+// RequiresKey reports whether requests need an API key unless their route is public.
+func (t *Table) RequiresKey() bool {
+	required, _ := t.config.RequiresKey()
+	return required
+}
 
 // Account returns the client account to which an API key belongs.
 func (t *Table) Account(key string) (*Account, bool) {
