fix: reset the connection of an HTTP/1.0 client if its response breaks off

Clients with HTTP/1.0 saw a part of a large response, or of a stream, as all of it when the server broke off.

Cause: such a client gets neither a length nor chunks, so the regular end of the connection is the end of the response. http.ErrAbortHandler closes the connection without a reset.

Change: transport.AbortResponse resets the connection of a client with HTTP/1.0. Both data paths use it. A response that breaks off after its header was sent is logged with its error.

--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -9,6 +9,7 @@
 
 	"hornbeamstep.example/hornbeamd/exchange"
 	"hornbeamstep.example/policy"
+	"hornbeamstep.example/ports/transport"
 	"hornbeamstep.example/routing/outcome"
 	"hornbeamstep.example/timeline"
 )
@@ -62,7 +63,7 @@
 			c.respondError(e)
 		}
 		if c.abortConnection {
-			panic(http.ErrAbortHandler)
+			transport.AbortResponse(w, r)
 		}
 	}
 }
--- a/hornbeamd/edge/idle.go
+++ b/hornbeamd/edge/idle.go
@@ -55,6 +55,9 @@
 	idleSince atomic.Pointer[time.Time]
 }
 
+// NetConn returns the connection below, like that of tls.Conn.
+func (c *idleConn) NetConn() net.Conn { return c.Conn }
+
 // SetReadDeadline implements net.Conn. http.Server clears the deadline, by setting it to zero, when
 // it begins to wait for a request and when a request arrives. While the connection is idle,
 // clearing it sets the idle deadline instead.
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"hornbeamstep.example/ports/transport"
 	"hornbeamstep.example/routing/balance"
 	"hornbeamstep.example/routing/metadata"
 	"hornbeamstep.example/routing/routes"
@@ -254,7 +257,7 @@
 
 // abort closes the client's connection, so that a partial response does not appear complete. It
 // panics and never returns.
-func (c *clientRequest) abort() { panic(http.ErrAbortHandler) }
+func (c *clientRequest) abort() { transport.AbortResponse(c.w, c.r) }
 
 // bufferedResponse is a response, or its first part, that is held in memory.
 type bufferedResponse struct {
@@ -364,6 +367,8 @@
 			// The client, not the server, broke the connection.
 			outcome = balance.Abandoned
 		}
+		c.server.Log.Info("response broke off after its header was sent", zap.String("id", c.metadata.Attempt), zap.Int("try", a.number),
+			zap.String("server", a.choice.Server.ID), zap.Bool("client_left", client.err != nil), zap.Error(err))
 		// What has arrived is delivered; an error means that the client has left. The abort discards it otherwise.
 		_ = http.NewResponseController(c.w).Flush()
 		c.recordResult(response.Status, "broken")
