fix: a response without a length is whole only if its request was written

Callers saw a part of a response as a complete 200: a server answered a large upload at once without a length, sent a part of the body, and reset or closed the connection while the upload was still being written.

Cause: the kernel reports a reset once. The goroutine that writes the request got the error and dropped it; the one that reads got a regular end.

Evidence: TestResetIsReportedOnce shows both on plain sockets.

Change: transport.Conn is the connection below all HTTP clients of the router. It returns the end of a connection only once the request was written without an error. "attempt failed" has read_error.

Measured: tests of ports, hornbeamd/exchange, backend, gateway and platform/metastore pass.

--- a/hornbeamd/backend/backend.go
+++ b/hornbeamd/backend/backend.go
@@ -20,6 +20,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"hornbeamstep.example/ports/transport"
 	"hornbeamstep.example/routing/metadata"
 )
 
@@ -123,14 +124,14 @@
 	// connection is closed.
 	Framed bool
 
-	body    io.Reader
-	conn    *conn
-	pool    *Pool
-	request *Request
+	body     io.Reader
+	conn     *conn
+	pool     *Pool
+	request  *Request
+	exchange *transport.Exchange
 	// stopAbort stops the context from closing the connection. It returns false if the context is
 	// already done.
 	stopAbort func() bool
-	write     *requestWrite
 	readToEOF bool
 }
 
@@ -148,7 +149,7 @@
 // completely, no bytes follow the response, and the server keeps the connection open.
 func (r *Response) Close() {
 	notAborted := r.stopAbort()
-	reusable := notAborted && r.readToEOF && r.Framed && !r.Answer.Close && r.write.complete() && r.conn.reader.Buffered() == 0
+	reusable := notAborted && r.readToEOF && r.Framed && !r.Answer.Close && r.exchange.RequestWritten() && r.conn.reader.Buffered() == 0
 	if !reusable {
 		r.conn.close()
 		return
@@ -166,11 +167,12 @@
 	reused := c.used
 	c.used = true
 	stopAbort := context.AfterFunc(ctx, c.abort)
-	bytesBefore := c.bytesWritten.Load()
-	write := c.writeRequest(r)
+	bytesBefore := c.http.Written()
+	exchange := c.http.Begin()
+	c.writeRequest(r, exchange)
 	response, cause := c.readResponse(p.Codec, r, reused)
 	if cause == nil {
-		response.pool, response.request, response.stopAbort, response.write = p, r, stopAbort, write
+		response.pool, response.request, response.stopAbort, response.exchange = p, r, stopAbort, exchange
 		return response, nil
 	}
 	stopAbort()
@@ -185,15 +187,15 @@
 	case errors.Is(cause, errMismatchedResponse):
 		kind = Mismatched
 	}
-	return nil, &Error{Kind: kind, Sent: c.bytesWritten.Load() > bytesBefore, Reused: reused, Cause: cause}
+	return nil, &Error{Kind: kind, Sent: c.http.Written() > bytesBefore, Reused: reused, Cause: cause}
 }
 
 // conn is a connection to a backend server.
 type conn struct {
+	// Conn is the connection below http, which checks what is read.
 	net.Conn
+	http   *transport.Conn
 	reader *bufio.Reader
-	// bytesWritten counts the bytes that the operating system accepted.
-	bytesWritten atomic.Int64
 	// used is true if the connection has served a request.
 	used bool
 	// idleTime is how long the connection had been idle when it was taken from the pool.
@@ -214,23 +216,16 @@
 // Read implements io.Reader.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.headerBytes < 0 {
-		return c.Conn.Read(b)
+		return c.http.Read(b)
 	}
 	if c.headerBytes == 0 {
 		return 0, errHeaderTooLarge
 	}
-	n, err := c.Conn.Read(b[:min(len(b), c.headerBytes)])
+	n, err := c.http.Read(b[:min(len(b), c.headerBytes)])
 	c.headerBytes -= n
 	return n, err
 }
 
-// Write implements io.Writer.
-func (c *conn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytesWritten.Add(int64(n))
-	return n, err
-}
-
 func (c *conn) close() {
 	if c.closed.CompareAndSwap(false, true) {
 		// The connection is discarded, so an error while closing it does not matter.
@@ -243,15 +238,10 @@
 // response is no longer needed.
 func (c *conn) abort() { c.close() }
 
-// requestWrite tracks whether the whole request, including its body, was written without an error.
-type requestWrite struct{ finished atomic.Bool }
-
-func (w *requestWrite) complete() bool { return w.finished.Load() }
-
 // writeRequest sends a request, a large one in the background. It does not return write errors:
 // reading the response then fails, unless the server responded before it had read the whole
 // request.
-func (c *conn) writeRequest(r *Request) *requestWrite {
+func (c *conn) writeRequest(r *Request, exchange *transport.Exchange) {
 	var header bytes.Buffer
 	fmt.Fprintf(&header, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
 	// The header names come from a parsed request and cannot contain line breaks. Writing to a
@@ -261,21 +251,19 @@
 		header.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	header.WriteString("\r\n")
-	write := &requestWrite{}
 	if len(r.Body) <= maxInlineBodyBytes {
 		header.Write(r.Body)
-		_, err := c.Write(header.Bytes())
-		write.finished.Store(err == nil)
-		return write
+		_, err := c.http.Write(header.Bytes())
+		exchange.EndRequest(err)
+		return
 	}
 	go func() {
-		if _, err := c.Write(header.Bytes()); err != nil {
-			return
+		_, err := c.http.Write(header.Bytes())
+		if err == nil {
+			_, err = c.http.Write(r.Body)
 		}
-		_, err := c.Write(r.Body)
-		write.finished.Store(err == nil)
+		exchange.EndRequest(err)
 	}()
-	return write
 }
 
 // readResponse returns the response to a request. It skips responses with the attempt ID of another
--- a/hornbeamd/backend/pool.go
+++ b/hornbeamd/backend/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"hornbeamstep.example/ports/transport"
 )
 
 // Timeouts and sizes of a Pool.
@@ -91,7 +93,7 @@
 		return nil, &Error{Kind: kind, Cause: err}
 	}
 	address := r.Address
-	c := &conn{Conn: netConn, headerBytes: -1, release: func() { p.releaseSlot(address) }}
+	c := &conn{Conn: netConn, http: transport.NewConn(netConn), headerBytes: -1, release: func() { p.releaseSlot(address) }}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
--- a/hornbeamd/exchange/exchange.go
+++ b/hornbeamd/exchange/exchange.go
@@ -83,15 +83,8 @@
 // newTransport returns a transport that uses HTTP/1.1 only. With HTTP/1.1 a cancelled exchange
 // closes its connection, so that a late response cannot be read as the response to another request.
 func newTransport(o Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: conn}, nil
-		},
+		DialContext:            transport.Dial(&net.Dialer{Timeout: o.DialTimeout}),
 		DisableCompression:     true,
 		MaxIdleConns:           o.MaxIdleConns,
 		MaxIdleConnsPerHost:    o.MaxIdleConns,
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -57,8 +57,9 @@
 	// answered is true if the server has begun to answer: it has sent an event of a stream, or a
 	// complete success.
 	answered bool
-	// err is the error of an attempt that failed before a response arrived.
-	err error
+	// err is the error of an attempt that failed before a response arrived, and readErr that of reading
+	// the body of one.
+	err, readErr error
 	// response is nil until a response has arrived that can be relayed.
 	response *backend.Response
 	// reader reads the events of a stream. read is what a standby has read of the response.
@@ -355,7 +356,8 @@
 		zap.String("version", a.version()), zap.String("resumes", c.metadata.Resumes), zap.Stringer("ending", outcome), zap.String("reason", string(a.choice.Reason)), zap.Bool("brittle", a.choice.IsBrittle), zap.Int("load", a.choice.Load),
 		zap.Float64("mean", a.choice.Mean), zap.Duration("reports_age", a.choice.reportsAge), zap.Bool("may_have_run", result == attemptMayHaveRun),
 		zap.Bool("standby", a.isStandby), zap.Bool("given_up", errors.Is(context.Cause(a.ctx), errReplaced)), zap.Int("events", a.events),
-		zap.Duration("silent", now.Sub(a.lastData)), zap.Duration("took", now.Sub(a.startedAt)), zap.Error(a.err))
+		zap.Duration("silent", now.Sub(a.lastData)), zap.Duration("took", now.Sub(a.startedAt)), zap.Error(a.err),
+		zap.NamedError("read_error", a.readErr))
 }
 
 // recordCapacity records what the attempt shows of the room that the servers of its service have. The
@@ -487,6 +489,7 @@
 	case err == nil && !isWhole:
 		err = errFailureTooLarge
 	}
+	a.readErr = err
 	return &bufferedResponse{a.response.Status, a.response.Header, body, isWhole}, err
 }
 
@@ -531,6 +534,7 @@
 	if !a.held.pin() {
 		err = errRevoked
 	}
+	a.readErr = err
 	if err == nil {
 		a.recordAnswer()
 		if !a.viaPeer {
--- a/hornbeamd/inspect/inspect.go
+++ b/hornbeamd/inspect/inspect.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -164,4 +165,6 @@
 }
 
 // service returns the HTTP client for reports.
-func service() httpc.Service { return transport.New("inspect", http.DefaultClient) }
+func service() httpc.Service {
+	return transport.New("inspect", &http.Client{Transport: &http.Transport{DialContext: transport.Dial(&net.Dialer{}), DisableKeepAlives: true}})
+}
--- a/hornbeamd/operator/client.go
+++ b/hornbeamd/operator/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -33,6 +34,7 @@
 func NewClient(address string, files settings.TLS, timeout time.Duration) (*Client, error) {
 	httpTransport := http.DefaultTransport.(*http.Transport).Clone()
 	httpTransport.Proxy = nil
+	httpTransport.DialContext = transport.Dial(&net.Dialer{})
 	scheme := "http"
 	if files != (settings.TLS{}) {
 		config, err := readTLS(files)
--- a/ports/instancelist/instancelist.go
+++ b/ports/instancelist/instancelist.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -81,7 +82,7 @@
 // init sets the defaults of unset fields and creates the service.
 func (h *HTTP) init() {
 	if h.Client == nil {
-		h.Client = &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: transport.MaxHeaderBytes}}
+		h.Client = &http.Client{Transport: &http.Transport{DialContext: transport.Dial(&net.Dialer{}), IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: transport.MaxHeaderBytes}}
 	}
 	if h.Timeout == 0 {
 		h.Timeout = DefaultTimeout
--- a/ports/objectapi/http.go
+++ b/ports/objectapi/http.go
@@ -229,7 +229,7 @@
 func (h *HTTP) init() {
 	if h.Client == nil {
 		h.Client = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: transport.MaxHeaderBytes,
+			DialContext: transport.Dial(&net.Dialer{}), MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: transport.MaxHeaderBytes,
 		}}
 	}
 	if h.Timeout == 0 {
--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -14,7 +14,7 @@
 // of short fields takes up several times its size in memory.
 const MaxHeaderBytes = 64 << 10
 
-// ErrNoFinalStatus is returned for a response whose status is below 200. net/http returns it for
+// ErrNoFinalStatus is returned for a response whose status is not final. net/http returns it for
 // status 101 and for invalid statuses.
 var ErrNoFinalStatus = errors.New("the response has no final status")
 
@@ -24,24 +24,25 @@
 func New(name string, client *http.Client) httpc.Service {
 	breaker.NoBreakerFor(name)
 	checked := *client
-	checked.Transport = finalStatus{next: client.Transport}
+	checked.Transport = checkedResponses{next: client.Transport}
 	return httpc.NewServiceWithClient(name, &checked)
 }
 
-// finalStatus returns ErrNoFinalStatus in place of a response without a final status. After status
-// 101 the body is the connection itself, and no deadline of the request applies to it.
-type finalStatus struct {
+// checkedResponses returns ErrNoFinalStatus in place of a response without a final status. After status
+// 101 the body is the connection itself, and no deadline of the request applies to it. Connections of
+// type *Conn check more.
+type checkedResponses struct {
 	// next is http.DefaultTransport if it is nil.
 	next http.RoundTripper
 }
 
 // RoundTrip implements http.RoundTripper.
-func (f finalStatus) RoundTrip(r *http.Request) (*http.Response, error) {
-	next := f.next
+func (c checkedResponses) RoundTrip(r *http.Request) (*http.Response, error) {
+	next := c.next
 	if next == nil {
 		next = http.DefaultTransport
 	}
-	resp, err := next.RoundTrip(r)
+	resp, err := next.RoundTrip(traced(r))
 	if err == nil && resp.StatusCode < http.StatusOK {
 		_ = resp.Body.Close()
 		return nil, ErrNoFinalStatus
--- a/ports/weightstore/weightstore.go
+++ b/ports/weightstore/weightstore.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -119,7 +120,7 @@
 // init sets the defaults of unset fields.
 func (h *HTTP) init() {
 	if h.Client == nil {
-		h.Client = &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: transport.MaxHeaderBytes}}
+		h.Client = &http.Client{Transport: &http.Transport{DialContext: transport.Dial(&net.Dialer{}), IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: transport.MaxHeaderBytes}}
 	}
 	if h.Timeout == 0 {
 		h.Timeout = DefaultTimeout
