fix: reject responses whose head is not valid or has two readings

Callers saw a body that was not the server's (nine bytes for "ok"), lines of a head with a blank in the name, and status 700.

Cause: the parser of net/http, which all readers use, keeps names with blanks, joins continued lines, drops Transfer-Encoding of HTTP/1.0 responses and takes any three digits for a status. So the length of a body can be hidden. What is valid was said nowhere.

Change: ports/transport/head.go says which head is one. transport.Conn applies it to the bytes as they arrive, on the connections of all HTTP clients. A response that fails it is a broken one.

--- a/hornbeamd/backend/backend.go
+++ b/hornbeamd/backend/backend.go
@@ -170,7 +170,7 @@
 	bytesBefore := c.http.Written()
 	exchange := c.http.Begin()
 	c.writeRequest(r, exchange)
-	response, cause := c.readResponse(p.Codec, r, reused)
+	response, cause := c.readResponse(p.Codec, r, reused, exchange)
 	if cause == nil {
 		response.pool, response.request, response.stopAbort, response.exchange = p, r, stopAbort, exchange
 		return response, nil
@@ -269,8 +269,13 @@
 // readResponse returns the response to a request. It skips responses with the attempt ID of another
 // request, which are late responses to earlier requests on the connection. A rejection without an ID may
 // be one too if there were earlier requests, and does not show that this one has not run.
-func (c *conn) readResponse(codec Codec, r *Request, reused bool) (*Response, error) {
+func (c *conn) readResponse(codec Codec, r *Request, reused bool, exchange *transport.Exchange) (*Response, error) {
 	for range maxSkippedResponses + 1 {
+		// All that is buffered follows the response that was skipped. Peeking at it does not fail.
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		if err := exchange.ExpectHead(buffered); err != nil {
+			return nil, err
+		}
 		httpResponse, err := c.readFinalResponse(r) //nolint:bodyclose // the body reads from the connection, which Response.Close handles
 		if err != nil {
 			return nil, err
--- a/ports/transport/conn.go
+++ b/ports/transport/conn.go
@@ -22,7 +22,8 @@
 // whole request was written. It wraps io.ErrUnexpectedEOF.
 var ErrRequestUnfinished = fmt.Errorf("the connection ended before the request was written: %w", io.ErrUnexpectedEOF)
 
-// Conn is a client's connection to an HTTP/1.1 server. It counts the bytes written.
+// Conn is a client's connection to an HTTP/1.1 server. It checks the head of each response, and counts
+// the bytes written.
 //
 // The kernel reports that a connection was reset only once, to a write or to a read. If a write gets
 // the error, the next read gets io.EOF, and a response that ends with the connection looks complete. A
@@ -64,13 +65,17 @@
 	return n, err
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns a *HeadError for the head of a response that is not valid, or
+// ErrNoFinalStatus.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	x := c.current.Load()
 	if x == nil {
 		return n, err
 	}
+	if headErr := x.head.check(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	if errors.Is(err, io.EOF) && !c.isRequestWritten(x) {
 		err = ErrRequestUnfinished
 	}
@@ -96,7 +101,8 @@
 	return !c.writeFailed && x.err == nil
 }
 
-// Begin starts an exchange. No other exchange must be in progress.
+// Begin starts an exchange: the bytes that Read returns from now on begin with the head of a response.
+// No other exchange must be in progress.
 func (c *Conn) Begin() *Exchange {
 	x := &Exchange{ended: make(chan struct{})}
 	c.current.Store(x)
@@ -105,6 +111,8 @@
 
 // Exchange is one request on a Conn and its response.
 type Exchange struct {
+	// head is used only by the goroutine that reads.
+	head headChecker
 	once sync.Once
 	// ended is closed when the request was written, or when that failed. err may be read afterwards.
 	ended chan struct{}
@@ -129,6 +137,13 @@
 	}
 }
 
+// ExpectHead makes the next bytes count as the head of a further response to the same request.
+// buffered holds those of them that Read has returned already.
+func (x *Exchange) ExpectHead(buffered []byte) error {
+	x.head = headChecker{}
+	return x.head.check(buffered)
+}
+
 // exchangeTrace begins an exchange on each connection that net/http uses for a request. There are
 // several if net/http sends the request again.
 type exchangeTrace struct {
--- a/ports/transport/transport.go
+++ b/ports/transport/transport.go
@@ -43,7 +43,7 @@
 		next = http.DefaultTransport
 	}
 	resp, err := next.RoundTrip(traced(r))
-	if err == nil && resp.StatusCode < http.StatusOK {
+	if err == nil && !IsFinalStatus(resp.StatusCode) {
 		_ = resp.Body.Close()
 		return nil, ErrNoFinalStatus
 	}
