fix: bound connections and the memory of requests over all clients

Callers saw the router end, since clients that keep to no limits made it run out of memory.

Cause: each request is bounded, their sum is not. Bodies are read whole, net/http parses heads before any limit of ours sees them and takes 60 to 110 bytes for a line of four, and nothing bounds how many connections are open.

Change: hornbeamd/clientconn bounds the connections of all HTTP listeners and charges heads and bodies to one memory.Account, which is the former read budget of the gateway.

--- a/hornbeambench/standin/requestpath/fixture_test.go
+++ b/hornbeambench/standin/requestpath/fixture_test.go
@@ -181,6 +181,9 @@
 	c.Assert(err, qt.IsNil)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
+	if options.Guard != nil {
+		listener = options.Guard.Listener(listener, false)
+	}
 	go router.Serve(listener)
 	t.Cleanup(func() { router.Close() })
 	f.router, f.url = router, "http://"+listener.Addr().String()
--- a/hornbeambench/standin/requestpath/limit_test.go
+++ b/hornbeambench/standin/requestpath/limit_test.go
@@ -11,10 +11,13 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
 
 	"hornbeamstep.example/hornbeambench/standin/modelengine"
 	"hornbeamstep.example/hornbeambench/standin/plainservice"
 	"hornbeamstep.example/hornbeamd/caller"
+	"hornbeamstep.example/hornbeamd/clientconn"
+	"hornbeamstep.example/hornbeamd/memory"
 )
 
 // Guards against invalid requests that reach a backend server, that get a response without the
@@ -116,8 +119,12 @@
 // memory that remains reserved after its request has ended.
 func TestBodyMemoryLimit(t *testing.T) {
 	c := qt.New(t)
-	body := chatBody(prompt, true)
-	f := newFixture(t, func(o *caller.Options, _ *modelengine.Config) { o.MaxBodyMemory = len(body) })
+	// Small bodies are not counted.
+	body := chatBody(prompt, true) + strings.Repeat(" ", 8*memory.Uncounted)
+	f := newFixture(t, func(o *caller.Options, _ *modelengine.Config) {
+		// There is room for the head and the body of one request, but not of two.
+		o.Guard = &clientconn.Guard{MaxConns: 10, Account: memory.New(len(body) + 6*memory.Uncounted), Log: zap.NewNop()}
+	})
 	f.engines[0].SetFault(modelengine.Fault{Kind: modelengine.Hang})
 	first := make(chan received)
 	go func() { first <- send(f.request("POST", "/v1/chat/completions", body)) }()
--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -40,8 +40,6 @@
 	// abortConnection is true if the response was truncated after its header was sent. The
 	// connection is then closed, since the caller cannot detect the truncation otherwise.
 	abortConnection bool
-	// reservedBytes is the number of bytes reserved in Server.bodyBudget.
-	reservedBytes int64
 	// recorder records the response to a request with an idempotency key, so that it can be stored
 	// with the claim.
 	recorder responseRecorder
@@ -55,7 +53,6 @@
 			server: s, w: w, r: r, controller: http.NewResponseController(w),
 			id: rand.Text(), kind: "other", started: time.Now(), combinedOutcome: outcome.NotRun,
 		}
-		defer func() { s.bodyBudget.release(c.reservedBytes) }()
 		w.Header().Set("Request-Id", c.id)
 		e := serve(c)
 		c.countRequest(e)
--- a/hornbeamd/caller/parse.go
+++ b/hornbeamd/caller/parse.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"hornbeamstep.example/hornbeamd/clientconn"
+	"hornbeamstep.example/hornbeamd/memory"
 	"hornbeamstep.example/routing/outcome"
 	"hornbeamstep.example/routing/quarantine"
 )
@@ -214,26 +216,19 @@
 	return hex.EncodeToString(hash.Sum(nil)[:16])
 }
 
-// readBody reads the request body. It reserves the size of the body in Server.bodyBudget, and fails
-// if the body exceeds Options.MaxBodyBytes or does not arrive within Options.ReadTimeout.
+// readBody reads the request body. It fails if the body exceeds Options.MaxBodyBytes, if it does not arrive
+// within Options.ReadTimeout, or if requests of other callers hold the memory for requests. Afterwards, the
+// request is not given up for want of memory any more.
 func (c *call) readBody() ([]byte, error) {
 	limit := c.server.options.MaxBodyBytes
 	if c.r.ContentLength > int64(limit) {
 		return nil, errTooLarge("body", limit)
 	}
-	expected := c.r.ContentLength
-	if expected < 0 {
-		// The length is unknown with chunked transfer encoding.
-		expected = int64(limit)
-	}
-	if !c.server.bodyBudget.reserve(expected) {
-		return nil, errOverloaded("the router holds too many bytes of requests in progress")
-	}
-	c.reservedBytes = expected
+	conn := clientconn.FromContext(c.r.Context())
 	// The error is ignored, since not every connection supports deadlines. The size of the body is
 	// limited in any case.
 	_ = c.controller.SetReadDeadline(time.Now().Add(c.server.options.ReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(limit)))
+	body, isWhole, err := memory.ReadUpTo(http.MaxBytesReader(c.w, c.r.Body, int64(limit)), limit+1, c.r.ContentLength, conn.GrowBody)
 	// Clears the deadline, since net/http detects a disconnected caller by reading from the
 	// connection.
 	_ = c.controller.SetReadDeadline(time.Time{})
@@ -241,6 +236,9 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, errTooLarge("body", limit)
+	case conn.IsRevoked(), err == nil && !isWhole, err == nil && !conn.Keep():
+		c.w.Header().Set("Connection", "close")
+		return nil, errOverloaded("the router holds too many bytes of requests in progress")
 	case err != nil:
 		c.w.Header().Set("Connection", "close")
 		e := newRefusal(outcome.BadRequest, http.StatusRequestTimeout,
@@ -248,8 +246,6 @@
 		e.Cause = err
 		return nil, e
 	}
-	c.server.bodyBudget.release(expected - int64(len(body)))
-	c.reservedBytes = int64(len(body))
 	return body, nil
 }
 
--- a/hornbeamd/caller/server.go
+++ b/hornbeamd/caller/server.go
@@ -15,6 +15,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"go.uber.org/zap"
 
+	"hornbeamstep.example/hornbeamd/clientconn"
 	"hornbeamstep.example/hornbeamd/engine"
 	"hornbeamstep.example/hornbeamd/service"
 )
@@ -30,9 +31,9 @@
 	// MaxBodyBytes and MaxHeaderBytes are the maximum sizes of a request's body and header in
 	// bytes. Defaults: 4 MiB and 32 KiB.
 	MaxBodyBytes, MaxHeaderBytes int
-	// MaxBodyMemory is the maximum total size of the request bodies in memory, in bytes. Default:
-	// 256 MiB.
-	MaxBodyMemory int
+	// Guard limits the connections of callers and the memory of their requests. The listener passed to
+	// Serve must be one of it; otherwise nothing is limited. Default: one for the machine's limits.
+	Guard *clientconn.Guard
 	// MaxBufferedCompletion is the maximum total size, in bytes, of the stream chunks from which a
 	// chat completion that is not streamed is assembled. Default: 4 MiB.
 	MaxBufferedCompletion int
@@ -69,7 +70,6 @@
 func (o Options) withDefaults() Options {
 	o.MaxBodyBytes = orDefault(o.MaxBodyBytes, 4<<20)
 	o.MaxHeaderBytes = orDefault(o.MaxHeaderBytes, 32<<10)
-	o.MaxBodyMemory = orDefault(o.MaxBodyMemory, 256<<20)
 	o.MaxBufferedCompletion = orDefault(o.MaxBufferedCompletion, 4<<20)
 	o.ServiceResponseBuffer = orDefault(o.ServiceResponseBuffer, 256<<10)
 	o.MaxStoredResponse = orDefault(o.MaxStoredResponse, 2048)
@@ -92,6 +92,9 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
+	if o.Guard == nil {
+		o.Guard = clientconn.New(clientconn.Limits{}, o.Log)
+	}
 	return o
 }
 
@@ -109,7 +112,6 @@
 	dispatcher Dispatcher
 	http       *http.Server
 	gate       *gate
-	bodyBudget *bodyBudget
 	metrics    *metrics
 	engines    *clientCache[*engine.HTTPClient]
 	services   *clientCache[*service.Client]
@@ -126,7 +128,7 @@
 		return nil, eris.New("the server for callers needs a dispatcher: set Options.Dispatcher")
 	}
 	o = o.withDefaults()
-	s := &Server{options: o, dispatcher: o.Dispatcher, gate: newGate(o.MaxRequests), bodyBudget: newBodyBudget(o.MaxBodyMemory)}
+	s := &Server{options: o, dispatcher: o.Dispatcher, gate: newGate(o.MaxRequests)}
 	s.requestsEnded, s.endRequests = context.WithCancel(context.Background())
 	s.metrics = newMetrics(o.Registry)
 	s.engines = newClientCache(func(name, address string) *engine.HTTPClient { return engine.New(name, address, o.Engine) })
@@ -148,6 +150,7 @@
 		IdleTimeout:       2 * time.Minute,
 		ConnState:         s.connState,
 	}
+	o.Guard.Watch(s.http)
 	return s, nil
 }
 
--- a/hornbeamd/daemon/daemon.go
+++ b/hornbeamd/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"hornbeamstep.example/coord/reconcile"
 	"hornbeamstep.example/coord/sleep"
 	"hornbeamstep.example/hornbeamd/caller"
+	"hornbeamstep.example/hornbeamd/clientconn"
 	"hornbeamstep.example/hornbeamd/control"
 	"hornbeamstep.example/hornbeamd/engine"
 	"hornbeamstep.example/hornbeamd/exchange"
@@ -55,6 +56,7 @@
 	server       *caller.Server
 	operator     *operator.Server
 	listener     net.Listener
+	guard        *clientconn.Guard
 	// certificate is the TLS certificate presented to callers; nil without TLS.
 	certificate *caller.Certificate
 	// orders are the most recent orders that this daemon sent to engines, oldest first; at most
@@ -78,10 +80,14 @@
 		d.Log = zap.NewNop()
 	}
 	d.Log = d.Log.With(zap.String("daemon", d.Settings.ID))
-	listener, err := net.Listen("tcp", d.Settings.Caller.Listen)
+	limits := clientconn.Limits{MemoryBytes: d.Settings.Limits.Memory << 20, Descriptors: d.Settings.Limits.Descriptors}.WithDefaults()
+	limits.Apply()
+	d.guard = clientconn.New(limits, d.Log)
+	tcp, err := net.Listen("tcp", d.Settings.Caller.Listen)
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen for callers on %s: free the port or configure another one", d.Settings.Caller.Listen)
 	}
+	listener := d.guard.Listener(tcp, d.Settings.Caller.TLS.Cert != "")
 	d.listener = listener
 	if tls := d.Settings.Caller.TLS; tls.Cert != "" {
 		if d.certificate, err = caller.LoadCertificate(tls.Cert, tls.Key); err != nil {
@@ -95,6 +101,7 @@
 	}
 	d.registry = prometheus.NewRegistry()
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.registry.MustRegister(d.guard.Metrics()...)
 	d.ring = timeline.NewRing(d.Settings.ID, 0, nil)
 	d.openPlatform()
 	if err := d.openPeers(); err != nil {
@@ -178,7 +185,7 @@
 	// A plain service has no tokens. The timeout before the first token limits the wait for its
 	// response header and for each read of the body, while another replica can take the call over.
 	server, err := caller.New(caller.Options{
-		Dispatcher: gatedDispatcher{Loop: d.loop, sharedState: d.sharedState}, Registry: d.registry, Log: d.Log,
+		Dispatcher: gatedDispatcher{Loop: d.loop, sharedState: d.sharedState}, Registry: d.registry, Log: d.Log, Guard: d.guard,
 		MaxBodyBytes: int(s.Caller.Body), MaxRequests: s.Caller.Connections, MaxConnections: 2 * s.Caller.Connections,
 		HeartbeatInterval: s.Caller.Heartbeat, WriteTimeout: s.Caller.Write, RouteTTL: s.Caller.Lifetime, MaxStoredResponse: claim.MaxAnswerBytes,
 		Engine: engine.Options{
@@ -193,6 +200,7 @@
 func (d *Daemon) openOperators() error {
 	d.operator = &operator.Server{
 		Fleet: &fleet{daemon: d}, Settings: d.Settings.Operator, Log: d.Log, Metrics: d.registry,
+		Guard: d.guard,
 	}
 	return d.operator.Open()
 }
--- a/hornbeamd/edge/accounts_test.go
+++ b/hornbeamd/edge/accounts_test.go
@@ -1,7 +1,6 @@
 package edge_test
 
 import (
-	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -9,33 +8,24 @@
 	"hornbeamstep.example/platform/standin"
 )
 
-// withTenants replaces the client accounts of a configuration; empty removes the field.
-func withTenants(config, tenants string) string {
-	before, _, _ := strings.Cut(config, `,"tenants":`)
-	if tenants != "" {
-		before += `,"tenants":` + tenants
-	}
-	return before + "}"
-}
-
 // Guards against requests with any key that run once the last client account was removed, at routers that
 // read the configuration from the store, that get it from other routers, or that have just started.
 func TestLastAccountRemoved(t *testing.T) {
 	for name, test := range map[string]struct {
-		tenants string
+		accounts string
 		// status is that of requests without a valid key.
 		status int
 	}{
-		"empty list":           {`[]`, 401},
-		"null":                 {`null`, 401},
-		"account without keys": {`[{"name":"clerks","api_keys":[]}]`, 401},
-		"no accounts at all":   {``, 200},
+		"empty list":           {standin.EmptyAccounts, 401},
+		"null":                 {standin.NullAccounts, 401},
+		"account without keys": {standin.KeylessAccount, 401},
+		"no accounts at all":   {standin.NoAccounts, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			p := newTestPlatform(c, 3)
 			p.store.Refuse(p.ips[0], p.ips[1])
-			p.store.Put("config", "main", withTenants(standin.Config(9, "key"), test.tenants))
+			p.store.Put("config", "main", standin.ConfigWithAccounts(9, test.accounts))
 			status := func(router int, key string) int {
 				return p.sendRequest(standin.Request{Address: p.frontAddr(router), Path: "/once/x", Key: key}).Status
 			}
--- a/hornbeamd/edge/edge.go
+++ b/hornbeamd/edge/edge.go
@@ -20,6 +20,7 @@
 
 	"hornbeamstep.example/coord/presence"
 	"hornbeamstep.example/hornbeamd/backend"
+	"hornbeamstep.example/hornbeamd/clientconn"
 	"hornbeamstep.example/hornbeamd/gateway"
 	"hornbeamstep.example/hornbeamd/mesh"
 	"hornbeamstep.example/hornbeamd/shutdown"
@@ -50,6 +51,7 @@
 	store    *metastore.Client
 	mesh     *mesh.Node
 	archive  *archive
+	guard    *clientconn.Guard
 	// seeds holds the seeds of the settings file, as it was last read.
 	seeds atomic.Pointer[[]string]
 }
@@ -89,6 +91,10 @@
 	shutdown.SetDrainTimeout(settings.GracePeriod)
 	e.Log = e.Log.With(zap.String("router", settings.Name))
 	e.registry = prometheus.NewRegistry()
+	limits := clientconn.Limits{MemoryBytes: int64(settings.MemoryMB * (1 << 20)), Descriptors: settings.MaxDescriptors}.WithDefaults()
+	limits.Apply()
+	e.guard = clientconn.New(limits, e.Log.Named("clients"))
+	e.registry.MustRegister(e.guard.Metrics()...)
 	e.build()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -352,6 +358,8 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "listen on %s; check that no other process uses the port", addresses[i])
 		}
+		e.guard.Watch(server)
+		listener = e.guard.Listener(listener, false)
 		if server == front {
 			listener = withIdleLimit(front, listener, e.gateway)
 		}
--- a/hornbeamd/edge/edge_test.go
+++ b/hornbeamd/edge/edge_test.go
@@ -70,6 +70,9 @@
 	// attempt is the number of requests sent so far. The attempt ID of a request is its number.
 	attempt int
 	mu      sync.Mutex
+	// memoryMB and maxFDs are limits of routers that are started from now on; see
+	// standin.RouterSettings.
+	memoryMB, maxFDs int
 	// output receives the logs of the routers; optional.
 	output io.Writer
 }
@@ -89,9 +92,15 @@
 
 // newTestPlatformWithOutput also copies the logs of the routers to output, unless it is nil.
 func newTestPlatformWithOutput(c *qt.C, routers int, output io.Writer) *testPlatform {
-	p := &testPlatform{c: c, store: standin.NewStore(), servers: map[string]*standin.Server{}, output: output}
+	return newTestPlatformWith(c, routers, func(p *testPlatform) { p.output = output })
+}
+
+// newTestPlatformWith calls adjust before it starts the routers.
+func newTestPlatformWith(c *qt.C, routers int, adjust func(*testPlatform)) *testPlatform {
+	p := &testPlatform{c: c, store: standin.NewStore(), servers: map[string]*standin.Server{}}
 	c.Cleanup(p.store.CloseClientConnections)
 	p.store.Put("config", "main", standin.Config(3, "key", "revoked"))
+	adjust(p)
 	for i, service := range []string{"plain", "plain", "pool", "pool"} {
 		s := standin.NewServer(fmt.Sprintf("%s-%d", service, i), service)
 		c.Cleanup(s.CloseClientConnections)
@@ -143,7 +152,7 @@
 	path := filepath.Join(p.c.TempDir(), "settings.conf")
 	settings := standin.RouterSettings{
 		Name: fmt.Sprint("router-", i), IP: p.ips[i], Zone: "z1", Store: p.store.AddressFor(p.ips[i]), Ports: p.ports, Seeds: seeds,
-		Grace: p.grace,
+		Grace: p.grace, MemoryMB: p.memoryMB, MaxFDs: p.maxFDs,
 	}
 	p.c.Assert(os.WriteFile(path, []byte(settings.FileContent()), 0o600), qt.IsNil)
 	process := exec.Command(os.Args[0])
--- a/hornbeamd/edge/idle.go
+++ b/hornbeamd/edge/idle.go
@@ -17,7 +17,11 @@
 // the start of the next request, so that the server does not close a connection while it serves a
 // request.
 func withIdleLimit(s *http.Server, l net.Listener, g *gateway.Server) net.Listener {
+	next := s.ConnState
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
+		if next != nil {
+			next(conn, state)
+		}
 		c, ok := conn.(*idleConn)
 		switch {
 		case !ok:
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"mime"
 	"net/http"
 	"slices"
@@ -15,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"hornbeamstep.example/hornbeamd/backend"
+	"hornbeamstep.example/hornbeamd/memory"
 	"hornbeamstep.example/routing/balance"
 	"hornbeamstep.example/routing/metadata"
 	"hornbeamstep.example/routing/quarantine"
@@ -66,7 +66,7 @@
 	reader *bufio.Reader
 	read   *readResult
 	// held is the memory of the event or the response that the attempt holds.
-	held reservation
+	held memory.Reservation
 	// events is the number of events received, and lastData the time of the latest one, or of the
 	// start of the attempt.
 	events   int
@@ -95,7 +95,10 @@
 
 var (
 	// errReplaced is the cancellation cause of an attempt that a standby has replaced.
-	errReplaced        = eris.New("a standby attempt has replaced this attempt at a silent backend server")
+	errReplaced = eris.New("a standby attempt has replaced this attempt at a silent backend server")
+	// errRevoked is the cancellation cause of an attempt whose event must make room for a smaller one.
+	errRevoked         = eris.New("events of other requests need the memory that the event takes")
+	errNoReadBudget    = eris.New("events of other requests take the memory for events")
 	errFailureTooLarge = eris.New("failure response exceeds the size limit")
 	// errNotNeeded is the cancellation cause of a standby that the request no longer needs.
 	errNotNeeded = eris.New("the response arrived from another backend server")
@@ -225,7 +228,7 @@
 // client.
 func (c *clientRequest) tryServer(a *attempt) attemptResult {
 	defer a.cancel(nil)
-	defer a.held.release()
+	defer a.held.Release()
 	a.timer = c.newProgressTimer(a)
 	defer a.timer.stop()
 	defer c.server.Upstreams.removeStream(&a.timer.stream)
@@ -317,7 +320,7 @@
 // end records the end of the attempt.
 func (a *attempt) end(outcome balance.Outcome, result attemptResult) {
 	c, now := a.request, time.Now()
-	a.held.release()
+	a.held.Release()
 	a.recordEnd(now, outcome, now.Sub(a.startedAt))
 	a.recordCapacity(now, outcome)
 	a.suspectCold(now, outcome)
@@ -481,8 +484,8 @@
 	if a.read != nil {
 		return a.read.buffered, a.read.err
 	}
-	a.held.budget = a.request.server.bodyBudget
-	body, isWhole, err := readUpTo(a.response, maxBufferedBytes+1, a.response.ContentLength, &a.held)
+	a.held.Account = a.request.server.bodyBudget
+	body, isWhole, err := memory.ReadUpTo(a.response, maxBufferedBytes+1, a.response.ContentLength, a.held.Grow)
 	switch isSuccess := a.response.Status/100 == 2; {
 	case err == nil && isSuccess:
 		a.recordAnswer()
@@ -493,32 +496,6 @@
 	return &bufferedResponse{a.response.Status, a.response.Header, body, isWhole}, err
 }
 
-// readUpTo reads at most limit bytes, as far as held grows. isWhole is true if that is all. length is
-// the length that the sender states, negative if unknown.
-func readUpTo(reader io.Reader, limit int, length int64, held *reservation) (body []byte, isWhole bool, err error) {
-	if length >= 0 && length < int64(limit) {
-		// One more byte, because the end may come after the last byte.
-		limit = int(length) + 1
-	}
-	for {
-		if len(body) == cap(body) {
-			capacity := min(limit, max(uncountedBytes, 2*cap(body)))
-			if len(body) == limit || !held.grow(capacity) {
-				return body, false, nil
-			}
-			body = append(make([]byte, 0, capacity), body...)
-		}
-		n, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, true, nil
-		case err != nil:
-			return body, false, err
-		}
-	}
-}
-
 // nextEvent returns the next event of a stream, like readEvent.
 func (a *attempt) nextEvent() (event, error) {
 	if read := a.read; read != nil {
@@ -528,10 +505,10 @@
 	if a.reader == nil {
 		a.reader = bufio.NewReaderSize(a.response, streamBufferBytes)
 	}
-	a.held.release()
-	a.held.budget, a.held.revoke = a.request.server.eventBudget, func() { a.cancel(errRevoked) }
+	a.held.Release()
+	a.held.Account, a.held.Revoke = a.request.server.eventBudget, func() { a.cancel(errRevoked) }
 	e, err := readEvent(a.reader, &a.held)
-	if !a.held.pin() {
+	if !a.held.Pin() {
 		err = errRevoked
 	}
 	a.readErr = err
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"hornbeamstep.example/hornbeamd/memory"
 	"hornbeamstep.example/ports/transport"
 	"hornbeamstep.example/routing/balance"
 	"hornbeamstep.example/routing/metadata"
@@ -83,7 +84,7 @@
 	// succeeds.
 	savedFailure *bufferedResponse
 	// savedFailureHeld is the memory of savedFailure.
-	savedFailureHeld reservation
+	savedFailureHeld memory.Reservation
 	permits          permitStats
 }
 
@@ -295,16 +296,16 @@
 func (c *clientRequest) saveFailure(a *attempt, response *bufferedResponse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.savedFailureHeld.release()
+	c.savedFailureHeld.Release()
 	c.savedFailure = response
-	a.held.moveTo(&c.savedFailureHeld)
+	a.held.MoveTo(&c.savedFailureHeld)
 }
 
 // releaseFailure releases the saved failure response.
 func (c *clientRequest) releaseFailure() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.savedFailureHeld.release()
+	c.savedFailureHeld.Release()
 }
 
 // relayBuffered sends a buffered response of a server to the client.
@@ -357,7 +358,7 @@
 	client := &clientWriter{Writer: c.w}
 	_, err := client.Write(beginning.body)
 	beginning.body = nil
-	a.held.release()
+	a.held.Release()
 	if err == nil {
 		_, err = io.Copy(client, response)
 	}
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,6 +16,8 @@
 	"go.uber.org/zap"
 
 	"hornbeamstep.example/hornbeamd/backend"
+	"hornbeamstep.example/hornbeamd/clientconn"
+	"hornbeamstep.example/hornbeamd/memory"
 	"hornbeamstep.example/routing/metadata"
 	"hornbeamstep.example/routing/routes"
 )
@@ -76,7 +77,7 @@
 	nextRouterIn atomic.Int64
 	active       atomic.Int64
 	// eventBudget and bodyBudget limit what all requests hold of the responses of backend servers.
-	eventBudget, bodyBudget *readBudget
+	eventBudget, bodyBudget *memory.Account
 }
 
 const (
@@ -96,6 +97,11 @@
 	// maxBufferedBytes is the largest response body that is buffered completely before it is
 	// relayed.
 	maxBufferedBytes = 256 << 10
+	// maxHeldEventBytes limits the sum of the events that are held in memory for all requests, and
+	// maxHeldBodyBytes that of the responses which are not streams. The limits on a single event and
+	// response don't bound the memory of many concurrent requests.
+	maxHeldEventBytes = 16 << 20
+	maxHeldBodyBytes  = 16 << 20
 	// writeDeadlineMargin is how long after a request's deadline a write to the client may block.
 	writeDeadlineMargin = 100 * time.Millisecond
 )
@@ -120,7 +126,7 @@
 // Init initializes the server. It must be called before the first request.
 func (s *Server) Init() {
 	s.ready = make(chan struct{})
-	s.eventBudget, s.bodyBudget = newReadBudget(maxHeldEventBytes), newReadBudget(maxHeldBodyBytes)
+	s.eventBudget, s.bodyBudget = memory.New(maxHeldEventBytes), memory.New(maxHeldBodyBytes)
 	s.closing, s.end = context.WithCancelCause(context.Background())
 }
 
@@ -271,28 +277,42 @@
 }
 
 // readBody reads the whole request body, so that the request can be retried. w is the writer of
-// net/http, which closes the connection after a body that is too large.
+// net/http, which closes the connection after a body that is too large. Afterwards, the request is not
+// given up for want of memory any more.
 func (c *clientRequest) readBody(w http.ResponseWriter) *rejection {
+	conn := clientconn.FromContext(c.r.Context())
 	c.hasBody = c.r.ContentLength != 0 || c.r.Header.Get("Content-Length") != ""
-	if !c.hasBody {
-		return nil
-	}
-	limit := c.table.Limits().Body
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
+	if c.hasBody {
+		limit := c.table.Limits().Body
+		if limit <= 0 {
+			limit = defaultMaxBodyBytes
+		}
+		// One more byte, because the reader returns an error for a body above the limit.
+		body, isWhole, err := memory.ReadUpTo(http.MaxBytesReader(w, c.r.Body, limit), int(limit)+1, c.r.ContentLength, conn.GrowBody)
+		var tooLarge *http.MaxBytesError
+		switch {
+		case errors.As(err, &tooLarge):
+			return &rejection{http.StatusRequestEntityTooLarge, "body_too_large", 0}
+		case conn.IsRevoked(), err == nil && !isWhole:
+			return c.outOfMemory()
+		case err != nil:
+			return &rejection{http.StatusBadRequest, "body_unreadable", 0}
+		}
+		c.body = body
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &rejection{http.StatusRequestEntityTooLarge, "body_too_large", 0}
-	case err != nil:
-		return &rejection{http.StatusBadRequest, "body_unreadable", 0}
+	if !conn.Keep() {
+		return c.outOfMemory()
 	}
-	c.body = body
 	return nil
 }
 
+// outOfMemory rejects a request because those of other clients hold the memory for requests. The rest of
+// its body is not read.
+func (c *clientRequest) outOfMemory() *rejection {
+	c.w.Header().Set("Connection", "close")
+	return &rejection{http.StatusServiceUnavailable, "out_of_memory", noServerRetryAfter}
+}
+
 // reject sends a response of the router itself.
 func (c *clientRequest) reject(rejected *rejection) {
 	c.server.Codec.SetAttemptID(c.w.Header(), c.metadata.Attempt)
--- a/hornbeamd/gateway/read_budget_test.go
+++ b/hornbeamd/gateway/read_budget_test.go
@@ -2,83 +2,19 @@
 
 import (
 	"bufio"
-	"io"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
-)
-
-// Guards against large events that keep the events of other requests from being read, and against
-// ending a request whose event is complete.
-func TestSmallerEventRevokesLargest(t *testing.T) {
-	c := qt.New(t)
-	b := newReadBudget(100 << 10)
-	var revoked []string
-	hold := func(name string) *reservation {
-		return &reservation{budget: b, revoke: func() { revoked = append(revoked, name) }}
-	}
-	complete, larger, large, small, fixed := hold("complete"), hold("larger"), hold("large"), hold("small"), &reservation{budget: b}
-	c.Assert(complete.grow(35<<10), qt.IsTrue)
-	c.Assert(complete.pin(), qt.IsTrue)
-	c.Assert(larger.grow(33<<10), qt.IsTrue)
-	c.Assert(large.grow(32<<10), qt.IsTrue)
-	c.Assert(large.grow(40<<10), qt.IsFalse, qt.Commentf("no larger one can be revoked"))
-	c.Assert(large.grow(32<<10), qt.IsTrue)
-	c.Assert(fixed.grow(16<<10), qt.IsTrue)
-	c.Assert(revoked, qt.DeepEquals, []string{"larger"})
-	c.Assert(larger.grow(8<<10), qt.IsFalse)
-	c.Assert(larger.pin(), qt.IsFalse)
-	c.Assert(small.grow(20<<10), qt.IsTrue)
-	c.Assert(revoked, qt.DeepEquals, []string{"larger", "large"})
-	c.Assert(small.grow(60<<10), qt.IsFalse)
-	for _, r := range []*reservation{complete, larger, large, small, fixed} {
-		r.release()
-	}
-	c.Assert(b.used, qt.Equals, 0)
-	c.Assert(b.holders, qt.HasLen, 0)
-}
 
-// Guards against losing bytes or the end of a response when there is no room for it.
-func TestReadUpTo(t *testing.T) {
-	const limit = 64 << 10
-	for name, test := range map[string]struct {
-		size      int
-		length    int64
-		room      int
-		wantRead  int
-		wantWhole bool
-	}{
-		"empty":            {0, 0, 0, 0, true},
-		"small":            {100, -1, 0, 100, true},
-		"with length":      {20_000, 20_000, limit, 20_000, true},
-		"without length":   {20_000, -1, limit, 20_000, true},
-		"at the limit":     {limit - 1, -1, limit, limit - 1, true},
-		"above the limit":  {limit + 1, -1, limit, limit, false},
-		"length too great": {100, 1 << 60, 0, 100, true},
-		"no room":          {20_000, 20_000, 0, uncountedBytes, false},
-		"little room":      {20_000, -1, 3 * uncountedBytes, 2 * uncountedBytes, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
-			text := strings.Repeat("x", test.size)
-			reader := strings.NewReader(text)
-			body, isWhole, err := readUpTo(reader, limit, test.length, &reservation{budget: newReadBudget(test.room)})
-			c.Assert(err, qt.IsNil)
-			c.Check(len(body), qt.Equals, test.wantRead)
-			c.Check(isWhole, qt.Equals, test.wantWhole)
-			rest, err := io.ReadAll(reader)
-			c.Assert(err, qt.IsNil)
-			c.Check(string(body)+string(rest) == text, qt.IsTrue)
-		})
-	}
-}
+	"hornbeamstep.example/hornbeamd/memory"
+)
 
 // Guards against events that fail although they need no room, and against large ones without room.
 func TestEventWithoutRoom(t *testing.T) {
 	c := qt.New(t)
-	held := &reservation{budget: newReadBudget(0)}
-	reader := bufio.NewReader(strings.NewReader("data: x\n\ndata: " + strings.Repeat("x", 2*uncountedBytes) + "\n\n"))
+	held := &memory.Reservation{Account: memory.New(0)}
+	reader := bufio.NewReader(strings.NewReader("data: x\n\ndata: " + strings.Repeat("x", 2*memory.Uncounted) + "\n\n"))
 	e, err := readEvent(reader, held)
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(e.text), qt.Equals, "data: x\n\n")
--- a/hornbeamd/gateway/stream.go
+++ b/hornbeamd/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"hornbeamstep.example/hornbeamd/memory"
 	"hornbeamstep.example/routing/balance"
 )
 
@@ -33,14 +34,14 @@
 // readEvent reads the next event. It returns the reader's error unchanged, along with the part of
 // the event that was read. The error is errEventTooLarge for an event above maxEventBytes, and
 // errNoReadBudget if held can't hold the event.
-func readEvent(reader *bufio.Reader, held *reservation) (event, error) {
+func readEvent(reader *bufio.Reader, held *memory.Reservation) (event, error) {
 	var e event
 	// hasLine is true once a part of a line that is not blank was read.
 	hasLine := false
 	for {
 		line, err := reader.ReadSlice('\n')
 		var hasRoom bool
-		if e.text, hasRoom = held.append(e.text, line); !hasRoom {
+		if e.text, hasRoom = held.Append(e.text, line); !hasRoom {
 			return e, errNoReadBudget
 		}
 		switch {
--- a/hornbeamd/operator/server.go
+++ b/hornbeamd/operator/server.go
@@ -18,6 +18,7 @@
 	"github.com/zeromicro/go-zero/rest/httpx"
 	"go.uber.org/zap"
 
+	"hornbeamstep.example/hornbeamd/clientconn"
 	"hornbeamstep.example/hornbeamd/settings"
 	"hornbeamstep.example/timeline"
 )
@@ -39,6 +40,8 @@
 	// Log receives an entry for each authorized call of a route that makes changes, also if the call
 	// fails; nil disables logging.
 	Log *zap.Logger
+	// Guard limits the connections of clients; nil limits nothing.
+	Guard *clientconn.Guard
 	// Metrics is the registry for the counter of calls; if nil, the counter is not registered.
 	Metrics prometheus.Registerer
 
@@ -60,6 +63,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for the operator API; free the address or set operator.listen: %w", err)
 	}
+	if s.Guard != nil {
+		listener = s.Guard.Listener(listener, config != nil)
+	}
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
@@ -89,6 +95,9 @@
 		IdleTimeout:       time.Minute,
 		MaxHeaderBytes:    16 << 10,
 	}
+	if s.Guard != nil {
+		s.Guard.Watch(server)
+	}
 	stopped := make(chan error, 1)
 	go func() {
 		<-ctx.Done()
--- a/hornbeamd/settings/settings.go
+++ b/hornbeamd/settings/settings.go
@@ -28,6 +28,7 @@
 	Engine   Engine   `embed:"" prefix:"engine-"`
 	Orders   Orders   `embed:"" prefix:"orders-"`
 	Drain    Drain    `embed:"" prefix:"drain-"`
+	Limits   Limits   `embed:"" prefix:"limits-"`
 	Log      Log      `embed:"" prefix:"log-"`
 }
 
@@ -101,6 +102,12 @@
 	Longest time.Duration `help:"Maximum time to wait for running requests after cached route responses have expired." default:"10m"`
 }
 
+// Limits holds the limits of the process.
+type Limits struct {
+	Memory      int64 `help:"Memory that the process may use, in MiB; 0 stands for that of the control group or the machine." default:"0"`
+	Descriptors int   `help:"Maximum number of open file descriptors; 0 stands for the limit of the operating system." default:"0"`
+}
+
 // Log holds the settings of the logger.
 type Log struct {
 	Level string `help:"Minimum log level." default:"info" enum:"debug,info,warn,error"`
@@ -177,6 +184,9 @@
 	if s.Caller.Body <= 0 {
 		return &InvalidError{Key: "caller.body", Value: "0", Remedy: "set a size in bytes greater than 0"}
 	}
+	if s.Limits.Memory < 0 || s.Limits.Descriptors < 0 {
+		return &InvalidError{Key: "limits", Value: "negative", Remedy: "set numbers that are 0 or greater"}
+	}
 	if s.Caller.Connections <= 0 {
 		return &InvalidError{Key: "caller.connections", Value: "0", Remedy: "set a number greater than 0"}
 	}
