--- a/hornbeamd/clientconn/limits.go
+++ b/hornbeamd/clientconn/limits.go
@@ -24,12 +24,12 @@
 }
 
 const (
-	// goMemoryPercent is the part of the memory from which the garbage collector keeps the program. The
-	// rest is for the program's text and for sockets.
-	goMemoryPercent = 70
+	// goMemoryPercent is the part of the memory to which the garbage collector keeps the program. The rest
+	// is for the program's text, for sockets, and for what is allocated while a collection runs.
+	goMemoryPercent = 60
 	// requestPercent is the part of the memory for the heads and bodies of requests, and connPercent that
 	// for the connections, each of which takes connBytes in goroutines and buffers.
-	requestPercent, connPercent = 25, 20
+	requestPercent, connPercent = 20, 20
 	connBytes                   = 24 << 10
 	// fileDescriptors are reserved for files, and clientPercent is the part of the others for clients. The
 	// rest is for connections to backend servers, the store and other routers.
