--- a/review/rig-3/case_stray.go
+++ b/review/rig-3/case_stray.go
@@ -20,9 +20,13 @@
 	strayWork    = 30 * time.Millisecond
 )
 
-// strayAnswer is what a faulty worker sends late after a complete answer. It belongs to no request: it names
-// none, and doesn't say that one was not executed.
-const strayAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+// strayAnswers are what faulty workers send late after a complete answer, in turn. They belong to no request: they
+// name none, and don't say that one was not executed.
+var strayAnswers = []string{
+	"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+}
 
 // runStray checks REFUSED: a request that may run at most once is answered 503 and has run.
 func runStray(b *bed) error {
@@ -52,7 +56,9 @@
 		mu.Lock()
 		ranAt[attempt] = w.ID
 		isFaulty := b.trouble && slices.Contains([]string{"i-00000000", "i-00000001"}, w.ID) && rng.Float64() < strayShare
+		stray := ""
 		if isFaulty {
+			stray = strayAnswers[strays%len(strayAnswers)]
 			strays++
 		}
 		mu.Unlock()
@@ -61,7 +67,7 @@
 		w.answer(c, attempt, `{"done":"`+attempt+`"}`)
 		b.log.add("%s has answered %s with 200", w.ID, attempt)
 		if isFaulty {
-			c.stray = strayAnswer
+			c.stray = stray
 			b.log.add("%s will send bytes that belong to no request after its answer to %s", w.ID, attempt)
 		}
 		return true
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -30,7 +30,7 @@
 	log     *record
 }
 
-var cases = map[string]func(*bed) error{"stray": runStray}
+var cases = map[string]func(*bed) error{"stray": runStray, "torn": runTorn, "deadly": runDeadly}
 
 func main() { os.Exit(run()) }
 
--- a/review/rig-3/router.go
+++ b/review/rig-3/router.go
@@ -78,7 +78,8 @@
 	return all, nil
 }
 
-func routerIP(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
+// routerIP returns the loopback address of a router. It differs between cases that run at the same time.
+func routerIP(i int) string { return fmt.Sprintf("127.0.%d.%d", 10+os.Getpid()%200, i+1) }
 
 // freePorts returns ports that are free on the addresses of n routers.
 func freePorts(n int) (ports, error) {
