--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -55,6 +57,14 @@
 	} else {
 		fmt.Println("logs in", temp)
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		killStarted()
+		os.RemoveAll(temp)
+		os.Exit(couldNot)
+	}()
 	binary, err := filepath.Abs(os.Args[3])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/rig-3/router.go
+++ b/review/rig-3/router.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -116,6 +117,9 @@
 		return err
 	}
 	r.done = make(chan struct{})
+	startedMutex.Lock()
+	started = append(started, r)
+	startedMutex.Unlock()
 	go func(cmd *exec.Cmd, done chan struct{}) {
 		cmd.Wait()
 		out.Close()
@@ -134,6 +138,20 @@
 	}
 }
 
+var (
+	startedMutex sync.Mutex
+	started      []*router
+)
+
+// killStarted kills all routers that were started.
+func killStarted() {
+	startedMutex.Lock()
+	defer startedMutex.Unlock()
+	for _, r := range started {
+		r.kill()
+	}
+}
+
 // awaitReady waits until the router says that it is ready.
 func (r *router) awaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
