test: review 3, cases 11 and 13 inside the doses of the site file

Cause: the client of case 11 left for 40 s and the workers of case 13 were faulty for 25 s, where the site file has 5.0 and 5.5 s.

--- a/review/rig-3/case_deadly.go
+++ b/review/rig-3/case_deadly.go
@@ -23,6 +23,11 @@
 	// before it crashes, in the case of clients that leave.
 	leaveAfter = 200 * time.Millisecond
 	crashAfter = 300 * time.Millisecond
+	// leaveTime is for_s of the site file's entry with the largest x. There are several such entries, with a pause
+	// between them, in which the request does not come.
+	leaveTime, leaveGap = 5 * time.Second, 3 * time.Second
+	leaveEntries        = 5
+	leavePause          = 500 * time.Millisecond
 )
 
 // deadlyBed holds the workers of the case, which a request may crash.
@@ -183,19 +188,30 @@
 		}()
 	}
 	number := 0
-	for end := time.Now().Add(deadlyTime); time.Now().Before(end); time.Sleep(deadlyPause) {
-		r := routers[number%len(routers)]
-		number++
-		c := &client{address: r.front()}
-		attempt := newAttempt()
-		b.log.add("client sends the deadly request %s to %s", attempt, r.Name)
-		limit := time.Second
-		if d.leaves && d.trouble {
-			limit = leaveAfter
+	send := func(limit, pause, patience time.Duration) {
+		// The last one ends within the limit.
+		for end := time.Now().Add(limit - patience); time.Now().Before(end); time.Sleep(pause) {
+			r := routers[number%len(routers)]
+			number++
+			c := &client{address: r.front()}
+			attempt := newAttempt()
+			b.log.add("client sends the deadly request %s to %s", attempt, r.Name)
+			got := c.sendUntil("GET", host, prefix+"deadly", attempt, []string{"Api-Key: " + key}, "", time.Second, patience)
+			b.log.add("client gets for %s: %s", attempt, got)
+			c.drop()
 		}
-		got := c.sendUntil("GET", host, prefix+"deadly", attempt, []string{"Api-Key: " + key}, "", time.Second, limit)
-		b.log.add("client gets for %s: %s", attempt, got)
-		c.drop()
+	}
+	if d.leaves {
+		patience := leaveAfter
+		if !b.trouble {
+			patience = time.Second
+		}
+		for range leaveEntries {
+			send(leaveTime, leavePause, patience)
+			time.Sleep(leaveGap)
+		}
+	} else {
+		send(deadlyTime, deadlyPause, time.Second)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/review/rig-3/case_torn.go
+++ b/review/rig-3/case_torn.go
@@ -14,9 +14,12 @@
 // Figures of the case. The site file has up to 0.6 of the workers and up to 0.05 of their answers for faulty ones.
 const (
 	tornWorkers = 5
-	tornFaulty  = 2
-	tornShare   = 0.02
-	tornTime    = 25 * time.Second
+	// One in tornEvery streams of a faulty worker is stopped, for tornFor, which begins at tornFrom.
+	tornEvery   = 50
+	tornFrom    = 5 * time.Second
+	tornFor     = 5 * time.Second
+	tornTime    = 14 * time.Second
+	tornClients = 24
 	tornEvents  = 12
 )
 
@@ -38,6 +41,9 @@
 	var mu sync.Mutex
 	torn, runs := map[string]string{}, 0
 	rng := rand.New(rand.NewSource(1))
+	var faultyFrom time.Time
+	// answered counts the streams of each faulty worker while it is faulty.
+	answered := map[string]int{}
 	behave := func(w *worker, c *channel, r *http.Request, _ []byte) bool {
 		attempt := r.Header.Get("Attempt-Id")
 		if !w.take(c, r) {
@@ -48,9 +54,12 @@
 		mu.Lock()
 		runs++
 		stopsAt := 0
-		if b.trouble && (w.ID == "i-00000000" || w.ID == "i-00000001") && rng.Float64() < tornShare {
-			stopsAt = 2 + rng.Intn(tornEvents-2)
-			torn[attempt] = w.ID
+		isFaulty := !faultyFrom.IsZero() && time.Since(faultyFrom) >= 0 && time.Since(faultyFrom) < tornFor
+		if b.trouble && isFaulty && (w.ID == "i-00000000" || w.ID == "i-00000001") {
+			if answered[w.ID]++; answered[w.ID]%tornEvery == 0 {
+				stopsAt = 2 + rng.Intn(tornEvents-2)
+				torn[attempt] = w.ID
+			}
 		}
 		mu.Unlock()
 		b.log.add("%s runs %s, after event %d", w.ID, attempt, last)
@@ -99,7 +108,10 @@
 	whole, cut := 0, 0
 	var wrong []string
 	end := time.Now().Add(tornTime)
-	for i := range 12 {
+	mu.Lock()
+	faultyFrom = time.Now().Add(tornFrom)
+	mu.Unlock()
+	for i := range tornClients {
 		group.Add(1)
 		go func() {
 			defer group.Done()
@@ -138,6 +150,9 @@
 	for _, line := range wrong {
 		b.log.say("MIXED: %s", line)
 	}
+	if b.trouble && len(torn) == 0 {
+		return fmt.Errorf("no worker stopped a stream")
+	}
 	if len(wrong) > 0 {
 		return fmt.Errorf("%w: %d streams ended early and look complete", errBroken, len(wrong))
 	}
--- a/review/rig-3/router.go
+++ b/review/rig-3/router.go
@@ -79,30 +79,42 @@
 	return all, nil
 }
 
-// routerIP returns the loopback address of a router. It differs between cases that run at the same time.
-func routerIP(i int) string { return fmt.Sprintf("127.0.%d.%d", 10+os.Getpid()%200, i+1) }
+// block is the third number of the routers' loopback addresses.
+var block int
 
-// freePorts returns ports that are free on the addresses of n routers.
+func routerIP(i int) string { return fmt.Sprintf("127.0.%d.%d", block, i+1) }
+
+// freePorts chooses a block of loopback addresses and ports that are free on the addresses of n routers. It
+// begins elsewhere in each process, for cases that run at the same time.
 func freePorts(n int) (ports, error) {
-	for base := 21000 + (os.Getpid()%400)*20; base < 32000; base += 20 {
-		free := true
-		for i := 0; free && i < n; i++ {
-			for _, p := range append(span(base, 20), metricsPort) {
-				l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", routerIP(i), p))
-				if err != nil {
-					free = false
-					break
-				}
-				l.Close()
-			}
+	for try := range 20 {
+		block = 10 + (os.Getpid()+7*try)%200
+		if !areFree(n, metricsPort, 1) {
+			continue
 		}
-		if free {
-			return ports{base, base + 1, base + 2, base + 3, base + 4, base + 19}, nil
+		for base := 21000 + (os.Getpid()%400)*20; base < 32000; base += 20 {
+			if areFree(n, base, 20) {
+				return ports{base, base + 1, base + 2, base + 3, base + 4, base + 19}, nil
+			}
 		}
 	}
 	return ports{}, errors.New("no free ports")
 }
 
+// areFree reports whether count ports from first on are free on the addresses of n routers.
+func areFree(n, first, count int) bool {
+	for i := range n {
+		for port := first; port < first+count; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", routerIP(i), port))
+			if err != nil {
+				return false
+			}
+			l.Close()
+		}
+	}
+	return true
+}
+
 // start starts the process with the command of the deploy file.
 func (r *router) start() error {
 	out, err := os.OpenFile(r.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
@@ -168,14 +180,5 @@
 	return fmt.Errorf("%s isn't ready after %s", r.Name, limit)
 }
 
-// span returns n numbers from first on.
-func span(first, n int) []int {
-	out := make([]int, n)
-	for i := range out {
-		out[i] = first + i
-	}
-	return out
-}
-
 // metricsPort is the port for metrics that the deploy file names.
 const metricsPort = 9464
