--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -32,7 +32,7 @@
 	log     *record
 }
 
-var cases = map[string]func(*bed) error{"deadly": runDeadly, "leave": runLeave, "torn": runTorn}
+var cases = map[string]func(*bed) error{"deadly": runDeadly, "leave": runLeave, "torn": runTorn, "slow": runSlow}
 
 func main() { os.Exit(run()) }
 
