--- a/review/rig-3/case_slow.go
+++ b/review/rig-3/case_slow.go
@@ -17,6 +17,7 @@
 // Figures of the case. A stream takes 5 s at a worker, and some 12 s at a slow client.
 const (
 	slowClients = 200
+	slowWorkers = 5
 	slowEvents  = 500
 	slowGap     = 10 * time.Millisecond
 	// A slow client reads slowBurst bytes, waits for slowWait or a little longer, and stops for slowStop after
@@ -29,6 +30,11 @@
 	// slowStarts is the time during which clients begin streams.
 	slowStarts = 2 * time.Second
 	slowLimit  = 15 * time.Second
+	// Other clients ask for short answers every slowPause, and read at once.
+	slowOthers, slowShort = 20, 4
+	slowPause             = 400 * time.Millisecond
+	// slowTokens is the number of tokens in a piece.
+	slowTokens = 3
 	// The link of the clients takes small packets, and they have small receive buffers.
 	slowPacket  = 1400
 	slowReceive = 8192
@@ -89,14 +95,17 @@
 		}
 		defer w.free()
 		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		_, output, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
+		tokens, _ := strconv.Atoi(output)
 		mu.Lock()
 		run := fmt.Sprintf("run%05d", len(wentOn)+1)
 		wentOn[run] = last
 		mu.Unlock()
 		b.log.add("%s runs %s as %s, after piece %d", w.ID, attempt, run, last)
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt-Id: "+attempt+"\r\nResponse-Signature: "+signature(w, attempt)+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-		for i := last + 1; i <= slowEvents; i++ {
-			time.Sleep(slowGap)
+		began := time.Now()
+		for i := last + 1; i <= tokens/slowTokens; i++ {
+			time.Sleep(time.Until(began.Add(time.Duration(i-last) * slowGap)))
 			text := slowEvent(run, i)
 			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
 				b.log.add("%s: its caller has closed the channel of %s, before piece %d", w.ID, run, i)
@@ -106,7 +115,7 @@
 		io.WriteString(c, "0\r\n\r\n")
 		return true
 	}
-	for i := range 5 {
+	for i := range slowWorkers {
 		if _, err := startWorker(s, b.log, fmt.Sprintf("i-%08d", i), service, zones[i%len(zones)], 64, behave); err != nil {
 			return err
 		}
@@ -134,15 +143,15 @@
 		})
 	}}
 	// read sends one request and reads its stream, slowly if the disruption is on.
-	read := func(rng *rand.Rand, address, attempt string) (status int, body string, err error) {
+	read := func(rng *rand.Rand, address, attempt string, events int) (status int, body string, err error) {
 		conn, err := dialer.Dial("tcp", address)
 		if err != nil {
 			return 0, "", err
 		}
 		defer conn.Close()
 		conn.SetDeadline(time.Now().Add(slowLimit))
-		fmt.Fprintf(conn, "POST %s2f HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: %s\r\nModel: m\r\nToken-Usage: 200,1500\r\nPrompt-Prefix: 5c1e07a2:100,%s:100\r\nContent-Length: 6\r\n\r\nprompt",
-			prefix, host, attempt, slowLimit.Milliseconds(), key, attempt[1:])
+		fmt.Fprintf(conn, "POST %s2f HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nApi-Key: %s\r\nModel: m\r\nToken-Usage: 200,%d\r\nPrompt-Prefix: 5c1e07a2:100,%s:100\r\nContent-Length: 6\r\n\r\nprompt",
+			prefix, host, attempt, slowLimit.Milliseconds(), key, events*slowTokens, attempt[1:])
 		resp, err := http.ReadResponse(bufio.NewReaderSize(conn, slowBurst), nil)
 		if err != nil {
 			return 0, "", err
@@ -177,7 +186,7 @@
 			for time.Now().Before(end) {
 				attempt := newAttempt()
 				b.log.add("client sends %s to %s", attempt, routers[i%len(routers)].front())
-				status, body, err := read(rng, routers[i%len(routers)].front(), attempt)
+				status, body, err := read(rng, routers[i%len(routers)].front(), attempt, slowEvents)
 				pieces, unreadable := slowPieces(body)
 				b.log.add("client gets for %s: %d, %d bytes, %d pieces, ended with %v", attempt, status, len(body), len(pieces), err)
 				mu.Lock()
@@ -207,9 +216,36 @@
 			}
 		}()
 	}
+	over := make(chan struct{})
+	var others sync.WaitGroup
+	served := 0
+	for i := range slowOthers {
+		others.Add(1)
+		go func() {
+			defer others.Done()
+			for {
+				attempt := newAttempt()
+				status, body, err := read(nil, routers[i%len(routers)].front(), attempt, slowShort)
+				pieces, _ := slowPieces(body)
+				mu.Lock()
+				if status == http.StatusOK && err == io.EOF && len(pieces) == slowShort {
+					served++
+				}
+				mu.Unlock()
+				select {
+				case <-over:
+					return
+				case <-time.After(slowPause):
+				}
+			}
+		}()
+	}
 	group.Wait()
+	close(over)
+	others.Wait()
 	mu.Lock()
 	defer mu.Unlock()
+	b.log.say("short streams of other clients served: %d", served)
 	b.log.say("streams whole: %d, not whole within %s: %d; runs: %d; streams went on at another run %d times", whole, slowLimit, cut, len(wentOn), joined)
 	if whole == 0 {
 		return fmt.Errorf("no stream was whole")
