test: review 3, case 14: pauses inside the gap after which clients abandon a stream

Cause: the stop of 2.3 s came beside the wait before it, 2.56 s together; the gap is 2.4 s. Change: the stop takes 2.1 s.

--- a/review/rig-3/case_slow.go
+++ b/review/rig-3/case_slow.go
@@ -20,13 +20,13 @@
 	slowWorkers = 5
 	slowEvents  = 500
 	slowGap     = 10 * time.Millisecond
-	// A slow client reads slowBurst bytes, waits for slowWait or a little longer, and stops for slowStop after
+	// A slow client reads slowBurst bytes, waits for slowWait or a little longer, and for slowStop more after
 	// one in slowStopEvery waits.
 	slowBurst     = 4096
 	slowWait      = 180 * time.Millisecond
 	slowWaitMore  = 80 * time.Millisecond
 	slowStopEvery = 20
-	slowStop      = 2300 * time.Millisecond
+	slowStop      = 2100 * time.Millisecond
 	// slowStarts is the time during which clients begin streams.
 	slowStarts = 2 * time.Second
 	slowLimit  = 15 * time.Second
