--- a/review/rig-3/case_torn.go
+++ b/review/rig-3/case_torn.go
@@ -11,7 +11,8 @@
 	"time"
 )
 
-// Figures of the case. The site file has up to 0.6 of the workers and up to 0.05 of their answers for faulty ones.
+// Figures of the case. Plain garble is share 0.5 of the workers and x 0.02 of their answers in `fleetbench kinds`; here
+// it is 0.4 and 0.02.
 const (
 	tornWorkers = 5
 	// One in tornEvery streams of a faulty worker is stopped, for tornFor, which begins at tornFrom.
