test: TestBodyMemoryLimit waits until the connection of the first request is closed

With the request sent again and again, each of 14 failures was a 503 "overloaded" for the first 2 to 10 tries and then a success: the router frees the memory when net/http reports the connection as closed, which a client that has read the end of its response doesn't wait for. So the test asked for something that no caller relies on.

Change: the test waits until the account holds nothing, and then the request must be served at once. Memory that stays reserved still fails it, as the wait has no end of its own.

--- a/hornbeambench/standin/requestpath/limit_test.go
+++ b/hornbeambench/standin/requestpath/limit_test.go
@@ -121,9 +121,10 @@
 	c := qt.New(t)
 	// Small bodies are not counted.
 	body := chatBody(prompt, true) + strings.Repeat(" ", 8*memory.Uncounted)
+	// There is room for the head and the body of one request, but not of two.
+	account := memory.New(len(body) + 6*memory.Uncounted)
 	f := newFixture(t, func(o *caller.Options, _ *modelengine.Config) {
-		// There is room for the head and the body of one request, but not of two.
-		o.Guard = &clientconn.Guard{MaxConns: 10, Account: memory.New(len(body) + 6*memory.Uncounted), Log: zap.NewNop()}
+		o.Guard = &clientconn.Guard{MaxConns: 10, Account: account, Log: zap.NewNop()}
 	})
 	f.engines[0].SetFault(modelengine.Fault{Kind: modelengine.Hang})
 	first := make(chan received)
@@ -132,6 +133,8 @@
 	c.Assert(send(f.request("POST", "/v1/chat/completions", body)).failure.Error.Code, qt.Equals, "overloaded")
 	f.engines[0].SetFault(modelengine.Fault{})
 	c.Assert((<-first).text, qt.Equals, wantText)
+	// The memory is free once the router has closed the connection, which the client doesn't wait for.
+	waitUntil(func() bool { return account.Used() == 0 })
 	c.Assert(send(f.request("POST", "/v1/chat/completions", body)).text, qt.Equals, wantText)
 }
 
