fix: a stream that ends within an event is truncated, whatever frames its body

Cause: isStreamEnd asked for whole events only if a body ends with its connection.

Change: an end within an event is never the end of a stream. It goes on at another server if it may be resumed, and the client's connection breaks off otherwise. The same in the own interface for event streams of plain services, which are no longer sent with a length. EventScanner decides for both data paths.

The case "chunked events" of TestResponseEndsWithConnection asserted that a caller gets an event stream that ends within its first event as complete.

--- a/hornbeambench/soak/inject.go
+++ b/hornbeambench/soak/inject.go
@@ -238,7 +238,11 @@
 		return tb.injectFor(ctx, e, d, func() { s.process.signal(syscall.SIGSTOP) }, func() { s.process.signal(syscall.SIGCONT) })
 	case faultyServer:
 		faults := []standin.Fault{standin.Fail, standin.Shed, standin.DropResponse, standin.TruncateResponse, standin.Hang}
-		return tb.injectFor(ctx, e, d, setFault(faults[e.Variant%len(faults)]), setFault(standin.NoFault))
+		fault := faults[e.Variant%len(faults)]
+		if fault == standin.TruncateResponse && e.Variant/len(faults)%2 == 1 {
+			fault = standin.StopInEvent
+		}
+		return tb.injectFor(ctx, e, d, setFault(fault), setFault(standin.NoFault))
 	case resetServerConnections:
 		return tb.injectFor(ctx, event{Kind: e.Kind}, d, s.proxy.reset, func() {})
 	case blackholeServer:
--- a/hornbeambench/standin/requestpath/framing_test.go
+++ b/hornbeambench/standin/requestpath/framing_test.go
@@ -46,10 +46,13 @@
 	}
 }
 
-// Guards against a response without length or chunks that looks complete to the caller although its
-// service broke it off, and against a complete one that looks broken off.
+// Guards against a response that looks complete to the caller although its service broke it off, by its
+// connection or within an event, and against a complete one that looks broken off.
 func TestResponseEndsWithConnection(t *testing.T) {
-	const eventStream = "Content-Type: text/event-stream\r\nConnection: close\r\n"
+	const (
+		eventStream   = "Content-Type: text/event-stream\r\nConnection: close\r\n"
+		chunkedEvents = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+	)
 	large := strings.Repeat("x", 1<<20)
 	tests := map[string]struct {
 		header, body string
@@ -72,7 +75,14 @@
 		"before the blank line of an event": {header: eventStream, body: "data: 1\n\ndata: 2\n", incomplete: true},
 		"inside the first event":            {header: eventStream, body: "d", incomplete: true},
 		"inside an event with CRLF":         {header: eventStream, body: "data: 1\r\n\r\nid: 2\r\n", incomplete: true},
-		"chunked events":                    {header: "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n", body: "6\r\ndata: \r\n0\r\n\r\n"},
+		"chunked events":                    {header: chunkedEvents, body: "9\r\ndata: 1\n\n\r\n0\r\n\r\n"},
+		"chunked, no event":                 {header: chunkedEvents, body: "0\r\n\r\n"},
+		"chunked, only a comment":           {header: chunkedEvents, body: "7\r\n: idle\n\r\n0\r\n\r\n"},
+		"chunked, inside the first event":   {header: chunkedEvents, body: "6\r\ndata: \r\n0\r\n\r\n", incomplete: true},
+		"chunked, before the blank line":    {header: chunkedEvents, body: "11\r\ndata: 1\n\ndata: 2\n\r\n0\r\n\r\n", incomplete: true},
+		"events with a length":              {header: "Content-Type: text/event-stream\r\nContent-Length: 9\r\n", body: "data: 1\n\n"},
+		"length, inside an event":           {header: "Content-Type: text/event-stream\r\nContent-Length: 13\r\n", body: "data: 1\n\ndata", incomplete: true},
+		"length, compressed events":         {header: "Content-Type: text/event-stream\r\nContent-Encoding: zstd\r\nContent-Length: 6\r\n", body: "opaque"},
 		"plain body":                        {header: "Connection: close\r\n", body: "data"},
 		"large plain body":                  {header: "Connection: close\r\n", body: large},
 		"large plain body that is reset":    {header: "Connection: close\r\n", body: large, reset: true, incomplete: true},
--- a/hornbeamd/edge/edge_test.go
+++ b/hornbeamd/edge/edge_test.go
@@ -289,6 +289,8 @@
 		"request rejected, repeatable":     {"/again/x", standin.Shed, 503, 0, 0, false},
 		"stream interrupted":               {"/stream/x", standin.TruncateResponse, 200, 1, 1, true},
 		"stream interrupted, resumable":    {"/resume/stream/x", standin.TruncateResponse, 200, 2, 2, false},
+		"stream stops in an event":         {"/stream/x", standin.StopInEvent, 200, 1, 1, true},
+		"stops in an event, resumable":     {"/resume/stream/x", standin.StopInEvent, 200, 2, 2, false},
 		"stream stalled, at most once":     {"/stream/x", standin.Hang, 504, 1, 1, false},
 	} {
 		c.Run(name, func(c *qt.C) {
@@ -304,8 +306,8 @@
 			if test.status == 503 {
 				c.Assert(response.RetryAfter, qt.Not(qt.Equals), "")
 			}
-			if name == "stream interrupted, resumable" {
-				// The first server sends two events before the stream is interrupted, and the
+			if strings.HasPrefix(test.path, "/resume/") {
+				// The first server sends two events before the stream is interrupted or stops, and the
 				// second sends the rest.
 				c.Assert(response.Body, qt.Equals, completeStream)
 			}
--- a/hornbeamd/gateway/paths_test.go
+++ b/hornbeamd/gateway/paths_test.go
@@ -187,6 +187,7 @@
 		"rejected, at most once":      {"/once/x", standin.Shed, 503, 0, 0},
 		"rejected, repeatable":        {"/again/x", standin.Shed, 503, 0, 0},
 		"truncated stream":            {"/stream/x", standin.TruncateResponse, 200, 2, 2},
+		"stream stops in an event":    {"/stream/x", standin.StopInEvent, 200, 2, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -202,7 +203,7 @@
 			if test.status == http.StatusServiceUnavailable {
 				c.Assert(response.RetryAfter, qt.Not(qt.Equals), "")
 			}
-			if test.fault == standin.TruncateResponse {
+			if test.status == http.StatusOK {
 				c.Assert(strings.Count(response.Body, "piece"), qt.Equals, 5)
 			}
 		})
--- a/hornbeamd/gateway/standby.go
+++ b/hornbeamd/gateway/standby.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -242,11 +241,3 @@
 		}
 	}
 }
-
-// isStreamEnd reports whether a stream ended completely, given the text after its last complete
-// event and the error of reading on. If the body has neither a Content-Length nor chunked encoding,
-// EOF doesn't show whether it is complete. It is then considered truncated if it ends within an
-// event or before the first one.
-func (a *attempt) isStreamEnd(rest event, err error) bool {
-	return errors.Is(err, io.EOF) && (a.response.Framed || len(rest.text) == 0 && a.events > 0)
-}
--- a/hornbeamd/gateway/stream.go
+++ b/hornbeamd/gateway/stream.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"hornbeamstep.example/hornbeamd/memory"
+	"hornbeamstep.example/ports/transport"
 	"hornbeamstep.example/routing/balance"
 )
 
@@ -149,6 +150,36 @@
 	c.server.Metrics.observeFirstEvent(c)
 }
 
+// errEndsInEvent is the error of a stream that ends within an event.
+var errEndsInEvent = eris.New("stream ends within an event")
+
+// isStreamEnd reports whether a stream ended completely, given the text after its last complete event
+// and the error of reading on. A stream that ends within an event is truncated, also if its body has a
+// length or chunks and is complete: the server stopped. If the body has neither, EOF doesn't show
+// whether it is complete, and it is considered truncated if it ends before the first event.
+func (a *attempt) isStreamEnd(rest event, err error) bool {
+	if !errors.Is(err, io.EOF) {
+		return false
+	}
+	if !a.hasEvents() {
+		return a.response.Framed || len(rest.text) == 0 && a.events > 0
+	}
+	var scanner transport.EventScanner
+	scanner.Scan(rest.text)
+	if scanner.InEvent() {
+		a.readErr = errEndsInEvent
+		return false
+	}
+	return a.response.Framed || a.events > 0 || scanner.HasEvent()
+}
+
+// hasEvents reports whether the body of a stream consists of server-sent events. Servers may respond to
+// the request for a stream with another media type, and may leave the type out.
+func (a *attempt) hasEvents() bool {
+	mediaType := a.mediaType()
+	return (mediaType == "" || mediaType == "text/event-stream") && a.response.Header.Get("Content-Encoding") == ""
+}
+
 // endStream ends the client's stream if the server's stream is complete, and classifies the read
 // error otherwise. rest is the text after the last complete event.
 func (c *clientRequest) endStream(a *attempt, rest event, err error) (balance.Outcome, attemptResult) {
--- a/hornbeamd/service/eventstream.go
+++ b/hornbeamd/service/eventstream.go
@@ -3,43 +3,24 @@
 import (
 	"errors"
 	"io"
+
+	"hornbeamstep.example/ports/transport"
 )
 
-// eventStreamReader reads a stream of server-sent events. At an end inside an event or before the
-// first one it returns io.ErrUnexpectedEOF instead of io.EOF.
+// eventStreamReader reads a stream of server-sent events. At an end inside an event it returns
+// io.ErrUnexpectedEOF instead of io.EOF. It does so before the first event too, if endsWithConnection
+// is true: the body has neither a length nor chunks, which would show that it is complete.
 type eventStreamReader struct {
-	body io.Reader
-	// inLine is true within a line, and inComment if this line is a comment.
-	inLine, inComment bool
-	// inEvent is true after a line that is not a comment, until the next blank line.
-	inEvent bool
-	// hasEvent is true after the end of the first event.
-	hasEvent bool
-	// afterCR is true after a carriage return, which ends a line together with a line feed that
-	// follows it.
-	afterCR bool
+	body               io.Reader
+	endsWithConnection bool
+	scanner            transport.EventScanner
 }
 
 func (r *eventStreamReader) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	for _, b := range p[:n] {
-		r.add(b)
-	}
-	if errors.Is(err, io.EOF) && (r.inLine || r.inEvent || !r.hasEvent) {
+	r.scanner.Scan(p[:n])
+	if errors.Is(err, io.EOF) && (r.scanner.InEvent() || r.endsWithConnection && !r.scanner.HasEvent()) {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
-
-func (r *eventStreamReader) add(b byte) {
-	switch {
-	case b == '\n' && r.afterCR:
-		r.afterCR = false
-	case b == '\n', b == '\r':
-		r.hasEvent = r.hasEvent || r.inEvent && !r.inLine
-		r.inEvent = r.inLine && (r.inEvent || !r.inComment)
-		r.inLine, r.afterCR = false, b == '\r'
-	case !r.inLine:
-		r.inLine, r.inComment, r.afterCR = true, b == ':', false
-	}
-}
--- a/hornbeamd/service/service.go
+++ b/hornbeamd/service/service.go
@@ -61,12 +61,13 @@
 	Status int
 	// Header is the response header without hop-by-hop fields and fields for the router.
 	Header http.Header
-	// Length is the length of Body in bytes; negative if the service did not send Content-Length.
+	// Length is the length of Body in bytes; negative if the service did not send Content-Length, and for
+	// a stream of server-sent events, which would look complete to the caller by its length alone.
 	Length int64
 	// IsEventStream is true if Body is a stream of server-sent events.
 	IsEventStream bool
-	// Body returns io.ErrUnexpectedEOF if an event stream without length or chunks ends inside an
-	// event or before the first one.
+	// Body returns io.ErrUnexpectedEOF if an event stream ends inside an event, or if one without
+	// length or chunks ends before the first one.
 	Body    io.Reader
 	timeout *timeoutReader
 	close   func()
@@ -114,8 +115,9 @@
 		timeout:       body,
 		close:         func() { resp.Body.Close(); stop() },
 	}
-	if response.IsEventStream && req.Method != http.MethodHead && exchange.EndsWithConnection(resp) && resp.Header.Get("Content-Encoding") == "" {
-		response.Body = &eventStreamReader{body: response.Body}
+	if response.IsEventStream && req.Method != http.MethodHead && resp.Header.Get("Content-Encoding") == "" {
+		response.Body = &eventStreamReader{body: response.Body, endsWithConnection: exchange.EndsWithConnection(resp)}
+		response.Length = -1
 	}
 	return response, nil
 }
