fix: look at the server of a large response that breaks off

Cause: relayLarge ended the request by a panic, so that attempt.end, which looks for crashes, was left out.

Change: relayLarge returns, and forward breaks off the request after the attempt has ended. tryServer ends each attempt in one place, also if it panics.

--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -118,6 +118,9 @@
 	attemptMayHaveRun
 	// attemptClientGone means that the client disconnected.
 	attemptClientGone
+	// attemptBrokenOff means that the response broke off after a part of it was sent to the client, and
+	// that no other server can continue it.
+	attemptBrokenOff
 )
 
 // chooseAttempt chooses a server that was not tried and is not in avoid, with a permit if it states
@@ -238,16 +241,18 @@
 	}
 	c.current = a
 	c.standby.setCurrent(a)
-	var outcome balance.Outcome
-	var result attemptResult
+	// They are replaced unless the attempt panics, which ends it all the same.
+	outcome, result := balance.Abandoned, attemptBrokenOff
+	defer func() {
+		a.end(outcome, result)
+		c.current = nil
+	}()
 	if a.response == nil {
 		outcome, result = a.open()
 	}
 	if a.response != nil {
 		outcome, result = c.relay(a)
 	}
-	a.end(outcome, result)
-	c.current = nil
 	return result
 }
 
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -137,6 +137,9 @@
 			c.recordResult(0, "caller_left")
 			c.abort()
 			return
+		case attemptBrokenOff:
+			c.abort()
+			return
 		}
 		if a = c.awaitStandby(); a != nil {
 			continue
@@ -373,9 +376,8 @@
 		// What has arrived is delivered; an error means that the client has left. The abort discards it otherwise.
 		_ = http.NewResponseController(c.w).Flush()
 		c.recordResult(response.Status, "broken")
-		// abort panics, so tryServer does not record the end of the attempt.
-		a.recordEnd(time.Now(), outcome, 0)
-		c.abort()
+		a.readErr = err
+		return outcome, attemptBrokenOff
 	}
 	c.recordResult(response.Status, responseOutcome(response.Status))
 	c.clearDeadline()
