fix: watch the servers of attempts that were given up for crashes

Cause: the router looked only at servers whose connection broke by itself, once, 30 ms later. An attempt that ended otherwise (client left, deadline, standby, a reset on the way) left no evidence.

Change: crashwatch looks at the servers at which such a request may still run, until the deadline that they were told, by idle connections that end and without sending anything; quarantine.Watch decides whether a crash counts, not if other servers crash at the same time. A suspect goes on for up to 2 s after its client has left, one run at a time, so that its answer clears it. Both data paths.

--- a/hornbeambench/standin/requestpath/fixture_test.go
+++ b/hornbeambench/standin/requestpath/fixture_test.go
@@ -35,6 +35,8 @@
 	draining    bool
 	// claimErr, if set, is returned by Claim.
 	claimErr error
+	// onTrial is true if requests go on after their callers have left.
+	onTrial bool
 	// openGrants is the number of grants that are not released.
 	openGrants   int
 	results      []caller.Result
@@ -74,6 +76,8 @@
 
 func (d *fakeDispatcher) RecordAnswer(string, []quarantine.PartKey) {}
 
+func (d *fakeDispatcher) BeginTrial(string) (func(), bool) { return func() {}, d.onTrial }
+
 func (d *fakeDispatcher) Route(string, string, string) caller.RouteResponse {
 	return caller.RouteResponse{Addresses: []caller.Address{{Address: "127.0.0.1:9", Zone: "Ubungo"}}}
 }
--- a/hornbeamd/backend/backend_test.go
+++ b/hornbeamd/backend/backend_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -372,3 +374,45 @@
 		})
 	}
 }
+
+// Guards against idle connections that the server has ended and that count as open, and against a check
+// that closes sound ones or opens others.
+func TestCheckIdle(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	accepted := make(chan net.Conn, 10)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	opened := 0
+	p, address := newPool(&opened), listener.Addr().String()
+	check := func(wantEnded, wantOpen int) {
+		ended, open := p.CheckIdle(address)
+		c.Assert(ended, qt.Equals, wantEnded)
+		c.Assert(open, qt.Equals, wantOpen)
+	}
+	check(0, 0)
+	for range 3 {
+		c.Assert(p.Connect(context.Background(), address), qt.IsNil)
+	}
+	check(0, 3)
+	(<-accepted).Close()
+	reset := <-accepted
+	reset.(*net.TCPConn).SetLinger(0)
+	reset.Close()
+	time.Sleep(50 * time.Millisecond)
+	check(2, 1)
+	check(0, 1)
+	c.Assert(opened, qt.Equals, 3)
+	listener.Close()
+	c.Assert(errors.Is(p.Connect(context.Background(), address), syscall.ECONNREFUSED), qt.IsTrue)
+	check(0, 1)
+}
--- a/hornbeamd/backend/pool.go
+++ b/hornbeamd/backend/pool.go
@@ -83,16 +83,20 @@
 	if !reserved {
 		return nil, &Error{Kind: ConnectionLimit, Cause: errConnectionLimit}
 	}
-	netConn, err := p.dial(ctx, r.Address)
+	return p.open(ctx, r.Address)
+}
+
+// open establishes a connection whose slot is reserved, and frees the slot if that fails.
+func (p *Pool) open(ctx context.Context, address string) (*conn, *Error) {
+	netConn, err := p.dial(ctx, address)
 	if err != nil {
-		p.releaseSlot(r.Address)
+		p.releaseSlot(address)
 		kind := Unreachable
 		if ctx.Err() != nil {
 			kind = ContextDone
 		}
 		return nil, &Error{Kind: kind, Cause: err}
 	}
-	address := r.Address
 	c := &conn{Conn: netConn, http: transport.NewConn(netConn), headerBytes: -1, release: func() { p.releaseSlot(address) }}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
@@ -119,6 +123,45 @@
 	}
 }
 
+// Connect establishes a connection to a server and keeps it idle.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	p.reserveSlot(&Request{Address: address})
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err.Cause
+	}
+	// The server may close it like one that has served a request.
+	c.used = true
+	p.put(address, c, 0)
+	return nil
+}
+
+// CheckIdle closes the idle connections to a server that the server has ended. It returns the number of
+// those, and that of the connections that remain open, including those in use. It sends nothing.
+func (p *Pool) CheckIdle(address string) (ended, open int) {
+	p.mu.Lock()
+	h := p.hosts[address]
+	if h == nil {
+		p.mu.Unlock()
+		return 0, 0
+	}
+	var closing, kept []*conn
+	for _, c := range h.idle {
+		if c.reusable() {
+			kept = append(kept, c)
+		} else {
+			closing = append(closing, c)
+		}
+	}
+	h.idle = kept
+	open = h.openCount - len(closing)
+	p.mu.Unlock()
+	for _, c := range closing {
+		c.close()
+	}
+	return len(closing), open
+}
+
 // CloseIdle closes the idle connections to a server.
 func (p *Pool) CloseIdle(address string) {
 	for c := p.popIdle(address); c != nil; c = p.popIdle(address) {
--- a/hornbeamd/caller/call.go
+++ b/hornbeamd/caller/call.go
@@ -40,6 +40,8 @@
 	// abortConnection is true if the response was truncated after its header was sent. The
 	// connection is then closed, since the caller cannot detect the truncation otherwise.
 	abortConnection bool
+	// onTrial is true if the request goes on after the caller has left; see Dispatcher.BeginTrial.
+	onTrial bool
 	// recorder records the response to a request with an idempotency key, so that it can be stored
 	// with the claim.
 	recorder responseRecorder
@@ -108,7 +110,15 @@
 
 // runAttempts makes attempts until one succeeds or no further one is allowed.
 func (c *call) runAttempts(attempt attemptFunc) *outcome.Error {
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.slotRequest.Deadline)
+	ctx := c.r.Context()
+	if endTrial, onTrial := c.server.dispatcher.BeginTrial(c.slotRequest.Fingerprint); onTrial {
+		defer endTrial()
+		var endContext context.CancelFunc
+		ctx, endContext = outlastCaller(ctx)
+		defer endContext()
+		c.onTrial = true
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.slotRequest.Deadline)
 	defer cancel()
 	defer context.AfterFunc(c.server.requestsEnded, cancel)()
 	for {
@@ -137,6 +147,19 @@
 	}
 }
 
+// trialTime is how long a request on trial goes on after its caller has left.
+const trialTime = 2 * time.Second
+
+// outlastCaller returns a context that ends trialTime after the given one.
+func outlastCaller(callerContext context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(callerContext))
+	stop := context.AfterFunc(callerContext, func() { time.AfterFunc(trialTime, cancel) })
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // runAttempt runs one attempt and releases its slot, even if the attempt panics.
 func (c *call) runAttempt(ctx context.Context, g Grant, attempt attemptFunc) *exchange.Error {
 	id := c.id + "-" + strconv.Itoa(c.attempts)
@@ -146,7 +169,7 @@
 		result.RequestID = c.id
 		result.Account = c.account.Name
 		result.Fingerprint = c.slotRequest.Fingerprint
-		result.Model, result.Parts = c.slotRequest.Model, c.slotRequest.Parts
+		result.Model, result.Parts, result.Deadline = c.slotRequest.Model, c.slotRequest.Parts, c.slotRequest.Deadline
 		result.Duration = time.Since(start)
 		c.server.dispatcher.Release(g, result)
 	}()
@@ -188,7 +211,7 @@
 //   - The retry budget of the client account is not used up.
 func (c *call) mayRetry(ctx context.Context, f *exchange.Error) bool {
 	switch {
-	case c.contentSent, ctx.Err() != nil, c.attempts >= c.server.options.MaxAttempts:
+	case c.contentSent, ctx.Err() != nil, c.r.Context().Err() != nil, c.attempts >= c.server.options.MaxAttempts:
 		return false
 	case f.Kind == exchange.Cancelled:
 		return false
--- a/hornbeamd/caller/chat.go
+++ b/hornbeamd/caller/chat.go
@@ -125,9 +125,11 @@
 }
 
 // relayChunks copies an engine's stream to a sink. It reads the next chunk only after the sink has
-// accepted the previous one. Each chunk counts as one token in the result and in the metrics.
+// accepted the previous one. Each chunk counts as one token in the result and in the metrics. If the caller
+// leaves during a trial, it reads on without a sink.
 func (c *call) relayChunks(stream *resumableStream, sink chunkSink) (Result, *exchange.Error) {
 	result := Result{Ending: EndedOK}
+	var callerGone *exchange.Error
 	start := time.Now()
 	for {
 		waitStart := time.Now()
@@ -136,6 +138,10 @@
 			result.TokenWait += time.Since(waitStart)
 		}
 		if errors.Is(err, engine.ErrStreamComplete) {
+			result.Answered = true
+			if callerGone != nil {
+				return result, callerGone
+			}
 			if err = sink.finish(); err != nil {
 				return result, callerFailure(err)
 			}
@@ -156,8 +162,14 @@
 		}
 		result.Tokens++
 		c.server.metrics.tokens.Inc()
+		if callerGone != nil {
+			continue
+		}
 		if err := sink.writeChunk(chunk, stream.buffered()); err != nil {
-			return result, sinkFailure(err)
+			callerGone = sinkFailure(err)
+			if !c.onTrial || callerGone.Kind != exchange.Cancelled {
+				return result, callerGone
+			}
 		}
 	}
 }
--- a/hornbeamd/caller/dispatcher.go
+++ b/hornbeamd/caller/dispatcher.go
@@ -21,6 +21,10 @@
 	// RecordAnswer is called when the first chunk of the response to a chat completion with the given
 	// model and parts has arrived.
 	RecordAnswer(model string, parts []quarantine.PartKey)
+	// BeginTrial reports whether a request must go on after its caller has left, because backend servers
+	// crashed that ran it, and its end shows whether it crashes them. If so, end must be called after the
+	// request.
+	BeginTrial(fingerprint string) (end func(), onTrial bool)
 	// Route returns the response of GET /v1/route.
 	Route(account, model, chat string) RouteResponse
 	// Claim claims a request that must not run twice. It returns the new claim, or the existing one
@@ -108,6 +112,10 @@
 	// RequestID, Account, Fingerprint, Model and Parts are copied from the SlotRequest.
 	RequestID, Account, Fingerprint, Model string
 	Parts                                  []quarantine.PartKey
+	// Deadline is when the backend server stops working on the request at the latest.
+	Deadline time.Time
+	// Answered is true if the response was received completely, although the caller may not have got it.
+	Answered bool
 	// Tokens is the number of tokens received, where each chunk counts as one. PromptTokens,
 	// CachedTokens and CompletionTokens are those that the engine reported as usage; 0 if it
 	// reported none.
--- a/hornbeamd/caller/services.go
+++ b/hornbeamd/caller/services.go
@@ -92,7 +92,8 @@
 		if !c.atMostOnce && retryable(response.Status) && c.attempts < c.server.options.MaxAttempts {
 			return result, &exchange.Error{Kind: exchange.Rejected, Sent: true, Status: response.Status}
 		}
-		return result, c.relayResponse(ctx, response)
+		result.Answered, failure = c.relayResponse(ctx, response)
+		return result, failure
 	}
 }
 
@@ -111,8 +112,9 @@
 // relayResponse sends a service's response to the caller. A response of at most
 // Options.ServiceResponseBuffer bytes is received completely before its header is sent, so that the
 // caller never receives it truncated. A longer response or an event stream is relayed while it
-// arrives; if it is truncated, the caller's connection is closed.
-func (c *call) relayResponse(ctx context.Context, response *service.Response) *exchange.Error {
+// arrives; if it is truncated, the caller's connection is closed. It reports whether the response was
+// received completely, which it may be although the caller has left.
+func (c *call) relayResponse(ctx context.Context, response *service.Response) (answered bool, failure *exchange.Error) {
 	var buffered bytes.Buffer
 	limit := int64(c.server.options.ServiceResponseBuffer) + 1
 	if response.IsEventStream {
@@ -120,7 +122,7 @@
 	}
 	_, err := io.CopyN(&buffered, response.Body, limit)
 	if err != nil && !errors.Is(err, io.EOF) {
-		return exchange.NewError(ctx, err, true)
+		return false, exchange.NewError(ctx, err, true)
 	}
 	complete := errors.Is(err, io.EOF)
 	header := c.w.Header()
@@ -142,18 +144,19 @@
 		c.recorder.overLimit = true
 	}
 	if _, err = c.w.Write(buffered.Bytes()); err != nil {
-		return callerFailure(err)
+		return complete, callerFailure(err)
 	}
 	c.server.metrics.serviceBytes.Add(float64(buffered.Len()))
 	if complete {
 		if err = c.controller.Flush(); err != nil {
-			return callerFailure(err)
+			return true, callerFailure(err)
 		}
-		return nil
+		return true, nil
 	}
 	// The request cannot be repeated from here on, so a silent replica is better than none.
 	response.DisableProgressTimeout()
-	return c.relayBody(ctx, response.Body, response.IsEventStream)
+	failure = c.relayBody(ctx, response.Body, response.IsEventStream)
+	return failure == nil, failure
 }
 
 // relayBody relays the rest of a large response or of an event stream. Only an event stream is
--- a/hornbeamd/control/admit.go
+++ b/hornbeamd/control/admit.go
@@ -313,13 +313,15 @@
 // Release implements caller.Dispatcher.
 func (l *Loop) Release(g caller.Grant, r caller.Result) {
 	boot := l.bootIDs.take(g.Slot)
-	switch r.Ending {
-	case caller.EndedCrashed, caller.EndedFailed, caller.EndedMalformed:
+	switch {
+	case r.Ending == caller.EndedOK, r.Answered:
+		l.trackEnd(r.Fingerprint, g.Backend, true)
+	case r.Ending == caller.EndedCrashed, r.Ending == caller.EndedFailed, r.Ending == caller.EndedMalformed:
 		// An engine that crashes may still end its streams with an error, so EndedFailed and
 		// EndedMalformed are checked as well.
-		l.recordIfCrashed(g, r, boot)
-	case caller.EndedOK:
-		l.trackEnd(r.Fingerprint, g.Backend, true)
+		l.checkCrash(g, r, boot)
+	case r.Ending == caller.EndedCancelled, r.Ending == caller.EndedTimedOut:
+		l.watchServer(g, r, boot)
 	}
 	l.limits.finish(l.Now(), r.RequestID, int64(r.PromptTokens-r.CachedTokens+r.Tokens))
 	if g.Pool == "" {
--- a/hornbeamd/control/control.go
+++ b/hornbeamd/control/control.go
@@ -18,6 +18,8 @@
 	"go.uber.org/zap"
 
 	"hornbeamstep.example/coord/claim"
+	"hornbeamstep.example/hornbeamd/caller"
+	"hornbeamstep.example/hornbeamd/crashwatch"
 	"hornbeamstep.example/hornbeamd/engine"
 	"hornbeamstep.example/hornbeamd/settings"
 	"hornbeamstep.example/policy"
@@ -98,6 +100,10 @@
 	trackerMu sync.Mutex
 	tracker   *quarantine.Tracker
 	parts     *quarantine.PartTracker
+	// trials holds the fingerprints of the requests that are on trial; see BeginTrial. trackerMu guards it.
+	trials map[string]bool
+	// watcher looks at the backend servers of requests that were given up.
+	watcher *crashwatch.Watcher[caller.Result]
 
 	// state is accessed only by the goroutine of Run.
 	state state
@@ -128,6 +134,8 @@
 		l.retries.init()
 		l.tracker = quarantine.New(quarantine.Defaults())
 		l.parts = quarantine.NewPartTracker(quarantine.PartDefaults())
+		l.trials = map[string]bool{}
+		l.watcher = l.newWatcher()
 		l.state = newState()
 		l.snapshot.Store(&snapshot{rule: l.placementRule()})
 	})
--- a/hornbeamd/control/crashes.go
+++ b/hornbeamd/control/crashes.go
@@ -92,19 +92,35 @@
 	if fingerprint == "" {
 		return
 	}
+	if answered {
+		l.watcher.RecordAnswer(fingerprint)
+	}
 	l.trackerMu.Lock()
 	defer l.trackerMu.Unlock()
 	l.tracker.End(fingerprint, engine, answered)
 }
 
-// recordIfCrashed checks after a failed request whether its engine crashed, and if so, records the
-// crash against the request, which becomes a suspect or is quarantined.
-func (l *Loop) recordIfCrashed(g caller.Grant, r caller.Result, boot string) {
-	if r.Fingerprint == "" || !l.crashed(g.Backend, boot) {
+// checkCrash checks after a failed request whether its engine crashed, and if so, records the crash
+// against the request, which becomes a suspect or is quarantined. Otherwise the engine may go on with the
+// request, unless it has responded with an error.
+func (l *Loop) checkCrash(g caller.Grant, r caller.Result, boot string) {
+	if r.Fingerprint == "" {
+		return
+	}
+	if !l.crashed(g.Backend, boot) {
+		if r.Ending != caller.EndedFailed {
+			l.watchServer(g, r, boot)
+		}
 		return
 	}
 	l.send(func(now time.Time) { l.handleRequestFailure(g.Backend, now) })
 	crash := quarantine.Crash{Engine: g.Backend, Boot: boot}
+	l.watcher.RecordCrash(time.Now(), crash)
+	l.recordCrash(crash, r)
+}
+
+// recordCrash records a crash against a request.
+func (l *Loop) recordCrash(crash quarantine.Crash, r caller.Result) {
 	l.trackerMu.Lock()
 	entries := l.tracker.RecordCrash(l.Now(), crash, []string{r.Fingerprint})
 	if r.Tokens == 0 {
@@ -180,6 +196,11 @@
 // MergeSuspects merges what other routers know about requests that crashed engines.
 func (l *Loop) MergeSuspects(entries []quarantine.Entry) {
 	l.init()
+	for _, e := range entries {
+		for _, crash := range e.Crashes {
+			l.watcher.RecordReport(e.At, crash)
+		}
+	}
 	l.trackerMu.Lock()
 	defer l.trackerMu.Unlock()
 	l.tracker.Merge(l.Now(), entries)
--- a/hornbeamd/gateway/attempt.go
+++ b/hornbeamd/gateway/attempt.go
@@ -7,7 +7,6 @@
 	"mime"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,7 +16,6 @@
 	"hornbeamstep.example/hornbeamd/memory"
 	"hornbeamstep.example/routing/balance"
 	"hornbeamstep.example/routing/metadata"
-	"hornbeamstep.example/routing/quarantine"
 	"hornbeamstep.example/routing/routes"
 )
 
@@ -333,10 +331,12 @@
 	case a.viaPeer:
 		// The peer looks for crashes.
 	case outcome == balance.Answered, outcome == balance.Failed:
+		c.answered.Store(true)
 		c.server.Crashes.recordResponse(c.suspect, a.choice.Server.ID)
 	case a.mayHaveCrashed(outcome):
-		crash := quarantine.Crash{Engine: a.choice.Server.ID, Boot: strconv.FormatInt(a.choice.Server.Born, 10)}
-		c.server.Crashes.checkCrash(c.suspect, a.answered, a.choice.Server.Address, crash)
+		c.server.Crashes.checkCrash(c.suspect, a.answered, a.choice.Server, c.deadline)
+	case a.mayHaveRun && !c.answered.Load():
+		c.server.Crashes.watchRun(c.suspect, a.answered, a.choice.Server, c.deadline)
 	}
 	if result == attemptFinished {
 		return
@@ -438,6 +438,9 @@
 	}
 }
 
+// isClientGone reports whether the client has disconnected.
+func (c *clientRequest) isClientGone() bool { return c.r.Context().Err() != nil }
+
 // classifyRequestError classifies an attempt that failed before response headers arrived.
 func (a *attempt) classifyRequestError(err *backend.Error) (balance.Outcome, attemptResult) {
 	a.err = err
@@ -447,7 +450,10 @@
 		result = attemptMayHaveRun
 	}
 	switch {
-	case a.request.r.Context().Err() != nil:
+	case a.request.isClientGone() && a.ctx.Err() == nil && err.Sent && err.Kind == backend.Broken:
+		// The request is on trial.
+		return balance.Broken, attemptClientGone
+	case a.request.isClientGone():
 		return balance.Abandoned, attemptClientGone
 	case errors.Is(context.Cause(a.ctx), errNotNeeded), a.request.isEnded():
 		return balance.Abandoned, result
@@ -470,7 +476,10 @@
 // classifyReadError classifies an attempt whose response ended before it was complete.
 func (a *attempt) classifyReadError() (balance.Outcome, attemptResult) {
 	switch {
-	case a.request.r.Context().Err() != nil:
+	case a.request.isClientGone() && a.ctx.Err() == nil:
+		// The request is on trial.
+		return balance.Broken, attemptClientGone
+	case a.request.isClientGone():
 		return balance.Abandoned, attemptClientGone
 	case errors.Is(context.Cause(a.ctx), errReplaced):
 		return balance.Silent, attemptMayHaveRun
--- a/hornbeamd/gateway/crashes.go
+++ b/hornbeamd/gateway/crashes.go
@@ -13,7 +13,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"hornbeamstep.example/hornbeamd/crashwatch"
 	"hornbeamstep.example/routing/quarantine"
+	"hornbeamstep.example/routing/roster"
 )
 
 // CrashTracker detects requests that crash every backend server that runs them, and parts of
@@ -27,6 +29,9 @@
 	// OnCrash is called for each crash that this router, or another one, has recently seen. Optional.
 	OnCrash func(now time.Time, crash quarantine.Crash)
 
+	// watcher looks at the servers of attempts that were given up.
+	watcher crashwatch.Watcher[givenUpRun]
+
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
 	parts   *quarantine.PartTracker
@@ -34,6 +39,8 @@
 	partNames map[quarantine.PartKey]string
 	// requestCrashes holds the crashes of each quarantined request.
 	requestCrashes map[string][]quarantine.CrashKey
+	// trials holds the fingerprints of the requests that are on trial; see beginTrial.
+	trials map[string]struct{}
 	// outgoing holds the tracker's entries to announce to the other routers, by fingerprint.
 	outgoing map[string]quarantine.Entry
 	// refreshedAt is when each quarantined request was last announced, by fingerprint.
@@ -92,6 +99,7 @@
 type CrashMetrics struct {
 	attempts *prometheus.CounterVec
 	parts    *prometheus.CounterVec
+	givenUp  *prometheus.CounterVec
 }
 
 // NewCrashMetrics creates the metrics and registers them with r.
@@ -103,8 +111,12 @@
 		parts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "hornbeam_gateway_prompt_parts_total", Help: "Changes of the state of prompt parts: cleared by an answer, quarantined, released.",
 		}, []string{"change"}),
+		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "hornbeam_gateway_given_up_runs_total",
+			Help: "Runs that were given up while their backend server may go on: watched, ignored or on trial, and by verdict if the server crashed.",
+		}, []string{"result"}),
 	}
-	r.MustRegister(m.attempts, m.parts)
+	r.MustRegister(m.attempts, m.parts, m.givenUp)
 	return m
 }
 
@@ -117,7 +129,7 @@
 	return &CrashTracker{
 		Log: zap.NewNop(), Metrics: NewCrashMetrics(prometheus.NewRegistry()), tracker: quarantine.New(settings), parts: quarantine.NewPartTracker(partSettings),
 		partNames: map[quarantine.PartKey]string{}, requestCrashes: map[string][]quarantine.CrashKey{},
-		outgoing: map[string]quarantine.Entry{}, refreshedAt: map[string]time.Time{}, seen: map[seenCrash]struct{}{},
+		outgoing: map[string]quarantine.Entry{}, refreshedAt: map[string]time.Time{}, seen: map[seenCrash]struct{}{}, trials: map[string]struct{}{},
 	}
 }
 
@@ -200,6 +212,7 @@
 // recordResponse removes a request from the suspects after a server has responded to it, and stops
 // announcing it.
 func (t *CrashTracker) recordResponse(s suspect, server string) {
+	t.watcher.RecordAnswer(s.fingerprint)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.tracker.End(s.fingerprint, server, true)
@@ -215,13 +228,20 @@
 
 // checkCrash is called when a connection to a server broke during a request. answered is true if
 // the server had begun to answer. After crashCheckDelay it checks whether the server still accepts
-// connections. If not, it records the crash for the request.
-func (t *CrashTracker) checkCrash(s suspect, answered bool, address string, crash quarantine.Crash) {
+// connections. If not, it records the crash for the request. Otherwise the server may go on with the
+// request, until the given deadline.
+func (t *CrashTracker) checkCrash(s suspect, answered bool, server roster.Server, deadline time.Time) {
 	brokenAt := time.Now()
 	time.AfterFunc(crashCheckDelay, func() {
-		if !acceptsConnections(address) {
-			t.recordCrash(brokenAt, s, answered, crash)
+		err := tryConnection(server.Address)
+		if err == nil {
+			t.watchRun(s, answered, server, deadline)
+			return
+		}
+		if isRefused(err) {
+			t.watcher.RecordCrash(brokenAt, crashOf(server))
 		}
+		t.recordCrash(brokenAt, s, answered, crashOf(server))
 	})
 }
 
@@ -373,18 +393,18 @@
 	t.updateParts(now)
 }
 
-// acceptsConnections returns true if a server accepts a TCP connection within 2*crashCheckDelay.
-func acceptsConnections(address string) bool {
+// tryConnection returns an error unless a server accepts a TCP connection within 2*crashCheckDelay.
+func tryConnection(address string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckDelay*2)
 	defer cancel()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return false
+		return err
 	}
 	// Only the result of the dial matters here.
 	_ = conn.Close()
-	return true
+	return nil
 }
 
 // Outgoing returns at most maxEntriesPerHeartbeat entries to announce to the other routers, and
@@ -445,6 +465,9 @@
 		if !t.recordSeen(e) {
 			continue
 		}
+		for _, crash := range e.Crashes {
+			t.watcher.RecordReport(e.At, crash)
+		}
 		if now.Sub(e.At) < recentCrash {
 			for _, crash := range e.Crashes {
 				t.reportCrash(now, crash)
--- a/hornbeamd/gateway/forward.go
+++ b/hornbeamd/gateway/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,9 +42,12 @@
 	relayed    relayRequest
 	rejectedAs string
 
-	// suspect identifies the request if it may crash servers.
-	suspect suspect
-	// ctx ends at the deadline, when the client disconnects, or when the router closes.
+	// suspect identifies the request if it may crash servers. answered is true once a server has answered
+	// it, so that it crashes none.
+	suspect  suspect
+	answered atomic.Bool
+	// ctx ends at the deadline, when the client disconnects, or when the router closes. It outlasts the
+	// client for a while if the request is on trial.
 	ctx context.Context
 	// choice is that of the current attempt, or of the last one. current is nil while no attempt
 	// can send the client's response.
@@ -95,7 +99,14 @@
 // forward sends the request to one backend server after another until one responds or no further
 // attempt is allowed.
 func (c *clientRequest) forward() {
-	ctx, end := context.WithCancelCause(c.r.Context())
+	c.suspect = c.newSuspect()
+	ctx := c.r.Context()
+	if c.server.Crashes.beginTrial(c.receivedAt, c.suspect) {
+		var endTrial context.CancelFunc
+		ctx, endTrial = c.trialContext()
+		defer endTrial()
+	}
+	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(c.server.closing, func() { end(errClosing) })()
 	c.ctx = ctx
@@ -104,7 +115,6 @@
 		c.ctx, cancel = context.WithDeadline(c.ctx, c.deadline)
 		defer cancel()
 	}
-	c.suspect = c.newSuspect()
 	if reason := c.server.Crashes.rejectionReason(c.receivedAt, c.suspect); reason != "" {
 		c.server.Crashes.logRejection(c.suspect)
 		c.reject(&rejection{http.StatusServiceUnavailable, reason, quarantinedRetryAfter})
--- a/hornbeamd/gateway/gateway.go
+++ b/hornbeamd/gateway/gateway.go
@@ -128,6 +128,9 @@
 	s.ready = make(chan struct{})
 	s.eventBudget, s.bodyBudget = memory.New(maxHeldEventBytes), memory.New(maxHeldBodyBytes)
 	s.closing, s.end = context.WithCancelCause(context.Background())
+	if s.Crashes != nil {
+		s.Crashes.watchServers(s)
+	}
 }
 
 // awaitReady waits until the first configuration and the backend servers are known, but no longer
--- a/hornbeamd/gateway/standby.go
+++ b/hornbeamd/gateway/standby.go
@@ -117,7 +117,7 @@
 	s := &c.standby
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.current != current {
+	if s.closed || s.current != current || c.isClientGone() {
 		return false
 	}
 	if a := s.attempt; a != nil {
--- a/hornbeamd/gateway/upstreams.go
+++ b/hornbeamd/gateway/upstreams.go
@@ -139,6 +139,13 @@
 	return u.Balancer.IsPaused(now, id)
 }
 
+// isInService reports whether a process of a server is listed and not leaving.
+func (u *Upstreams) isInService(id string, born int64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.Balancer.IsInService(id, born)
+}
+
 // States returns the state of each server as this router sees it.
 func (u *Upstreams) States(now time.Time) []balance.State {
 	u.mu.Lock()
--- a/routing/balance/health.go
+++ b/routing/balance/health.go
@@ -102,6 +102,13 @@
 	return e != nil && now.Before(e.pausedUntil)
 }
 
+// IsInService reports whether a process of a server, which started at the given time, is listed and not
+// leaving.
+func (b *Balancer) IsInService(id string, born int64) bool {
+	e := b.servers[id]
+	return e != nil && e.Born == born && !e.isLeaving()
+}
+
 // Paused returns the sorted IDs of the servers that this router has paused because it got no answer
 // from them.
 func (b *Balancer) Paused(now time.Time) []string {
