test: the soak counts rejections that were sent, and requests when they arrive

A request that its router has given up by then got no rejection, but the stand-in reported one. Requests that had come before any rejection was sent were counted when they were rejected at the end of the silence, up to two seconds after they arrived. The router kept to what it had been told.

Change: the stand-in reports when a rejected request arrived, and whether it was given up before the rejection could be sent. Only a rejection that was sent tells the router; each request counts at its arrival, those that were given up too, which the former rule missed if they were rejected after the time. So nothing that a router sends after it was told goes uncounted. The limit on servers that state one counts arrivals as well. The allowed number and times are unchanged.

Result: the new cases of TestCheck hold; with the former rule all three are judged wrongly: two violations that are none, and one that is missed.

--- a/hornbeambench/soak/checks_test.go
+++ b/hornbeambench/soak/checks_test.go
@@ -201,11 +201,23 @@
 			o.disruptions = append(o.disruptions, disruption{Kind: reloadSettings, Router: "r0", Planned: true, From: at(20), To: at(21)})
 		}, "servers that say that they leave get no new requests"},
 		"requests within the time of a rejection": {func(o *observations) {
-			o.rejections = []rejection{{Attempt: "a", Server: "plain-2", At: at(8.5)}}
+			o.rejections = []rejection{{Attempt: "a", Server: "plain-2", Arrived: at(8.5), At: at(8.5)}}
 			o.runs["a"] = append(o.runs["a"], o.runs["a"][0], o.runs["a"][0])
 		}, "servers that want no requests for a time get none"},
+		"requests within the time of a rejection, given up": {func(o *observations) {
+			late := rejection{Attempt: "a", Server: "plain-2", Arrived: at(9.2), At: at(11), Abandoned: true}
+			o.rejections = []rejection{{Attempt: "a", Server: "plain-2", Arrived: at(8.5), At: at(8.5)}, late, late}
+		}, "servers that want no requests for a time get none"},
+		"requests before a rejection that was delayed": {func(o *observations) {
+			waiting := rejection{Attempt: "a", Server: "plain-2", Arrived: at(8.4), At: at(9.6)}
+			o.rejections = []rejection{{Attempt: "a", Server: "plain-2", Arrived: at(8.5), At: at(8.5)}, waiting, waiting, waiting}
+		}, ""},
+		"requests within the time of a rejection that nobody got": {func(o *observations) {
+			late := rejection{Attempt: "a", Server: "plain-2", Arrived: at(9.2), At: at(9.6), Abandoned: true}
+			o.rejections = []rejection{{Attempt: "a", Server: "plain-2", Arrived: at(8), At: at(8.5), Abandoned: true}, late, late, late}
+		}, ""},
 		"two requests within the time of a rejection": {func(o *observations) {
-			o.rejections = []rejection{{Attempt: "a", Server: "plain-2", At: at(8.5)}, {Attempt: "a", Server: "plain-2", At: at(9.2)}}
+			o.rejections = []rejection{{Attempt: "a", Server: "plain-2", Arrived: at(8.5), At: at(8.5)}, {Attempt: "a", Server: "plain-2", Arrived: at(9.2), At: at(9.2)}}
 		}, ""},
 		"unexpected router exit":          {func(o *observations) { o.exits = []string{"r0"} }, "routers run until they are ended"},
 		"missing response, router killed": {func(o *observations) { o.changeRequest("a", dropResponse); o.addDisruption(disruption{Router: "r0"}) }, ""},
--- a/hornbeambench/soak/child.go
+++ b/hornbeambench/soak/child.go
@@ -129,8 +129,8 @@
 	// Began is a request that a backend server has started to run, and Ended one that has ended.
 	// Complete is true if the server sent the whole response of the ended request.
 	Began, Ended *standin.Run
-	// Rejected is the attempt ID of a request that a backend server has rejected with a retry delay.
-	Rejected string
+	// Rejected is a request that a backend server has rejected with a retry delay.
+	Rejected *standin.Rejection
 	// TurnedAway is the attempt ID of a request that a brittle backend server has rejected.
 	TurnedAway string
 	Complete   bool `json:"Whole"`
@@ -203,11 +203,11 @@
 	}
 	s.OnStart = func(r standin.Run) { notify(notification{Began: &r}) }
 	s.OnEnd = func(r standin.Run, complete bool) { notify(notification{Ended: &r, Complete: complete}) }
-	s.OnReject = func(attempt, retryAfter string) {
-		if retryAfter != "" {
-			notify(notification{Rejected: attempt})
+	s.OnReject = func(r standin.Rejection) {
+		if r.RetryAfter != "" {
+			notify(notification{Rejected: &r})
 		} else {
-			notify(notification{TurnedAway: attempt})
+			notify(notification{TurnedAway: r.Attempt})
 		}
 	}
 	notify(notification{Address: s.Listener.Addr().String()})
--- a/hornbeambench/soak/limits.go
+++ b/hornbeambench/soak/limits.go
@@ -77,7 +77,7 @@
 			}
 		}
 		for _, r := range o.rejections {
-			add(r.Attempt, r.Server, r.At)
+			add(r.Attempt, r.Server, r.Arrived)
 		}
 		slices.SortFunc(arrivals, time.Time.Compare)
 		for i := range len(arrivals) - maxArrivalsInWindow {
--- a/hornbeambench/soak/notices.go
+++ b/hornbeambench/soak/notices.go
@@ -67,14 +67,15 @@
 }
 
 // checkRejectionTimes checks that a router sends at most maxLateArrivals requests to a backend
-// server within the time for which it wants none, unless the router was disrupted or restarted.
+// server within the time for which it wants none, unless the router was disrupted or restarted. A
+// rejection that the router gave up waiting for tells it nothing, but its request counts as arrived.
 func (o *observations) checkRejectionTimes() []violation {
 	type route struct{ router, server string }
 	arrivals := map[route][]time.Time{}
 	sent := o.requestsByAttempt()
 	for _, r := range o.rejections {
 		key := route{sent[r.Attempt].Router, r.Server}
-		arrivals[key] = append(arrivals[key], r.At)
+		arrivals[key] = append(arrivals[key], r.Arrived)
 	}
 	for attempt, runs := range o.runs {
 		for _, serverRun := range runs {
@@ -85,7 +86,7 @@
 	var found []violation
 	for _, r := range o.rejections {
 		key := route{sent[r.Attempt].Router, r.Server}
-		if o.routerForgot(key.router, r.At, r.At.Add(rejectionTime)) {
+		if r.Abandoned || o.routerForgot(key.router, r.At, r.At.Add(rejectionTime)) {
 			continue
 		}
 		late := 0
--- a/hornbeambench/soak/observations.go
+++ b/hornbeambench/soak/observations.go
@@ -68,7 +68,11 @@
 // rejectionTime.
 type rejection struct {
 	Attempt, Server string
-	At              time.Time
+	// Arrived is when the request arrived, and At when it was rejected.
+	Arrived, At time.Time
+	// Abandoned is true if the router, or the caller behind it, gave the request up before the server
+	// responded, as a server that is silent meanwhile does late. The router has not been told then.
+	Abandoned bool
 }
 
 // run is one run of a request on a backend server.
--- a/hornbeambench/soak/testbed.go
+++ b/hornbeambench/soak/testbed.go
@@ -280,8 +280,9 @@
 			tb.observations.endRun(s.id, *n.Ended, n.At, n.Complete)
 		case n.TurnedAway != "":
 			tb.observations.addTurnedAway(rejection{Attempt: n.TurnedAway, Server: s.id, At: n.At})
-		case n.Rejected != "":
-			tb.observations.addRejection(rejection{Attempt: n.Rejected, Server: s.id, At: n.At})
+		case n.Rejected != nil:
+			r := n.Rejected
+			tb.observations.addRejection(rejection{Attempt: r.Attempt, Server: s.id, Arrived: r.Arrived, Abandoned: r.Abandoned, At: n.At})
 		}
 	}, arguments...)
 	if err != nil {
