fix: count the memory of requests that were given up until they notice

Cause: the account of requests gave the room of a revoked reservation away at once, while its request holds the memory until its goroutine runs again. A newcomer revokes those about to be complete and is revoked in turn.

Change: revoked reservations count until they are released, and none is revoked for another while they exceed half of the limit. The newcomer is rejected instead.

--- a/hornbeamd/clientconn/clientconn.go
+++ b/hornbeamd/clientconn/clientconn.go
@@ -191,7 +191,8 @@
 		return
 	}
 	g.Log.Warn("clients exceed the room for connections or requests; closing some of theirs", zap.Int("connections", len(g.conns)),
-		zap.Int("limit", g.MaxConns), zap.Int("closed", g.closed), zap.Int("out_of_memory", g.revoked), zap.Int("held_bytes", g.Account.Used()))
+		zap.Int("limit", g.MaxConns), zap.Int("closed", g.closed), zap.Int("out_of_memory", g.revoked), zap.Int("held_bytes", g.Account.Used()),
+		zap.Int("releasing_bytes", g.Account.Releasing()))
 	g.loggedAt, g.closed, g.revoked = now, 0, 0
 }
 
--- a/hornbeamd/memory/account.go
+++ b/hornbeamd/memory/account.go
@@ -18,11 +18,18 @@
 type Account struct {
 	limit int
 
-	mu      sync.Mutex
-	used    int
-	holders map[*Reservation]struct{}
+	mu   sync.Mutex
+	used int
+	// releasing is the size of the reservations that were revoked and not released yet. Their holders have
+	// the memory until they notice, which takes longest while many clients come at once.
+	releasing int
+	holders   map[*Reservation]struct{}
 }
 
+// maxReleasingPercent is the part of the limit up to which reservations are revoked for others while earlier
+// ones are not released. Without this bound, requests that revoke each other would hold any amount.
+const maxReleasingPercent = 50
+
 // New returns an account with a limit in bytes.
 func New(limit int) *Account {
 	return &Account{limit: limit, holders: map[*Reservation]struct{}{}}
@@ -37,16 +44,16 @@
 	// counted is true while the reservation is one of the holders of the budget, or was revoked.
 	counted bool
 
-	// size, grownAt, pinned and revoked are guarded by the mutex of the budget. A pinned reservation is not
-	// revoked.
+	// size, grownAt, pinned and revoked are guarded by the mutex of the account. A pinned reservation is not
+	// revoked. The size of a revoked one counts as Account.releasing.
 	size            int
 	grownAt         time.Time
 	pinned, revoked bool
 }
 
 // Grow raises the size of the reservation to n bytes. If there is no room, it revokes the largest
-// reservations above this size, and then those that have stalled. It returns false if that is not enough, or if the reservation itself
-// was revoked.
+// reservations above this size, and then those that have stalled, unless too many revoked ones are not
+// released yet. It returns false if that is not enough, or if the reservation itself was revoked.
 func (r *Reservation) Grow(n int) bool {
 	if r == nil || n <= Uncounted {
 		return true
@@ -56,6 +63,9 @@
 	defer b.mu.Unlock()
 	r.counted = true
 	for !r.revoked && b.used-r.size+n > b.limit {
+		if b.releasing > b.limit/100*maxReleasingPercent {
+			return false
+		}
 		victim := b.largestAbove(n)
 		if victim == nil {
 			victim = b.stalled(r, time.Now().Add(-stalledAfter))
@@ -63,7 +73,9 @@
 		if victim == nil {
 			return false
 		}
-		b.remove(victim)
+		delete(b.holders, victim)
+		b.used -= victim.size
+		b.releasing += victim.size
 		victim.revoked = true
 		victim.Revoke()
 	}
@@ -91,13 +103,20 @@
 // Limit returns the limit in bytes.
 func (b *Account) Limit() int { return b.limit }
 
-// Used returns the sum of the reservations in bytes.
+// Used returns the sum of the reservations in bytes, without those that were revoked.
 func (b *Account) Used() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.used
 }
 
+// Releasing returns the sum of the reservations in bytes that were revoked and not released yet.
+func (b *Account) Releasing() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.releasing
+}
+
 // largestAbove returns the largest reservation above n bytes that can be revoked, or nil.
 func (b *Account) largestAbove(n int) *Reservation {
 	var largest *Reservation
@@ -109,10 +128,14 @@
 	return largest
 }
 
-// remove removes a holder.
+// remove removes a holder, or one whose reservation was revoked.
 func (b *Account) remove(r *Reservation) {
-	delete(b.holders, r)
-	b.used -= r.size
+	if r.revoked {
+		b.releasing -= r.size
+	} else {
+		delete(b.holders, r)
+		b.used -= r.size
+	}
 	r.size = 0
 }
 
@@ -127,7 +150,7 @@
 	return !r.revoked
 }
 
-// Release returns the reserved bytes to the budget. The reservation can be used again unless it was
+// Release returns the reserved bytes to the account. The reservation can be used again unless it was
 // revoked.
 func (r *Reservation) Release() {
 	if r == nil || !r.counted {
@@ -147,6 +170,9 @@
 	b := r.Account
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if r.revoked {
+		b.remove(r)
+	}
 	delete(b.holders, r)
 	b.holders[other] = struct{}{}
 	other.Account, other.size, other.counted = b, r.size, true
--- a/hornbeamd/memory/account_test.go
+++ b/hornbeamd/memory/account_test.go
@@ -72,3 +72,40 @@
 		})
 	}
 }
+
+// Guards against requests that are given up for each other and hold any amount of memory together, until they
+// notice.
+func TestRevokedReservationsAreBounded(t *testing.T) {
+	const size, limit = 10 << 10, 100 << 10
+	c := qt.New(t)
+	b := New(limit)
+	var all []*Reservation
+	held := func() (sum int) {
+		for _, r := range all {
+			sum += r.size
+		}
+		return sum
+	}
+	// Each newcomer is smaller than those before, so that it may revoke them.
+	for i := range 2000 {
+		r := &Reservation{Account: b, Revoke: func() {}}
+		r.Grow(size - i)
+		all = append(all, r)
+		c.Assert(held() <= limit+limit/100*maxReleasingPercent+size, qt.IsTrue, qt.Commentf("%d bytes are held after %d requests", held(), i))
+	}
+	newcomer := &Reservation{Account: b, Revoke: func() {}}
+	c.Assert(newcomer.Grow(Uncounted+1), qt.IsFalse)
+	// There is room again once those that were given up have noticed.
+	for _, r := range all {
+		if r.revoked {
+			r.Release()
+		}
+	}
+	c.Assert(newcomer.Grow(Uncounted+1), qt.IsTrue)
+	for _, r := range append(all, newcomer) {
+		r.Release()
+	}
+	c.Assert(b.used, qt.Equals, 0)
+	c.Assert(b.releasing, qt.Equals, 0)
+	c.Assert(b.holders, qt.HasLen, 0)
+}
