fix: a slow client is no silence of the server

Cause: the timer for silent servers and the check for stalled ones ran while the router wrote to the client and so read nothing. An attempt looked for a standby at its first event only, and the ID of an event was recorded after its write.

Change: no standby begins while the router writes to the client, silence counts anew after a blocked write, and a server whose clients all don't read is not stalled. An event is recorded before it is written, and not sent once a standby has replaced the attempt.

--- a/hornbeamd/gateway/stall.go
+++ b/hornbeamd/gateway/stall.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"hornbeamstep.example/routing/balance"
@@ -29,6 +30,19 @@
 	// onStall is called when the server sends no events; nil if the stream cannot continue at
 	// another server. It must not block.
 	onStall func()
+	// isWriting is true while the router sends an event to the client. It reads none meanwhile, for as long
+	// as the client does not read.
+	isWriting atomic.Bool
+}
+
+// areWriting reports whether the router waits for the clients of all streams and not for the server.
+func (g *serverStreams) areWriting() bool {
+	for s := range g.active {
+		if !s.isWriting.Load() {
+			return false
+		}
+	}
+	return true
 }
 
 // recordEvent records that an event of a stream has arrived.
@@ -82,13 +96,13 @@
 		if len(group.active) == 1 {
 			timeout = singleStreamStallTimeout
 		}
-		if now.Sub(group.lastEvent) < timeout {
+		if now.Sub(group.lastEvent) < timeout || group.areWriting() {
 			continue
 		}
 		stalled = append(stalled, id)
 		u.Balancer.RecordFailure(now, id, balance.Unreachable)
 		for s := range group.active {
-			if s.onStall != nil {
+			if s.onStall != nil && !s.isWriting.Load() {
 				callbacks = append(callbacks, s.onStall)
 			}
 		}
--- a/hornbeamd/gateway/stream.go
+++ b/hornbeamd/gateway/stream.go
@@ -97,11 +97,14 @@
 		if !e.isAfter(c.lastEventID) {
 			continue
 		}
-		if !c.claimStream(a) {
+		if !c.claimStream(a) || !c.commitEvent(e) {
 			return balance.Abandoned, attemptMayHaveRun
 		}
 		// Events that arrived together are flushed together.
-		if !c.writeEvent(a, e, !hasBufferedEvent(a.reader)) {
+		a.timer.beginWrite()
+		isSent := c.writeEvent(a, e, !hasBufferedEvent(a.reader))
+		a.timer.endWrite()
+		if !isSent {
 			return balance.Abandoned, attemptClientGone
 		}
 	}
@@ -119,11 +122,13 @@
 // streamBufferBytes is the size of the read buffer for events.
 const streamBufferBytes = 4 << 10
 
-// writeEvent sends an event to the client and flushes it if flush is true. It returns false if the
-// client has disconnected.
-func (c *clientRequest) writeEvent(a *attempt, e event, flush bool) bool {
-	c.writeHeader(a)
-	if _, err := c.w.Write(e.text); err != nil {
+// commitEvent records that the client gets an event, so that a standby that begins from now on goes on after
+// it. It returns false if a standby has replaced the attempt: it goes on after an earlier event, so that this
+// one, which was in a buffer, must not be sent.
+func (c *clientRequest) commitEvent(e event) bool {
+	c.standby.mu.Lock()
+	defer c.standby.mu.Unlock()
+	if c.standby.attempt != nil && c.standby.attempt.ready {
 		return false
 	}
 	if e.id != "" {
@@ -131,6 +136,16 @@
 		c.lastEventID = e.id
 		c.mu.Unlock()
 	}
+	return true
+}
+
+// writeEvent sends an event to the client and flushes it if flush is true. It returns false if the
+// client has disconnected.
+func (c *clientRequest) writeEvent(a *attempt, e event, flush bool) bool {
+	c.writeHeader(a)
+	if _, err := c.w.Write(e.text); err != nil {
+		return false
+	}
 	if !flush {
 		return true
 	}
