fix: crashes at the same time count as one against a request that was given up

Cause: such crashes counted as none, as the failure of a rack says nothing about a request. But several copies of a request that crashes servers, whose clients leave, always crash them at the same time, so that it may never be refused. And "the same time" was 200 ms, while a crash is noticed up to 0.5 s late where no connection is open, so that the failure of a rack could count as several crashes there. Found by thinking through the verdicts.

Change: they count as one crash, the same one at all routers that know of them, within 600 ms; the verdict waits for 0.8 s. A sound request becomes a suspect by it, and its next answer clears it, also if its client leaves.

--- a/hornbeamd/control/givenup.go
+++ b/hornbeamd/control/givenup.go
@@ -53,8 +53,8 @@
 	r := v.Run.Request
 	l.Log.Info("backend server crashed after a request was given up", zap.String("request", r.RequestID), zap.String("server", v.Crash.Engine),
 		zap.String("boot", v.Crash.Boot), zap.String("verdict", string(v.Reason)))
-	if v.Reason == quarantine.Attributed {
-		l.recordCrash(v.Crash, r)
+	if v.Reason != quarantine.Unreached {
+		l.recordCrash(v.Counts, r)
 	}
 }
 
--- a/hornbeamd/gateway/crash_endings_test.go
+++ b/hornbeamd/gateway/crash_endings_test.go
@@ -247,3 +247,41 @@
 	c.Assert(sent, qt.Equals, int32(clients))
 	c.Assert(opened.Load()-sent <= 1, qt.IsTrue, qt.Commentf("%d connections more", opened.Load()-sent))
 }
+
+// Guards against a request that is never refused because several copies of it always crash their servers at
+// the same time, which looks like the failure of a rack.
+func TestCrashesOfCopiesAreSeen(t *testing.T) {
+	const copies, servers, bursts, contact, maxLate = 3, 21, 6, 3 * time.Second, 3
+	c := qt.New(t)
+	var mu sync.Mutex
+	var crashes []time.Time
+	address, _ := startCrashingServers(c, servers, func(s *crashingServer, _ net.Conn, _ *http.Request) {
+		time.Sleep(150 * time.Millisecond)
+		mu.Lock()
+		crashes = append(crashes, time.Now())
+		mu.Unlock()
+		s.crash()
+	})
+	for range bursts {
+		var group sync.WaitGroup
+		for range copies {
+			group.Go(func() {
+				cl := dial(c, address)
+				defer cl.conn.Close()
+				cl.send("/again/", relayTimeout)
+				time.Sleep(50 * time.Millisecond)
+			})
+		}
+		group.Wait()
+		time.Sleep(time.Second)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	late := 0
+	for _, at := range crashes {
+		if at.Sub(crashes[2]) > contact {
+			late++
+		}
+	}
+	c.Assert(late <= maxLate, qt.IsTrue, qt.Commentf("%d of %d crashes are late", late, len(crashes)))
+}
--- a/hornbeamd/gateway/givenup.go
+++ b/hornbeamd/gateway/givenup.go
@@ -85,9 +85,10 @@
 	run := v.Run.Request
 	t.Metrics.givenUp.WithLabelValues(string(v.Reason)).Inc()
 	t.Log.Info("backend server crashed after a request was given up", zap.String("id", run.attempt), zap.String("server", v.Crash.Engine),
-		zap.String("born", v.Crash.Boot), zap.String("crash", formatCrash(v.Crash.Key())), zap.String("verdict", string(v.Reason)))
-	if v.Reason == quarantine.Attributed {
-		t.recordCrash(v.At, run.suspect, run.answered, v.Crash)
+		zap.String("born", v.Crash.Boot), zap.String("crash", formatCrash(v.Crash.Key())), zap.String("verdict", string(v.Reason)),
+		zap.String("counts", formatCrash(v.Counts.Key())))
+	if v.Reason != quarantine.Unreached {
+		t.recordCrash(v.At, run.suspect, run.answered, v.Counts)
 	}
 }
 
--- a/routing/quarantine/quarantine.go
+++ b/routing/quarantine/quarantine.go
@@ -279,12 +279,14 @@
 		return list
 	}
 	out := append(slices.Clone(list), c)
-	slices.SortFunc(out, func(a, b Crash) int {
-		return cmp.Or(strings.Compare(a.Engine, b.Engine), strings.Compare(a.Boot, b.Boot))
-	})
+	slices.SortFunc(out, compareCrashes)
 	return out
 }
 
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(strings.Compare(a.Engine, b.Engine), strings.Compare(a.Boot, b.Boot))
+}
+
 func equalEntries(a, b Entry) bool {
 	return a.Quarantined == b.Quarantined && a.At.Equal(b.At) && a.Released.Equal(b.Released) && slices.Equal(a.Crashes, b.Crashes)
 }
--- a/routing/quarantine/watch.go
+++ b/routing/quarantine/watch.go
@@ -9,10 +9,11 @@
 // WatchSettings configures a Watch.
 type WatchSettings struct {
 	// SettleTime is the time from a crash to the verdict on the requests that were given up at the
-	// server. Other routers report crashes within this time.
+	// server. Other routers report crashes within this time; longer than CrashWindow.
 	SettleTime time.Duration
-	// CrashWindow is the time between two crashes of different servers within which they have a common
-	// cause, such as the failure of a rack. Such crashes are no evidence against requests.
+	// CrashWindow is the time between the news of two crashes of different servers within which they may
+	// have a common cause, such as the failure of a rack. Such crashes count as one. A crash is noticed late
+	// where no connection is open, so it is longer than the time between two looks at a server.
 	CrashWindow time.Duration
 	// CrashTTL is how long a crash is remembered.
 	CrashTTL time.Duration
@@ -22,7 +23,7 @@
 
 // WatchDefaults returns the default settings.
 func WatchDefaults() WatchSettings {
-	return WatchSettings{SettleTime: 500 * time.Millisecond, CrashWindow: 200 * time.Millisecond, CrashTTL: 2 * time.Minute, MaxRuns: 4096, MaxCrashes: 4096}
+	return WatchSettings{SettleTime: 800 * time.Millisecond, CrashWindow: 600 * time.Millisecond, CrashTTL: 2 * time.Minute, MaxRuns: 4096, MaxCrashes: 4096}
 }
 
 // Run is a run of a request that a router has given up. R is what the router needs to know of the request
@@ -37,10 +38,10 @@
 // Reason is the reason of a Verdict.
 type Reason string
 
-// A request may have caused a crash only if the crash is Attributed to it.
+// A crash counts against a request if it is Attributed or Coincident.
 const (
 	Attributed Reason = "attributed"
-	// Coincident means that other servers crashed at the same time.
+	// Coincident means that other servers crashed at the same time, which counts as one crash.
 	Coincident Reason = "coincident"
 	// Unreached means that the router reached no server of the service any more.
 	Unreached Reason = "unreached"
@@ -52,6 +53,9 @@
 	At     time.Time
 	Run    Run[R]
 	Reason Reason
+	// Counts is the crash that counts. Of crashes at the same time it is the same one at all routers that
+	// know of them, whichever the request was at.
+	Counts Crash
 }
 
 // Watch attributes crashes to requests that were given up before their server had answered, because the
@@ -174,24 +178,26 @@
 			later = append(later, v)
 			continue
 		}
-		v.Reason = Attributed
-		if w.isCoincident(v) {
-			v.Reason = Coincident
-		}
+		v.Reason, v.Counts = w.judge(v)
 		due = append(due, v)
 	}
 	w.pending = later
 	return due
 }
 
-// isCoincident reports whether another server crashed at about the same time.
-func (w *Watch[R]) isCoincident(v Verdict[R]) bool {
+// judge returns the reason of a verdict and the crash that counts.
+func (w *Watch[R]) judge(v Verdict[R]) (reason Reason, counts Crash) {
+	reason, counts = Attributed, v.Crash
 	for _, crashes := range []map[Crash]time.Time{w.crashes, w.reported} {
 		for crash, at := range crashes {
-			if crash != v.Crash && at.Sub(v.At).Abs() <= w.settings.CrashWindow {
-				return true
+			if crash == v.Crash || at.Sub(v.At).Abs() > w.settings.CrashWindow {
+				continue
+			}
+			reason = Coincident
+			if compareCrashes(crash, counts) < 0 {
+				counts = crash
 			}
 		}
 	}
-	return false
+	return reason, counts
 }
